--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -10,7 +10,7 @@
 ];
 
 export default tseslint.config(
-    { ignores: ["dist/**", "node_modules/**", "src/protocol/generated/**"] },
+    { ignores: ["dist/**", "target/**", "journal/**", "node_modules/**", "src/protocol/generated/**"] },
     ...tseslint.configs.recommended,
     {
         files: ["**/*.ts"],
--- a/scripts/checkHouseStyle.ts
+++ b/scripts/checkHouseStyle.ts
@@ -12,6 +12,8 @@
 const stringPattern = /"(?:[^"\\\n]|\\.)*"|`(?:[^`\\]|\\.)*`/g;
 /** Words that the house has others for: data centre, workspace, backend server. */
 const foreignWordPattern = /\b\w*(?:zone|customer|tenant|back_?end_?host|sidecar)\w*\b/gi;
+/** Translates the platform's words, and so must name them. */
+const translatingFolder = "platform/";
 const barrelName = "index";
 const entryPointName = "main";
 
@@ -31,14 +33,15 @@
 function getViolations(path: string): string[] {
     const text = readFileSync(path, "utf8");
     const name = basename(path, ".ts");
-    const violations = [...getHeadViolations(text), ...getWordViolations(text)];
+    const words = path.startsWith(translatingFolder) ? [] : getWordViolations(text);
+    const violations = [...getHeadViolations(text), ...words];
     switch (name) {
         case barrelName:
             return [...violations, ...getBarrelViolations(path, text)];
         case entryPointName:
             return violations;
         default:
-            return [...violations, ...getExportViolations(name, text)];
+            return programFiles.has(path) ? violations : [...violations, ...getExportViolations(name, text)];
     }
 }
 
@@ -87,13 +90,18 @@
 
 /** Checks that a folder with modules has a barrel. */
 function getFolderViolations(paths: readonly string[]): string[] {
-    const folders = new Set(paths.map(dirname));
+    const folders = new Set(paths.filter(path => !programFiles.has(path)).map(dirname));
     return [...folders]
         .filter(folder => !existsSync(join(folder, `${barrelName}.ts`)))
         .map(folder => `${folder} has no barrel`);
 }
 
-const sourceFiles = getSourceFiles("src");
+/** The folders that keep the rules. */
+const sourceFolders = ["src", "platform"];
+/** Programs, which export nothing. */
+const programFiles = new Set(["platform/entry.ts", "platform/control.ts"]);
+
+const sourceFiles = sourceFolders.flatMap(getSourceFiles);
 const reports = [
     ...getFolderViolations(sourceFiles),
     ...sourceFiles.flatMap(path => getViolations(path).map(violation => `${path} ${violation}`)),
--- a/src/control/consensus/runJoining.ts
+++ b/src/control/consensus/runJoining.ts
@@ -56,7 +56,8 @@
     }
 
     async function askAll(): Promise<void> {
-        const otherAddresses = join.addresses.filter(address => address !== ownAddress);
+        const addresses = typeof join.addresses === "function" ? join.addresses() : join.addresses;
+        const otherAddresses = addresses.filter(address => address !== ownAddress);
         const answers = await Promise.all(otherAddresses.map(ask));
         if (answers.some(answer => answer.response?.outcome === JoinOutcome.ACCEPTED)) {
             return;
--- a/src/control/storage/createNodeFileSystem.ts
+++ b/src/control/storage/createNodeFileSystem.ts
@@ -6,8 +6,11 @@
 import { StorageFile } from "./StorageFile";
 import { StorageFileSystem } from "./StorageFileSystem";
 
-/** Creates the file system of the machine. */
-export function createNodeFileSystem(): StorageFileSystem {
+/**
+ * Creates the file system of the machine.
+ * @param options - Whether files can have a second name; a copy stands for one where they can't.
+ */
+export function createNodeFileSystem(options: { hasLinks: boolean; } = { hasLinks: true }): StorageFileSystem {
     return { makeFolder, listFolder: path => readdir(path), syncFolder, readFile, openFile, rename, link, remove };
 
     async function makeFolder(path: string): Promise<void> {
@@ -48,7 +51,7 @@
 
     async function link(fromPath: string, toPath: string): Promise<boolean> {
         try {
-            await linkFile(fromPath, toPath);
+            await (options.hasLinks ? linkFile(fromPath, toPath) : copyNewFile(fromPath, toPath));
             return true;
         }
         catch (thrown) {
@@ -63,3 +66,16 @@
         await rm(path, { force: true });
     }
 }
+
+/** Copies a file to a name that must be free; what a crash leaves half written counts as empty. */
+async function copyNewFile(fromPath: string, toPath: string): Promise<void> {
+    const content = await readWholeFile(fromPath);
+    const file = await open(toPath, "wx");
+    try {
+        await file.appendFile(content);
+        await file.sync();
+    }
+    finally {
+        await file.close();
+    }
+}
--- /dev/null
+++ b/src/documents/NamedWeightsVersion.ts
@@ -0,0 +1,13 @@
+/*
+ * The weights that an operator wants in service.
+ */
+
+/** A model's newest named version. */
+export interface NamedWeightsVersion {
+    /** The model's name. */
+    model: string;
+    /** The version of its weights. */
+    weightsVersion: number;
+    /** When it was named, by the leader's clock, in milliseconds since the epoch. */
+    timeMilliseconds: number;
+}
--- /dev/null
+++ b/src/documents/index.ts
@@ -0,0 +1,18 @@
+/*
+ * Whole-document configuration: routes, services and workspaces that an operator sends as one document, of which the
+ * highest version is in force.
+ */
+export * from "./BackendService";
+export * from "./CallerLimits";
+export * from "./createDocumentState";
+export * from "./createRouteTable";
+export * from "./DocumentDecoder";
+export * from "./DocumentState";
+export * from "./getDocumentProblem";
+export * from "./NamedWeightsVersion";
+export * from "./Route";
+export * from "./RouteKind";
+export * from "./RouteTable";
+export * from "./RoutingDocument";
+export * from "./WeightedService";
+export * from "./WorkspaceEntry";
--- /dev/null
+++ b/src/feed/EntryRegister.ts
@@ -0,0 +1,11 @@
+/*
+ * Which entries have polled lately.
+ */
+
+/** Counts the entries that share the budgets of the whole system. */
+export interface EntryRegister {
+    /** Notes a poll of an entry. */
+    note(entryId: string): void;
+    /** Gets how many entries polled lately. */
+    getCount(): number;
+}
--- /dev/null
+++ b/src/feed/FeedHandlerOptions.ts
@@ -0,0 +1,22 @@
+/*
+ * What the control member's end of the feed is made of.
+ */
+import { ReplicatedLog } from "../control/consensus";
+import { DocumentState } from "../documents";
+import { Clock } from "../runtime";
+import { EntryRegister } from "./EntryRegister";
+import { FleetSource } from "./FleetSource";
+
+/** The options of the feed's handler. */
+export interface FeedHandlerOptions {
+    /** The member's log, whose barrier proves each answer. */
+    log: Pick<ReplicatedLog, "readBarrier" | "getStatus">;
+    /** What the log carries. */
+    documents: DocumentState;
+    /** The view of the fleet. */
+    fleet: FleetSource;
+    /** The entries that poll. */
+    entries: EntryRegister;
+    /** The passing of time. */
+    clock: Clock;
+}
--- /dev/null
+++ b/src/feed/addFeedService.ts
@@ -0,0 +1,15 @@
+/*
+ * The service that entries poll.
+ */
+import type { ConnectRouter } from "@connectrpc/connect";
+import { FeedService } from "../protocol";
+import { FeedHandler } from "./FeedHandler";
+
+/**
+ * Adds the feed to a router.
+ * @param router - The router.
+ * @param handler - Answers the polls.
+ */
+export function addFeedService(router: ConnectRouter, handler: FeedHandler): void {
+    router.service(FeedService, { poll: request => handler.poll(request) });
+}
--- /dev/null
+++ b/src/feed/createFeedConnection.ts
@@ -0,0 +1,26 @@
+/*
+ * Polls control members over connect.
+ */
+import { createClient } from "@connectrpc/connect";
+import { getErrorMessage } from "../errors";
+import { FeedService, PeerTransports, PollRequest } from "../protocol";
+import { FeedAnswer } from "./FeedAnswer";
+import { FeedConnection } from "./FeedConnection";
+
+/**
+ * Creates the connection.
+ * @param transports - The connections to other processes.
+ */
+export function createFeedConnection(transports: PeerTransports): FeedConnection {
+    return { poll };
+
+    async function poll(address: string, request: PollRequest, timeoutMs: number): Promise<FeedAnswer> {
+        const client = createClient(FeedService, transports.getTransport(address));
+        try {
+            return { kind: "answered", response: await client.poll(request, { timeoutMs }) };
+        }
+        catch (thrown) {
+            return { kind: "failed", reason: getErrorMessage(thrown) };
+        }
+    }
+}
--- /dev/null
+++ b/src/feed/runFeed.ts
@@ -0,0 +1,78 @@
+/*
+ * The entry's task that follows control: it polls the leader, and turns to another member as soon as one fails or names
+ * another leader. Each poll has a deadline of its own, so that a connection that went silent costs no more than one.
+ */
+import { create } from "@bufbuild/protobuf";
+import { readStopwatch } from "../membership";
+import { PollOutcome, PollRequestSchema } from "../protocol";
+import { FeedTaskOptions } from "./FeedTaskOptions";
+
+/** How long a poll waits for news, in milliseconds: the age that an undisturbed entry's document reaches. */
+const waitMilliseconds = 400;
+/** How long beyond its wait an answer may take, in milliseconds: a round of the group's heartbeats and some delay. */
+const answerMilliseconds = 600;
+/** The wait after a poll without an answer, in milliseconds; drawn anew each time up to this. */
+const pauseMilliseconds = 150;
+
+/**
+ * Follows control until the signal ends it.
+ * @param options - What the task is made of.
+ */
+export async function runFeed(options: FeedTaskOptions): Promise<void> {
+    const { entryId, connection, state, clock, random, logger, signal } = options;
+    let members: readonly string[] = [];
+    let address: string | undefined;
+    let isConnected = false;
+    let position = random.getInteger(1_024);
+    while (!signal.aborted) {
+        address ??= getNextAddress();
+        const sent = readStopwatch(clock);
+        const request = create(PollRequestSchema, {
+            entryId,
+            documentVersion: BigInt(state.getTable()?.document.version ?? 0),
+            fleetRevision: state.getFleetRevision(),
+            waitMilliseconds: isConnected ? waitMilliseconds : 0,
+        });
+        const timeout = answerMilliseconds + request.waitMilliseconds;
+        const answer = await connection.poll(address, request, timeout);
+        if (answer.kind === "failed") {
+            noteLoss(address, answer.reason);
+            address = undefined;
+            await clock.sleep(random.getUnit() * pauseMilliseconds, signal);
+            continue;
+        }
+        const { response } = answer;
+        members = response.memberAddresses.length > 0 ? response.memberAddresses : members;
+        if (response.outcome === PollOutcome.CURRENT) {
+            noteGain(address);
+            state.update(response, sent);
+            options.onUpdate?.();
+            continue;
+        }
+        noteLoss(address, "does not lead");
+        const isNamed = response.leaderAddress !== "" && response.leaderAddress !== address;
+        address = isNamed ? response.leaderAddress : undefined;
+        await clock.sleep(random.getUnit() * pauseMilliseconds, signal);
+    }
+
+    /** Gets the next of the known members and seeds in turn. */
+    function getNextAddress(): string {
+        const known = [...new Set([...members, ...options.getSeedAddresses()])];
+        position += 1;
+        return known[position % known.length]!;
+    }
+
+    function noteGain(member: string): void {
+        if (!isConnected) {
+            isConnected = true;
+            logger.info({ member }, "follows a control member");
+        }
+    }
+
+    function noteLoss(member: string, reason: string): void {
+        if (isConnected) {
+            isConnected = false;
+            logger.warn({ member, reason, ageMilliseconds: Math.round(state.getAgeMilliseconds()) }, "lost control");
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/LoadChoice.ts
@@ -0,0 +1,14 @@
+/*
+ * An engine chosen to take new weights.
+ */
+import { FleetInstance } from "../protocol";
+
+/** What to load where. */
+export interface LoadChoice {
+    /** The engine. */
+    instance: FleetInstance;
+    /** The model. */
+    model: string;
+    /** The version to serve. */
+    weightsVersion: number;
+}
--- /dev/null
+++ b/src/forwarding/ForwardEnd.ts
@@ -0,0 +1,11 @@
+/*
+ * How the handling of a request ended.
+ */
+import { Refusal } from "./Refusal";
+
+/** The end of a request. */
+export type ForwardEnd =
+    | { kind: "answered"; status: number; instanceId: string; }
+    | { kind: "refused"; refusal: Refusal; }
+    | { kind: "brokenOff"; reason: string; instanceId: string; }
+    | { kind: "callerLeft"; };
--- /dev/null
+++ b/src/forwarding/WantedWeights.ts
@@ -0,0 +1,11 @@
+/*
+ * The weights that should answer a model's requests.
+ */
+
+/** The newest named version of a model's weights. */
+export interface WantedWeights {
+    /** The version. */
+    weightsVersion: number;
+    /** How long ago it was named, in milliseconds. */
+    ageMilliseconds: number;
+}
--- /dev/null
+++ b/src/forwarding/index.ts
@@ -0,0 +1,28 @@
+/*
+ * Forwards opaque requests to backend servers: admission, placement, attempts and the answer, whatever protocol carries
+ * them.
+ */
+export * from "./AnswerHead";
+export * from "./BackendAnswer";
+export * from "./BackendAttempt";
+export * from "./BackendLink";
+export * from "./CallerReply";
+export * from "./createEnginePlacement";
+export * from "./createEventSplitter";
+export * from "./createForwarder";
+export * from "./createLoadBoard";
+export * from "./createServiceBudgets";
+export * from "./EnginePlacement";
+export * from "./EventSplitter";
+export * from "./ForwardedRequest";
+export * from "./Forwarder";
+export * from "./ForwarderOptions";
+export * from "./LoadBoard";
+export * from "./LoadReport";
+export * from "./placePlainRequest";
+export * from "./PromptOutline";
+export * from "./PromptPart";
+export * from "./Refusal";
+export * from "./ServiceBudgets";
+export * from "./StreamEvent";
+export * from "./WantedWeights";
--- /dev/null
+++ b/src/forwarding/refuseTask.ts
@@ -0,0 +1,19 @@
+/*
+ * Ends a request that has no answer.
+ */
+import { ForwardEnd } from "./ForwardEnd";
+import { ForwardingTask } from "./ForwardingTask";
+import { Refusal } from "./Refusal";
+
+/**
+ * Refuses a request, unless its caller has left.
+ * @param task - The request.
+ * @param refusal - What the caller is told.
+ */
+export function refuseTask(task: ForwardingTask, refusal: Refusal): ForwardEnd {
+    if (task.request.signal.aborted) {
+        return { kind: "callerLeft" };
+    }
+    task.reply.refuse(refusal);
+    return { kind: "refused", refusal };
+}
--- a/src/limits/createRetryBudget.ts
+++ b/src/limits/createRetryBudget.ts
@@ -9,17 +9,22 @@
 /**
  * Creates a budget with its reserve full; without a share there is no reserve either.
  * @param share - How many retries each first attempt earns.
- * @param savedRetries - How many earned retries are kept at most.
+ * @param savedRetries - How many earned retries are kept at most; a function where the bound changes.
  */
-export function createRetryBudget(share: number, savedRetries = defaultSavedRetries): RetryBudget {
-    let saved = share > 0 ? savedRetries : 0;
+export function createRetryBudget(
+    share: number,
+    savedRetries: number | (() => number) = defaultSavedRetries,
+): RetryBudget {
+    const getMost = typeof savedRetries === "number" ? () => savedRetries : savedRetries;
+    let saved = share > 0 ? getMost() : 0;
     return { addFirstAttempt, tryTakeRetry };
 
     function addFirstAttempt(): void {
-        saved = Math.min(savedRetries, saved + share);
+        saved = Math.min(getMost(), saved + share);
     }
 
     function tryTakeRetry(): boolean {
+        saved = Math.min(getMost(), saved);
         if (saved < 1) {
             return false;
         }
--- a/src/logging/index.ts
+++ b/src/logging/index.ts
@@ -1,6 +1,8 @@
 /*
  * Logs as lines of JSON.
  */
+export * from "./BoundedWriter";
+export * from "./createBoundedWriter";
 export * from "./createLogger";
 export * from "./createRedactingStream";
 export * from "./createSilentLogger";
--- a/src/protocol/getCallerRoles.ts
+++ b/src/protocol/getCallerRoles.ts
@@ -6,6 +6,7 @@
 import { CompanionService } from "./generated/basilwing/v1/companion_pb";
 import { ConsensusService } from "./generated/basilwing/v1/consensus_pb";
 import { ControlService } from "./generated/basilwing/v1/control_pb";
+import { FeedService } from "./generated/basilwing/v1/forwarding_pb";
 
 const everyRole = [Role.Entry, Role.Companion, Role.Control];
 const callerRoles: Readonly<Record<string, Readonly<Record<string, readonly Role[]>>>> = {
@@ -24,6 +25,9 @@
         relay: [Role.Control],
         waitInForce: [Role.Control],
     },
+    [FeedService.typeName]: {
+        poll: [Role.Entry],
+    },
     [CompanionService.typeName]: {
         dispatch: [Role.Entry],
         resume: [Role.Entry],
--- a/src/protocol/getServerRole.ts
+++ b/src/protocol/getServerRole.ts
@@ -6,11 +6,13 @@
 import { CompanionService } from "./generated/basilwing/v1/companion_pb";
 import { ConsensusService } from "./generated/basilwing/v1/consensus_pb";
 import { ControlService } from "./generated/basilwing/v1/control_pb";
+import { FeedService } from "./generated/basilwing/v1/forwarding_pb";
 
 const serverRoles: Readonly<Record<string, Role>> = {
     [CompanionService.typeName]: Role.Companion,
     [ConsensusService.typeName]: Role.Control,
     [ControlService.typeName]: Role.Control,
+    [FeedService.typeName]: Role.Control,
 };
 
 /**
--- a/src/protocol/getServiceBounds.ts
+++ b/src/protocol/getServiceBounds.ts
@@ -6,6 +6,7 @@
 import { CompanionService } from "./generated/basilwing/v1/companion_pb";
 import { ConsensusService } from "./generated/basilwing/v1/consensus_pb";
 import { ControlService } from "./generated/basilwing/v1/control_pb";
+import { FeedService } from "./generated/basilwing/v1/forwarding_pb";
 import { ServiceBounds } from "./ServiceBounds";
 
 const bytesPerMebibyte = 1_048_576;
@@ -26,6 +27,11 @@
         messagesPerSecond: 5_000,
         messageBurst: 10_000,
     },
+    [FeedService.typeName]: {
+        maximumMessageBytes: bytesPerMebibyte,
+        messagesPerSecond: 200,
+        messageBurst: 1_000,
+    },
 };
 
 /**
--- a/src/protocol/index.ts
+++ b/src/protocol/index.ts
@@ -19,6 +19,7 @@
 export * from "./generated/basilwing/v1/configuration_pb";
 export * from "./generated/basilwing/v1/consensus_pb";
 export * from "./generated/basilwing/v1/control_pb";
+export * from "./generated/basilwing/v1/forwarding_pb";
 export * from "./generated/basilwing/v1/orders_pb";
 export * from "./getCallerRoles";
 export * from "./getCommandRoles";
--- /dev/null
+++ b/tests/documents/createRouteTable.tests.ts
@@ -0,0 +1,45 @@
+import { expect } from "chai";
+import * as fc from "fast-check";
+import { createRouteTable } from "../../src/documents";
+import { createTestDocument } from "./createTestDocument";
+
+describe("createRouteTable", () => {
+    const [route] = createTestDocument().routes;
+    const prefixes = ["/", "/a/", "/a/b/", "/a/b/c/", "/ab/"];
+    const routes = prefixes.map(pathPrefix => ({ ...route!, name: pathPrefix, pathPrefix }));
+    const table = createRouteTable(createTestDocument({ routes }));
+
+    describe("getRoute", () => {
+        function doTest(host: string, path: string, expected: string | undefined) {
+            expect(table.getRoute(host, path)?.name).to.equal(expected);
+        }
+
+        it("takes the longest prefix", () => doTest("one.example", "/a/b/x", "/a/b/"));
+        it("takes a prefix that is the whole path", () => doTest("one.example", "/a/b/c/", "/a/b/c/"));
+        it("does not take a prefix without its slash", () => doTest("one.example", "/a", "/"));
+        it("compares hosts without their case", () => doTest("One.Example", "/ab/x", "/ab/"));
+        it("knows no other host", () => doTest("two.example", "/a/", undefined));
+
+        it("agrees with a search through all routes", () => {
+            const segment = fc.constantFrom("a", "b", "c", "ab", "");
+            fc.assert(
+                fc.property(fc.array(segment, { maxLength: 5 }), segments => {
+                    const path = `/${segments.join("/")}`;
+                    const expected = prefixes.filter(prefix => path.startsWith(prefix))
+                        .sort((left, right) => right.length - left.length)[0];
+                    expect(table.getRoute("one.example", path)?.name).to.equal(expected);
+                }),
+                { seed: 7, numRuns: 300 },
+            );
+        });
+    });
+
+    it("finds the workspace of a key", () => {
+        expect(table.getWorkspace("alpha-key")?.name).to.equal("alpha");
+        expect(table.getWorkspace("other")).to.equal(undefined);
+    });
+
+    it("finds the stores of kept KV cache", () => {
+        expect(table.getKeptCaches().map(cache => cache.address)).to.deep.equal(["10.0.0.9:80"]);
+    });
+});
--- /dev/null
+++ b/tests/fleet/chooseLoads.tests.ts
@@ -0,0 +1,38 @@
+import { expect } from "chai";
+import { chooseLoads } from "../../src/fleet";
+import { FleetInstance } from "../../src/protocol";
+import { createTestInstance } from "../feed/createTestFeed";
+
+describe("chooseLoads", () => {
+    function createEngines(count: number, changes: Partial<FleetInstance> = {}) {
+        return Array.from(
+            { length: count },
+            (...[, place]) => createTestInstance({ instanceId: `engine-${place}`, ...changes }),
+        );
+    }
+
+    function doTest(engines: readonly FleetInstance[], weightsVersion: number, expected: readonly string[]) {
+        const targets = [{ model: "large", weightsVersion, timeMilliseconds: 0 }];
+        expect(chooseLoads(engines, targets).map(choice => choice.instance.instanceId)).to.deep.equal(expected);
+    }
+
+    it("chooses a quarter of the engines", () => doTest(createEngines(8), 2, ["engine-0", "engine-1"]));
+    it("chooses one of a few", () => doTest(createEngines(2), 2, ["engine-0"]));
+    it("chooses none that serves the version", () => doTest(createEngines(8), 1, []));
+    it("counts those that load already", () => {
+        const [first, ...others] = createEngines(8);
+        doTest([{ ...first!, isLoading: true }, ...others], 2, ["engine-1"]);
+    });
+    it("leaves out those that leave", () => doTest(createEngines(4, { isLeaving: true }), 2, []));
+    it("begins with the oldest weights", () => {
+        const engines = createEngines(4, { weights: createTestInstance().weights });
+        const old = createTestInstance({ instanceId: "old" });
+        old.weights = [{ ...old.weights[0]!, weightsVersion: 0 }];
+        doTest([...engines, old], 2, ["old", "engine-0"]);
+    });
+    it("leaves engines of other models alone", () => {
+        const other = createTestInstance({ instanceId: "other" });
+        other.weights = [{ ...other.weights[0]!, model: "small" }];
+        doTest([other], 2, []);
+    });
+});
