Keep shared beginnings where they were read, and fetch them where they are

Change: one home for each weights version among usable engines; entries remember where they sent a beginning; a prompt that goes elsewhere fetches from a known holder, the store, or the likely home. Entries follow the store's changes and save only where a shared part is missing.

--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -12,5 +12,6 @@
     entryPoints: { entry: "platform/entry.ts", control: "platform/control.ts" },
     outdir: "target",
     minifySyntax: true,
+    minifyWhitespace: true,
     logLevel: "warning",
 });
--- a/src/forwarding/BackendAttempt.ts
+++ b/src/forwarding/BackendAttempt.ts
@@ -22,8 +22,10 @@
     weightsVersion: number | undefined;
     /** The text under which an engine caches the prompt's parts. */
     cacheSalt: string | undefined;
-    /** Where an engine fetches parts from and saves them to. */
-    keptCacheAddress: string | undefined;
+    /** Where an engine fetches parts from that it lacks. */
+    fetchAddress: string | undefined;
+    /** Where an engine saves the parts that it reads. */
+    saveAddress: string | undefined;
     /** The last event that the caller has, where a stream goes on. */
     lastEventId: string | undefined;
     /** Ends the attempt, and the work at the backend server. */
--- a/src/forwarding/ForwarderOptions.ts
+++ b/src/forwarding/ForwarderOptions.ts
@@ -6,6 +6,7 @@
 import { Metrics } from "../metrics";
 import { Clock, RandomSource } from "../runtime";
 import { BackendLink } from "./BackendLink";
+import { KeptCacheView } from "./KeptCacheView";
 
 /** The options of a forwarder. */
 export interface ForwarderOptions {
@@ -13,6 +14,8 @@
     state: FeedState;
     /** The way to backend servers. */
     link: BackendLink;
+    /** What the stores of kept KV cache hold. */
+    keptCaches: KeptCacheView;
     /** The entry's data centre. */
     dataCentre: string;
     /** How old the rules may be for requests that need a key, in milliseconds. */
--- a/src/forwarding/admitRequest.ts
+++ b/src/forwarding/admitRequest.ts
@@ -9,8 +9,11 @@
 import { Admission } from "./Admission";
 import { ForwardedRequest } from "./ForwardedRequest";
 
-/** When a caller should come back whose entry does not know the rules, in milliseconds: a few polls of control. */
-const staleRetryMilliseconds = 500;
+/**
+ * When a caller should come back whose entry does not know the rules, in milliseconds: the time of a start and an election
+ * together. Most callers come back once only, so that too early is worse than too late.
+ */
+const staleRetryMilliseconds = 2_000;
 
 /**
  * Admits or refuses a request.
--- a/src/forwarding/createAnswerOpener.ts
+++ b/src/forwarding/createAnswerOpener.ts
@@ -18,6 +18,7 @@
 import { getAttemptTerms } from "./getAttemptTerms";
 import { OpenOutcome } from "./OpenOutcome";
 import { placePlainRequest } from "./placePlainRequest";
+import { PrefixSources } from "./PrefixSources";
 import { Refusal } from "./Refusal";
 
 /** How many backend servers a request is offered to at most: more would delay a refusal that is due. */
@@ -34,7 +35,7 @@
 export function createAnswerOpener(options: ForwarderOptions): AnswerOpener {
     const { state, link, dataCentre, clock, random, metrics } = options;
     const loads = createLoadBoard(clock);
-    const enginePlacement = createEnginePlacement(loads);
+    const enginePlacement = createEnginePlacement(loads, clock);
     const budgets = createServiceBudgets(options.retryShare, options.retryReserve, state.getEntryCount);
     return {
         open,
@@ -97,7 +98,7 @@
             instance.service === service.name && !instance.isLeaving && !triedIds.has(instance.instanceId)
         );
         if (service.kind === "engine" && prompt) {
-            return enginePlacement.choose(prompt, candidates, state.getWeightsTarget(prompt.model));
+            return enginePlacement.choose(prompt, getScope(task), candidates, state.getWeightsTarget(prompt.model));
         }
         return placePlainRequest(candidates, loads, dataCentre, random);
     }
@@ -117,7 +118,11 @@
             remainingMilliseconds: getRemaining(task),
             lastEventId,
             signal: task.signal,
-            ...getAttemptTerms(task, instance, state.getEntryCount()),
+            ...getAttemptTerms(task, instance, {
+                entryCount: state.getEntryCount(),
+                sources: takeSources(task, instance),
+                keptCaches: options.keptCaches,
+            }),
         });
         if (answer.kind !== "answered") {
             loads.noteStarted(instanceId, getPromptTokens(task));
@@ -126,6 +131,17 @@
         return answer;
     }
 
+    /** Gets where an attempt's engine may fetch shared parts from, and notes that it reads them. */
+    function takeSources(task: ForwardingTask, instance: FleetInstance): PrefixSources | undefined {
+        const { prompt } = task.request;
+        if (!prompt) {
+            return undefined;
+        }
+        const sources = enginePlacement.getSources(prompt, getScope(task), instance, state.getFleet()?.instances ?? []);
+        enginePlacement.noteSent(prompt, getScope(task), instance);
+        return sources;
+    }
+
     /** Notes an answer; tells whether it is the request's last one. */
     function note(task: ForwardingTask, instance: FleetInstance, answer: BackendAnswer): boolean {
         const { instanceId } = instance;
@@ -206,6 +222,11 @@
     }
 }
 
+/** Gets the workspace within which a request's cached parts may be shared; empty for all. */
+function getScope({ admission: { workspace } }: ForwardingTask): string {
+    return workspace?.isIsolated ? workspace.name : "";
+}
+
 /** Gets the prompt tokens that an attempt makes an engine read, at the most. */
 function getPromptTokens(task: ForwardingTask): number {
     return task.request.prompt?.promptTokens ?? 0;
--- a/src/forwarding/createEnginePlacement.ts
+++ b/src/forwarding/createEnginePlacement.ts
@@ -1,14 +1,18 @@
 /*
  * Chooses an engine for a prompt. It answers a load of prompts that share long beginnings over engines of uneven load:
- * all entries agree on the engine that holds a shared beginning by rendezvous hashing, without exchanging state, and
- * leave it only where its load outweighs reading the beginning again.
+ * all entries agree on the engine that keeps a shared beginning by rendezvous hashing, without exchanging state, and
+ * leave it only where its load outweighs reading the beginning again. Where a prompt goes elsewhere all the same, it
+ * fetches the beginning from an engine that holds it.
  */
 import { LRUCache } from "lru-cache";
 import { getWeightsVersion } from "../fleet";
 import { FleetInstance } from "../protocol";
 import { createInstanceDigest, getRendezvousScore, InstanceDigest } from "../routing";
+import { Clock } from "../runtime";
+import { createPrefixReads } from "./createPrefixReads";
 import { EnginePlacement } from "./EnginePlacement";
 import { LoadBoard } from "./LoadBoard";
+import { PrefixSources } from "./PrefixSources";
 import { PromptOutline } from "./PromptOutline";
 import { WantedWeights } from "./WantedWeights";
 
@@ -16,38 +20,44 @@
 const tokensPerMillisecond = 50;
 /** What each request at an engine adds to the wait of the next one, in milliseconds: its share of the batch's steps. */
 const requestMilliseconds = 4;
+/** What leaving a beginning's engine costs beside the reading, in milliseconds: other prompts wait for it too. */
+const leaveMilliseconds = 60;
 /** What an engine that takes new weights adds, in milliseconds: the time of a load. */
 const loadingMilliseconds = 2_000;
 /** What an engine that failed lately adds, in milliseconds: more than any queue. */
 const suspectedMilliseconds = 20_000;
 /** What replaced weights add for each second since newer ones were named, in milliseconds: late answers are worth less. */
 const oldWeightsMillisecondsPerSecond = 40;
-/** How many digests of engines are kept: more than any fleet has. */
+/** How many digests are kept: more than any fleet has engines. */
 const maximumDigests = 4_096;
 
 /**
  * Creates the placement of an entry.
  * @param loads - The engines' load.
+ * @param clock - The passing of time.
  */
-export function createEnginePlacement(loads: LoadBoard): EnginePlacement {
+export function createEnginePlacement(loads: LoadBoard, clock: Clock): EnginePlacement {
     const digests = new LRUCache<string, InstanceDigest>({ max: maximumDigests });
-    return { choose };
+    const reads = createPrefixReads(clock);
+    return { choose, noteSent, getSources };
 
     function choose(
         prompt: PromptOutline,
+        scope: string,
         candidates: readonly FleetInstance[],
         wanted: WantedWeights | undefined,
     ): FleetInstance | undefined {
-        const sharedParts = prompt.parts.slice(0, -1);
-        const sharedTokens = sharedParts.reduce((sum, part) => sum + part.tokens, 0);
-        const home = getHome(sharedParts.map(part => part.id).join(","), candidates);
+        const sharedTokens = getSharedTokens(prompt);
+        const homes = getHomes(prompt, scope, candidates);
         let best: FleetInstance | undefined;
         let bestCost = Infinity;
         for (const candidate of candidates) {
-            const readTokens = candidate === home ? 0 : sharedTokens;
-            const cost = readTokens / tokensPerMillisecond + getLoadCost(candidate)
-                + getWeightsCost(candidate, prompt.model, wanted);
-            if (cost < bestCost || cost === bestCost && candidate === home) {
+            const isHome = homes.has(candidate);
+            const isHolder = isHome || reads.isHeld(getKey(prompt, scope, candidate), candidate.instanceId);
+            const readCost = isHolder ? 0 : sharedTokens / tokensPerMillisecond + leaveMilliseconds;
+            const homeCost = isHome ? 0 : requestMilliseconds;
+            const cost = readCost + homeCost + getLoadCost(candidate) + getWeightsCost(candidate, prompt.model, wanted);
+            if (cost < bestCost) {
                 best = candidate;
                 bestCost = cost;
             }
@@ -55,9 +65,56 @@
         return best;
     }
 
-    /** Gets the engine that keeps a shared beginning, the same at every entry. */
-    function getHome(key: string, candidates: readonly FleetInstance[]): FleetInstance | undefined {
-        const { first, second } = createInstanceDigest(key);
+    function noteSent(prompt: PromptOutline, scope: string, instance: FleetInstance): void {
+        reads.note(getKey(prompt, scope, instance), instance.instanceId);
+    }
+
+    function getSources(
+        prompt: PromptOutline,
+        scope: string,
+        chosen: FleetInstance,
+        instances: readonly FleetInstance[],
+    ): PrefixSources {
+        const key = getKey(prompt, scope, chosen);
+        const version = getWeightsVersion(chosen, prompt.model);
+        const sources = instances.filter(instance =>
+            instance.service === chosen.service && instance !== chosen && !instance.isLoading
+            && getWeightsVersion(instance, prompt.model) === version && !loads.isSuspected(instance.instanceId)
+        );
+        const [lastId] = reads.getHolders(key);
+        return {
+            isHeld: reads.isHeld(key, chosen.instanceId),
+            known: sources.find(instance => instance.instanceId === lastId),
+            likely: getHome(prompt, scope, sources),
+        };
+    }
+
+    /** Gets the engine that keeps a prompt's shared beginning for each version of the weights in service. */
+    function getHomes(
+        prompt: PromptOutline,
+        scope: string,
+        candidates: readonly FleetInstance[],
+    ): ReadonlySet<FleetInstance | undefined> {
+        const usable = candidates.filter(({ instanceId, isLoading }) => !isLoading && !loads.isSuspected(instanceId));
+        const versions = new Set(usable.map(candidate => getWeightsVersion(candidate, prompt.model)));
+        return new Set(
+            [...versions].map(version =>
+                getHome(
+                    prompt,
+                    scope,
+                    usable.filter(candidate => getWeightsVersion(candidate, prompt.model) === version),
+                )
+            ),
+        );
+    }
+
+    /** Gets the candidate that rendezvous hashing names, the same at every entry. */
+    function getHome(
+        prompt: PromptOutline,
+        scope: string,
+        candidates: readonly FleetInstance[],
+    ): FleetInstance | undefined {
+        const { first, second } = getDigest(`${scope} ${getSharedIds(prompt)}`);
         let home: FleetInstance | undefined;
         let homeScore = -1;
         for (const candidate of candidates) {
@@ -70,9 +127,9 @@
         return home;
     }
 
-    function getDigest(instanceId: string): InstanceDigest {
-        const digest = digests.get(instanceId) ?? createInstanceDigest(instanceId);
-        digests.set(instanceId, digest);
+    function getDigest(text: string): InstanceDigest {
+        const digest = digests.get(text) ?? createInstanceDigest(text);
+        digests.set(text, digest);
         return digest;
     }
 
@@ -93,3 +150,16 @@
     }
     return wanted.ageMilliseconds / 1_000 * oldWeightsMillisecondsPerSecond;
 }
+
+/** Gets the name of a prompt's shared beginning under the weights of an engine. */
+function getKey(prompt: PromptOutline, scope: string, instance: FleetInstance): string {
+    return `${scope} ${getWeightsVersion(instance, prompt.model) ?? 0} ${getSharedIds(prompt)}`;
+}
+
+function getSharedIds({ parts }: PromptOutline): string {
+    return parts.slice(0, -1).map(part => part.id).join(",");
+}
+
+function getSharedTokens({ parts }: PromptOutline): number {
+    return parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
+}
--- a/src/settings/validation/createSchemaCheck.ts
+++ b/src/settings/validation/createSchemaCheck.ts
@@ -1,7 +1,7 @@
 /*
  * Checks JSON values against a schema, by the ajv library, and says what is wrong in plain words.
  */
-import { Ajv, ErrorObject } from "ajv";
+import { Ajv, ErrorObject, ValidateFunction } from "ajv";
 import { isIP } from "node:net";
 import { describeExpectedValue } from "./describeExpectedValue";
 import { formatValuePath } from "./formatValuePath";
@@ -24,14 +24,11 @@
     schema: JsonSchema,
     options: SchemaCheckOptions,
 ): (value: unknown) => readonly ValueProblem[] {
-    const ajv = new Ajv({ allErrors: true, useDefaults: options.fillsDefaults, verbose: true, strict: true });
-    ajv.addFormat("ip", (text: string) => isIP(text) !== 0);
-    ajv.addFormat("address", isIpPort);
-    ajv.addFormat("httpAddress", isHttpAddress);
-    const validate = ajv.compile(schema);
+    let validate: ValidateFunction | undefined;
     return check;
 
     function check(value: unknown): readonly ValueProblem[] {
+        validate ??= compileSchema(schema, options);
         if (validate(value)) {
             return [];
         }
@@ -39,6 +36,15 @@
     }
 }
 
+/** Compiles a schema, with its first use: that takes longer than most processes' other preparations. */
+function compileSchema(schema: JsonSchema, options: SchemaCheckOptions): ValidateFunction {
+    const ajv = new Ajv({ allErrors: true, useDefaults: options.fillsDefaults, verbose: true, strict: true });
+    ajv.addFormat("ip", (text: string) => isIP(text) !== 0);
+    ajv.addFormat("address", isIpPort);
+    ajv.addFormat("httpAddress", isHttpAddress);
+    return ajv.compile(schema);
+}
+
 /** Keeps the first problem of each path. */
 function removeRepetitions(problems: readonly ValueProblem[]): readonly ValueProblem[] {
     const problemsByPath = new Map<string, ValueProblem>();
--- a/tests/platform/backends/createBackendLink.tests.ts
+++ b/tests/platform/backends/createBackendLink.tests.ts
@@ -36,7 +36,8 @@
             priority: 0,
             weightsVersion: undefined,
             cacheSalt: undefined,
-            keptCacheAddress: undefined,
+            fetchAddress: undefined,
+            saveAddress: undefined,
             lastEventId: undefined,
             signal,
         });
