Probe silent backend servers, and turn away from dead ones

Change: a backend server that owes an answer and is silent for 350 ms is asked for a sign of life by a call that needs no slot; without an answer it is held to be dead until it gives one, and what may be repeated goes elsewhere at once. Ruled out: judging by silence alone (an engine reading a long prompt is silent too).

--- a/src/documents/BackendService.ts
+++ b/src/documents/BackendService.ts
@@ -8,6 +8,8 @@
     | {
         kind: "engine";
         name: string;
+        /** Where a backend server answers whether it is well. */
+        healthPath: string;
         /** The connections that one backend server takes from all callers together. */
         maximumConnections: number;
         /** The requests that one engine runs at once. */
@@ -18,6 +20,6 @@
         models: readonly string[];
     }
     /** Backend servers that run each request by itself. */
-    | { kind: "plain"; name: string; maximumConnections: number; }
+    | { kind: "plain"; name: string; healthPath: string; maximumConnections: number; }
     /** The store of kept KV cache, which receives no requests. */
     | { kind: "keptCache"; name: string; address: string; dataCentre: string; };
--- a/src/forwarding/BackendLink.ts
+++ b/src/forwarding/BackendLink.ts
@@ -1,6 +1,8 @@
 /*
  * The way to the backend servers, behind whatever protocol they speak.
  */
+import { BackendService } from "../documents";
+import { FleetInstance } from "../protocol";
 import { BackendAnswer } from "./BackendAnswer";
 import { BackendAttempt } from "./BackendAttempt";
 
@@ -8,4 +10,6 @@
 export interface BackendLink {
     /** Sends one attempt; resolves with the answer's head. */
     send(attempt: BackendAttempt): Promise<BackendAnswer>;
+    /** Asks a backend server for a sign of life, without a slot where it has such a call; tells whether one came. */
+    probe(instance: FleetInstance, service: BackendService, signal: AbortSignal): Promise<boolean>;
 }
--- a/src/forwarding/ForwarderOptions.ts
+++ b/src/forwarding/ForwarderOptions.ts
@@ -24,6 +24,8 @@
     retryShare: number;
     /** How many retries all entries together may send beyond that. */
     retryReserve: number;
+    /** Ends the forwarder's own tasks. */
+    signal: AbortSignal;
     /** The passing of time. */
     clock: Clock;
     /** Randomness. */
--- a/src/forwarding/createAnswerOpener.ts
+++ b/src/forwarding/createAnswerOpener.ts
@@ -13,6 +13,7 @@
 import { createEnginePlacement } from "./createEnginePlacement";
 import { createLoadBoard } from "./createLoadBoard";
 import { createServiceBudgets } from "./createServiceBudgets";
+import { createSilenceWatch } from "./createSilenceWatch";
 import { ForwarderOptions } from "./ForwarderOptions";
 import { ForwardingTask } from "./ForwardingTask";
 import { getAttemptTerms } from "./getAttemptTerms";
@@ -34,13 +35,14 @@
  */
 export function createAnswerOpener(options: ForwarderOptions): AnswerOpener {
     const { state, link, dataCentre, clock, random, metrics } = options;
-    const loads = createLoadBoard(clock);
+    const watch = createSilenceWatch({ link, clock, logger: options.logger, signal: options.signal });
+    const loads = createLoadBoard(clock, watch.isSilent);
     const enginePlacement = createEnginePlacement(loads, clock);
     const budgets = createServiceBudgets(options.retryShare, options.retryReserve, state.getEntryCount);
     return {
         open,
         noteStarted: (task, instanceId) => loads.noteStarted(instanceId, getPromptTokens(task)),
-        noteEnded: loads.noteEnded,
+        noteEnded,
         canRepeat,
     };
 
@@ -112,12 +114,15 @@
         task.triedIds.add(instanceId);
         task.sentCount += 1;
         loads.noteSent(instanceId, getPromptTokens(task));
+        watch.noteSent(instance, task.admission.service);
         const answer = await link.send({
             request: task.request,
             instance,
             remainingMilliseconds: getRemaining(task),
             lastEventId,
             signal: task.signal,
+            deadSignal: mayRepeat(task, 1) ? watch.getSignal(instanceId) : undefined,
+            onHeard: () => watch.noteHeard(instanceId),
             ...getAttemptTerms(task, instance, {
                 entryCount: state.getEntryCount(),
                 sources: takeSources(task, instance),
@@ -126,7 +131,7 @@
         });
         if (answer.kind !== "answered") {
             loads.noteStarted(instanceId, getPromptTokens(task));
-            loads.noteEnded(instanceId);
+            noteEnded(instanceId);
         }
         return answer;
     }
@@ -193,7 +198,7 @@
             return true;
         }
         loads.noteStarted(instance.instanceId, getPromptTokens(task));
-        loads.noteEnded(instance.instanceId);
+        noteEnded(instance.instanceId);
         noteRetry(task, instance, RetryReason.BackendRefused, `status ${head.status}`);
         return false;
     }
@@ -210,11 +215,21 @@
         }, "attempt failed");
     }
 
+    function noteEnded(instanceId: string): void {
+        loads.noteEnded(instanceId);
+        watch.noteEnded(instanceId);
+    }
+
     function canRepeat(task: ForwardingTask): boolean {
+        return mayRepeat(task, 0);
+    }
+
+    /** Tells whether a request may be sent again after some more runs. */
+    function mayRepeat(task: ForwardingTask, moreRuns: number): boolean {
         const { route } = task.admission;
         const isIdempotent = route.kind === RouteKind.Idempotent
             || route.kind === RouteKind.Stream && route.isResumable;
-        return isIdempotent && !task.signal.aborted && task.runCount < route.maximumAttempts;
+        return isIdempotent && !task.signal.aborted && task.runCount + moreRuns < route.maximumAttempts;
     }
 
     function getRemaining(task: ForwardingTask): number {
--- a/src/forwarding/createLoadBoard.ts
+++ b/src/forwarding/createLoadBoard.ts
@@ -27,8 +27,9 @@
 /**
  * Creates an empty board.
  * @param clock - The passing of time.
+ * @param isSilent - Tells whether a backend server is held to be dead.
  */
-export function createLoadBoard(clock: Clock): LoadBoard {
+export function createLoadBoard(clock: Clock, isSilent: (instanceId: string) => boolean): LoadBoard {
     const loads = new Map<string, InstanceLoad>();
     return {
         noteSent,
@@ -38,7 +39,8 @@
         noteFailure,
         noteWeights: (instanceId, weightsVersion) => getLoad(instanceId).weightsVersion = weightsVersion,
         getWeightsVersion: instanceId => loads.get(instanceId)?.weightsVersion,
-        isSuspected: instanceId => (loads.get(instanceId)?.suspectedUntil ?? 0) > clock.getMonotonicMilliseconds(),
+        isSuspected: instanceId =>
+            isSilent(instanceId) || (loads.get(instanceId)?.suspectedUntil ?? 0) > clock.getMonotonicMilliseconds(),
         getRequests,
         getUnreadTokens: instanceId => loads.get(instanceId)?.unreadTokens ?? 0,
     };
--- /dev/null
+++ b/src/forwarding/createSilenceWatch.ts
@@ -0,0 +1,119 @@
+/*
+ * Finds backend servers that went dark without closing their connections. It answers a load in which a share of them
+ * takes requests and never answers: one that owes an answer and gives no sign of life for a while is asked for one by a
+ * call that needs no slot; without an answer it is held to be dead until it gives one.
+ */
+import { BackendService } from "../documents";
+import { FleetInstance } from "../protocol";
+import { SilenceWatch } from "./SilenceWatch";
+import { SilenceWatchOptions } from "./SilenceWatchOptions";
+
+/** How long one that owes an answer may be silent until it is asked, in milliseconds: a long prompt's reading. */
+const silenceMilliseconds = 350;
+/** How long the answer to the question may take, in milliseconds: many times a link's delay. */
+const probeMilliseconds = 350;
+/** The pause between two questions to a dead one, in milliseconds. */
+const probePauseMilliseconds = 500;
+/** How often silences are looked for, in milliseconds. */
+const lookMilliseconds = 50;
+/** How long a dead one is asked, in milliseconds: it has left the platform's list by then, or has a new id. */
+const longestProbingMilliseconds = 60_000;
+
+interface Watched {
+    instance: FleetInstance;
+    service: BackendService;
+    owed: number;
+    heardMilliseconds: number;
+    isProbed: boolean;
+    dead: AbortController;
+}
+
+/**
+ * Creates the watch and starts its task.
+ * @param options - What the watch is made of.
+ */
+export function createSilenceWatch(options: SilenceWatchOptions): SilenceWatch {
+    const { link, clock, logger, signal } = options;
+    const watched = new Map<string, Watched>();
+    const unknown = new AbortController();
+    void look();
+    return {
+        noteSent,
+        noteHeard,
+        noteEnded,
+        isSilent: instanceId => watched.get(instanceId)?.dead.signal.aborted ?? false,
+        getSignal: instanceId => watched.get(instanceId)?.dead.signal ?? unknown.signal,
+    };
+
+    function noteSent(instance: FleetInstance, service: BackendService): void {
+        const now = clock.getMonotonicMilliseconds();
+        const entry = watched.get(instance.instanceId)
+            ?? { instance, service, owed: 0, heardMilliseconds: now, isProbed: false, dead: new AbortController() };
+        watched.set(instance.instanceId, entry);
+        if (entry.owed === 0) {
+            entry.heardMilliseconds = now;
+        }
+        entry.owed += 1;
+    }
+
+    function noteHeard(instanceId: string): void {
+        const entry = watched.get(instanceId);
+        if (entry) {
+            entry.heardMilliseconds = clock.getMonotonicMilliseconds();
+        }
+    }
+
+    function noteEnded(instanceId: string): void {
+        const entry = watched.get(instanceId);
+        if (!entry) {
+            return;
+        }
+        entry.owed -= 1;
+        if (entry.owed <= 0 && !entry.isProbed) {
+            watched.delete(instanceId);
+        }
+    }
+
+    async function look(): Promise<void> {
+        while (!signal.aborted) {
+            const oldest = clock.getMonotonicMilliseconds() - silenceMilliseconds;
+            for (const entry of watched.values()) {
+                if (!entry.isProbed && entry.owed > 0 && entry.heardMilliseconds < oldest) {
+                    entry.isProbed = true;
+                    void probe(entry);
+                }
+            }
+            await clock.sleep(lookMilliseconds, signal);
+        }
+    }
+
+    /** Asks for signs of life until there is one. */
+    async function probe(entry: Watched): Promise<void> {
+        const { instance, service } = entry;
+        const { instanceId } = instance;
+        const start = clock.getMonotonicMilliseconds();
+        const end = start + longestProbingMilliseconds;
+        while (!signal.aborted && clock.getMonotonicMilliseconds() < end) {
+            if (
+                await link.probe(instance, service, AbortSignal.any([signal, AbortSignal.timeout(probeMilliseconds)]))
+            ) {
+                break;
+            }
+            if (!entry.dead.signal.aborted) {
+                logger.warn({ instanceId, owed: entry.owed, silenceMilliseconds }, "backend server is silent");
+                entry.dead.abort();
+            }
+            await clock.sleep(probePauseMilliseconds, signal);
+        }
+        if (entry.dead.signal.aborted) {
+            const milliseconds = Math.round(clock.getMonotonicMilliseconds() - start);
+            logger.info({ instanceId, milliseconds }, "backend server answers again");
+            entry.dead = new AbortController();
+        }
+        entry.heardMilliseconds = clock.getMonotonicMilliseconds();
+        entry.isProbed = false;
+        if (entry.owed <= 0) {
+            watched.delete(instanceId);
+        }
+    }
+}
--- a/tests/documents/createTestDocument.ts
+++ b/tests/documents/createTestDocument.ts
@@ -24,12 +24,13 @@
             {
                 kind: "engine",
                 name: "models",
+                healthPath: "/health",
                 maximumConnections: 100,
                 slots: 8,
                 memoryTokens: 100_000,
                 models: ["large"],
             },
-            { kind: "plain", name: "actions", maximumConnections: 100 },
+            { kind: "plain", name: "actions", healthPath: "/health", maximumConnections: 100 },
             { kind: "keptCache", name: "store", address: "10.0.0.9:80", dataCentre: "west" },
         ],
         limits: {
--- a/tests/documents/getDocumentProblem.tests.ts
+++ b/tests/documents/getDocumentProblem.tests.ts
@@ -46,7 +46,14 @@
         ));
     it("refuses two services of one name", () =>
         doTest(
-            { services: [...createTestDocument().services, { kind: "plain", name: "models", maximumConnections: 1 }] },
+            {
+                services: [...createTestDocument().services, {
+                    kind: "plain",
+                    name: "models",
+                    healthPath: "/health",
+                    maximumConnections: 1,
+                }],
+            },
             "services: models stands there twice",
         ));
 });
--- a/tests/platform/backends/createBackendLink.tests.ts
+++ b/tests/platform/backends/createBackendLink.tests.ts
@@ -40,6 +40,8 @@
             saveAddress: undefined,
             lastEventId: undefined,
             signal,
+            deadSignal: undefined,
+            onHeard: () => undefined,
         });
     }
 
