Take a backend server whose address answers for another one as gone

Change: 421 to an order, or from another instance, marks the listed one as gone. Waiting requests that an engine reports count in placement. Ruled out: other holders' orders (no 412 in the log).

--- a/src/fleet/FleetBoard.ts
+++ b/src/fleet/FleetBoard.ts
@@ -14,6 +14,8 @@
     getInstances(): readonly FleetInstance[];
     /** Notes weights that an engine itself reported. */
     noteWeights(instanceId: string, weights: readonly LoadedWeights[]): void;
+    /** Notes that an address answers for another backend server: the one named has left, whatever the list says. */
+    noteGone(instanceId: string): void;
     /** Notes whether an engine is, or is about to be, taking new weights. */
     setLoading(instanceId: string, isLoading: boolean): void;
 }
--- a/src/fleet/createFleetBoard.ts
+++ b/src/fleet/createFleetBoard.ts
@@ -32,6 +32,7 @@
         setInstances,
         getInstances: () => instances?.map(correct) ?? [],
         noteWeights,
+        noteGone,
         setLoading,
         getRevision: () => instances === undefined ? "" : `${term}.${count}`,
         getView,
@@ -61,6 +62,11 @@
         update();
     }
 
+    function noteGone(instanceId: string): void {
+        leaving.add(instanceId);
+        update();
+    }
+
     function setLoading(instanceId: string, isLoading: boolean): void {
         if (isLoading) {
             loading.add(instanceId);
--- a/src/fleet/runLoad.ts
+++ b/src/fleet/runLoad.ts
@@ -82,7 +82,10 @@
         if (outcome.kind === "holds") {
             board.noteWeights(instanceId, [create(LoadedWeightsSchema, { model, weightsVersion })]);
         }
-        return outcome.kind === "holds";
+        if (outcome.kind === "misdirected") {
+            board.noteGone(instanceId);
+        }
+        return outcome.kind === "holds" || outcome.kind === "misdirected";
     }
 
     function getCallSignal(): AbortSignal {
--- a/src/forwarding/BackendAnswer.ts
+++ b/src/forwarding/BackendAnswer.ts
@@ -13,6 +13,8 @@
         kind: "notRun";
         /** Whether the address or the weights are not the expected ones. */
         isMisdirected: boolean;
+        /** The instance that answered, where it says so. */
+        answeredBy: string | undefined;
         status: number;
         retryAfterMilliseconds: number | undefined;
         load: LoadReport | undefined;
--- a/src/forwarding/LoadBoard.ts
+++ b/src/forwarding/LoadBoard.ts
@@ -15,12 +15,16 @@
     noteReport(instanceId: string, report: LoadReport): void;
     /** Notes that a backend server could not be reached or broke off; it is avoided for a time. */
     noteFailure(instanceId: string): void;
+    /** Notes that a backend server's address answers for another one; it is avoided until the fleet view changes. */
+    noteGone(instanceId: string): void;
     /** Notes the weights version under which an engine answers. */
     noteWeights(instanceId: string, weightsVersion: number): void;
     /** Gets the weights version that an engine was seen to serve; undefined where none was seen. */
     getWeightsVersion(instanceId: string): number | undefined;
     /** Tells whether a backend server failed lately. */
     isSuspected(instanceId: string): boolean;
+    /** Gets the requests that wait at a backend server, by its last report; 0 where that is old. */
+    getWaiting(instanceId: string): number;
     /** Gets the requests that are believed to be at a backend server, of all entries. */
     getRequests(instanceId: string): number;
     /** Gets the prompt tokens of this entry that the backend server has still to read. */
--- a/src/forwarding/createAnswerOpener.ts
+++ b/src/forwarding/createAnswerOpener.ts
@@ -157,6 +157,9 @@
                 noteRetry(task, instance, RetryReason.Unreachable, answer.reason);
                 return false;
             case "notRun":
+                if (answer.isMisdirected && answer.answeredBy !== undefined && answer.answeredBy !== instanceId) {
+                    loads.noteGone(instanceId);
+                }
                 if (answer.load) {
                     loads.noteReport(instanceId, answer.load);
                 }
--- a/src/forwarding/createEnginePlacement.ts
+++ b/src/forwarding/createEnginePlacement.ts
@@ -20,6 +20,8 @@
 const tokensPerMillisecond = 50;
 /** What each request at an engine adds to the wait of the next one, in milliseconds: its share of the batch's steps. */
 const requestMilliseconds = 4;
+/** What each request that waits at an engine adds, in milliseconds: the reading of a prompt. */
+const waitingMilliseconds = 60;
 /** What leaving a beginning's engine costs beside the reading, in milliseconds: other prompts wait for it too. */
 const leaveMilliseconds = 60;
 /** What an engine that takes new weights adds, in milliseconds: the time of a load. */
@@ -136,6 +138,7 @@
     /** Gets what a candidate's load and state add to the time to the first token, in milliseconds. */
     function getLoadCost({ instanceId, isLoading }: FleetInstance): number {
         return loads.getUnreadTokens(instanceId) / tokensPerMillisecond
+            + loads.getWaiting(instanceId) * waitingMilliseconds
             + loads.getRequests(instanceId) * requestMilliseconds
             + (isLoading ? loadingMilliseconds : 0)
             + (loads.isSuspected(instanceId) ? suspectedMilliseconds : 0);
--- a/src/forwarding/createLoadBoard.ts
+++ b/src/forwarding/createLoadBoard.ts
@@ -13,6 +13,9 @@
 /** The longest time for which a backend server is avoided, in milliseconds: one attempt then tries it again. */
 const longestSuspicionMilliseconds = 4_000;
 
+/** How long one is avoided whose address answers for another, in milliseconds: it is off the list by then. */
+const goneMilliseconds = 10_000;
+
 interface InstanceLoad {
     own: number;
     unreadTokens: number;
@@ -37,10 +40,12 @@
         noteEnded,
         noteReport,
         noteFailure,
+        noteGone: instanceId => getLoad(instanceId).suspectedUntil = clock.getMonotonicMilliseconds() + goneMilliseconds,
         noteWeights: (instanceId, weightsVersion) => getLoad(instanceId).weightsVersion = weightsVersion,
         getWeightsVersion: instanceId => loads.get(instanceId)?.weightsVersion,
         isSuspected: instanceId =>
             isSilent(instanceId) || (loads.get(instanceId)?.suspectedUntil ?? 0) > clock.getMonotonicMilliseconds(),
+        getWaiting,
         getRequests,
         getUnreadTokens: instanceId => loads.get(instanceId)?.unreadTokens ?? 0,
     };
@@ -98,6 +103,12 @@
         load.suspectedUntil = clock.getMonotonicMilliseconds() + pause;
     }
 
+    function getWaiting(instanceId: string): number {
+        const load = loads.get(instanceId);
+        const isFresh = load && clock.getMonotonicMilliseconds() - load.reportMilliseconds <= reportMilliseconds;
+        return isFresh ? load.report?.waiting ?? 0 : 0;
+    }
+
     function getRequests(instanceId: string): number {
         const load = loads.get(instanceId);
         if (!load) {
