--- a/src/forwarding/createLoadBoard.ts
+++ b/src/forwarding/createLoadBoard.ts
@@ -40,7 +40,8 @@
         noteEnded,
         noteReport,
         noteFailure,
-        noteGone: instanceId => getLoad(instanceId).suspectedUntil = clock.getMonotonicMilliseconds() + goneMilliseconds,
+        noteGone: instanceId =>
+            getLoad(instanceId).suspectedUntil = clock.getMonotonicMilliseconds() + goneMilliseconds,
         noteWeights: (instanceId, weightsVersion) => getLoad(instanceId).weightsVersion = weightsVersion,
         getWeightsVersion: instanceId => loads.get(instanceId)?.weightsVersion,
         isSuspected: instanceId =>
