--- a/src/forwarding/createSilenceWatch.ts
+++ b/src/forwarding/createSilenceWatch.ts
@@ -3,6 +3,7 @@
  * takes requests and never answers: one that owes an answer and gives no sign of life for a while is asked for one by a
  * call that needs no slot; without an answer it is held to be dead until it gives one.
  */
+import { setMaxListeners } from "node:events";
 import { BackendService } from "../documents";
 import { FleetInstance } from "../protocol";
 import { SilenceWatch } from "./SilenceWatch";
@@ -48,7 +49,7 @@
     function noteSent(instance: FleetInstance, service: BackendService): void {
         const now = clock.getMonotonicMilliseconds();
         const entry = watched.get(instance.instanceId)
-            ?? { instance, service, owed: 0, heardMilliseconds: now, isProbed: false, dead: new AbortController() };
+            ?? { instance, service, owed: 0, heardMilliseconds: now, isProbed: false, dead: createDeadSignal() };
         watched.set(instance.instanceId, entry);
         if (entry.owed === 0) {
             entry.heardMilliseconds = now;
@@ -108,7 +109,7 @@
         if (entry.dead.signal.aborted) {
             const milliseconds = Math.round(clock.getMonotonicMilliseconds() - start);
             logger.info({ instanceId, milliseconds }, "backend server answers again");
-            entry.dead = new AbortController();
+            entry.dead = createDeadSignal();
         }
         entry.heardMilliseconds = clock.getMonotonicMilliseconds();
         entry.isProbed = false;
@@ -117,3 +118,10 @@
         }
     }
 }
+
+/** Creates the signal of one backend server, on which each of its attempts listens. */
+function createDeadSignal(): AbortController {
+    const controller = new AbortController();
+    setMaxListeners(0, controller.signal);
+    return controller;
+}
--- /dev/null
+++ b/tests/forwarding/createEnginePlacement.tests.ts
@@ -0,0 +1,168 @@
+import { expect } from "chai";
+import { createEnginePlacement, createLoadBoard, PromptOutline } from "../../src/forwarding";
+import { FleetInstance } from "../../src/protocol";
+import { createRandomSource } from "../../src/runtime";
+import { createTestInstance } from "../feed/createTestFeed";
+import { createManualClock } from "../support/createManualClock";
+
+describe("createEnginePlacement", () => {
+    function createEngines(versions: readonly number[]): FleetInstance[] {
+        return versions.map((weightsVersion, place) =>
+            createTestInstance({ instanceId: `engine-${place}`, weights: [{ model: "large", weightsVersion }] })
+        );
+    }
+
+    function createPrompt(beginning: number, ownPart = 0): PromptOutline {
+        const parts = [{ id: `a${beginning % 3}`, tokens: 500 }, { id: `b${beginning}`, tokens: 4_900 }];
+        return {
+            model: "large",
+            parts: [...parts, { id: `c${ownPart}`, tokens: 1_000 }],
+            promptTokens: 6_400,
+            maximumOutputTokens: 80,
+        };
+    }
+
+    function createTrial(isSilent: (instanceId: string) => boolean = () => false) {
+        const clock = createManualClock();
+        const loads = createLoadBoard(clock, isSilent);
+        return { clock, loads, placement: createEnginePlacement(loads, clock) };
+    }
+
+    const engines = createEngines([1, 1, 1, 1, 1, 1, 1, 1]);
+
+    it("is the same at every entry", () => {
+        const first = createTrial().placement;
+        const second = createTrial().placement;
+        for (let beginning = 0; beginning < 40; beginning++) {
+            const prompt = createPrompt(beginning);
+            expect(first.choose(prompt, "", engines, undefined)?.instanceId)
+                .to.equal(second.choose(prompt, "", [...engines].reverse(), undefined)?.instanceId);
+        }
+    });
+
+    it("spreads beginnings over the engines", () => {
+        const { placement } = createTrial();
+        const chosen = Array.from(
+            { length: 200 },
+            (...[, place]) => placement.choose(createPrompt(place), "", engines, undefined)?.instanceId,
+        );
+        expect(new Set(chosen).size).to.equal(engines.length);
+    });
+
+    it("keeps an isolated workspace's beginnings apart from the others'", () => {
+        const { placement } = createTrial();
+        const [first, second] = ["", "alpha"].map(scope =>
+            Array.from(
+                { length: 30 },
+                (...[, place]) => placement.choose(createPrompt(place), scope, engines, undefined)?.instanceId,
+            )
+        );
+        expect(first).to.not.deep.equal(second);
+    });
+
+    it("leaves a beginning's engine once its queue outweighs reading the beginning again", () => {
+        const { placement, loads } = createTrial();
+        const home = placement.choose(createPrompt(1), "", engines, undefined)!;
+        loads.noteReport(home.instanceId, { running: 10, waiting: 0, slots: 64 });
+        expect(placement.choose(createPrompt(1), "", engines, undefined)).to.equal(home);
+        loads.noteReport(home.instanceId, { running: 64, waiting: 20, slots: 64 });
+        expect(placement.choose(createPrompt(1), "", engines, undefined)).to.not.equal(home);
+    });
+
+    it("goes round engines that load or are dead", () => {
+        const dead = new Set<string>();
+        const { placement } = createTrial(instanceId => dead.has(instanceId));
+        const home = placement.choose(createPrompt(1), "", engines, undefined)!;
+        dead.add(home.instanceId);
+        const next = placement.choose(createPrompt(1), "", engines, undefined)!;
+        expect(next).to.not.equal(home);
+        const loading = engines.map(engine =>
+            engine === next ? createTestInstance({ ...engine, isLoading: true, $typeName: undefined }) : engine
+        );
+        expect([home.instanceId, next.instanceId])
+            .to.not.include(placement.choose(createPrompt(1), "", loading, undefined)?.instanceId);
+    });
+
+    it("turns to newer weights the longer they are named", () => {
+        const { placement } = createTrial();
+        const mixed = createEngines([1, 1, 1, 1, 1, 1, 2, 2]);
+        const countNew = (ageMilliseconds: number) =>
+            Array.from(
+                { length: 60 },
+                (...[, place]) =>
+                    placement.choose(createPrompt(place), "", mixed, { weightsVersion: 2, ageMilliseconds })!,
+            )
+                .filter(engine => engine.weights[0]!.weightsVersion === 2).length;
+        expect(countNew(9_000)).to.equal(60);
+        expect(countNew(0)).to.be.below(60);
+    });
+
+    describe("getSources", () => {
+        it("names the engine to which the beginning went before", () => {
+            const { placement } = createTrial();
+            const [first, second] = engines as [FleetInstance, FleetInstance];
+            placement.noteSent(createPrompt(1), "", first);
+            const sources = placement.getSources(createPrompt(1), "", second, engines);
+            expect([sources.isHeld, sources.known]).to.deep.equal([false, first]);
+        });
+        it("needs none where the chosen engine read the beginning itself", () => {
+            const { placement } = createTrial();
+            placement.noteSent(createPrompt(1), "", engines[0]!);
+            expect(placement.getSources(createPrompt(1), "", engines[0]!, engines).isHeld).to.equal(true);
+        });
+        it("never names an engine on other weights", () => {
+            const { placement } = createTrial();
+            const mixed = createEngines([1, 2]);
+            placement.noteSent(createPrompt(1), "", mixed[0]!);
+            expect(placement.getSources(createPrompt(1), "", mixed[1]!, mixed))
+                .to.deep.equal({ isHeld: false, known: undefined, likely: undefined });
+        });
+        it("never names what an isolated workspace read", () => {
+            const { placement } = createTrial();
+            placement.noteSent(createPrompt(1), "alpha", engines[0]!);
+            expect(placement.getSources(createPrompt(1), "", engines[1]!, engines).known).to.equal(undefined);
+        });
+        it("forgets after a time", async () => {
+            const { placement, clock } = createTrial();
+            placement.noteSent(createPrompt(1), "", engines[0]!);
+            await clock.advance(10_000);
+            expect(placement.getSources(createPrompt(1), "", engines[1]!, engines).known).to.equal(undefined);
+        });
+    });
+
+    describe("under a rollout of weights", () => {
+        /** Plays five entries' requests for 80 beginnings while engines take new weights one after the other. */
+        function play() {
+            const random = createRandomSource(9);
+            const entries = Array.from({ length: 5 }, () => createTrial().placement);
+            const held = new Set<string>();
+            let reads = 0;
+            let requests = 0;
+            for (let step = 0; step <= 8; step++) {
+                const fleet = createEngines(engines.map((...[, place]) => place < step ? 2 : 1));
+                for (let count = 0; count < 300; count++) {
+                    const prompt = createPrompt(random.getInteger(80));
+                    const entry = entries[random.getInteger(entries.length)]!;
+                    const wanted = { weightsVersion: 2, ageMilliseconds: step * 600 };
+                    const chosen = entry.choose(prompt, "", fleet, wanted)!;
+                    const version = chosen.weights[0]!.weightsVersion;
+                    const { known, likely } = entry.getSources(prompt, "", chosen, fleet);
+                    entry.noteSent(prompt, "", chosen);
+                    const getName = (engine: FleetInstance) => `${engine.instanceId} ${version} ${prompt.parts[1]!.id}`;
+                    const sources = [chosen, known, likely].filter(engine => engine !== undefined);
+                    reads += sources.some(engine => held.has(getName(engine))) ? 0 : 1;
+                    requests += 1;
+                    held.add(getName(chosen));
+                }
+            }
+            return { reads, requests };
+        }
+
+        it("reads most beginnings once for each version", () => {
+            const { reads, requests } = play();
+            // Each of 80 beginnings must be read once under each of two versions; half as many again may be.
+            expect(reads).to.be.at.most(1.5 * 160);
+            expect(requests).to.equal(2_700);
+        });
+    });
+});
--- /dev/null
+++ b/tests/forwarding/createEventSplitter.tests.ts
@@ -0,0 +1,55 @@
+import { expect } from "chai";
+import * as fc from "fast-check";
+import { createEventSplitter } from "../../src/forwarding";
+
+describe("createEventSplitter", () => {
+    function split(parts: readonly string[]) {
+        const splitter = createEventSplitter();
+        const events = parts.flatMap(part => [...splitter.add(Buffer.from(part))]);
+        return {
+            events: events.map(event => Buffer.from(event.bytes).toString()),
+            ids: events.map(event => event.id),
+            rest: Buffer.from(splitter.getRest()).toString(),
+        };
+    }
+
+    function doTest(
+        parts: readonly string[],
+        events: readonly string[],
+        ids: readonly (number | undefined)[],
+        rest = "",
+    ) {
+        expect(split(parts)).to.deep.equal({ events, ids, rest });
+    }
+
+    it("finds events and their ids", () =>
+        doTest(["id: 1\ndata: a\n\nid: 2\ndata: b\n\n"], ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"], [1, 2]));
+    it("reads lines that end by two characters", () =>
+        doTest(["id: 7\r\ndata: a\r\n\r\n"], ["id: 7\r\ndata: a\r\n\r\n"], [7]));
+    it("keeps what is not whole", () => doTest(["data: a\n\ndata: b\n"], ["data: a\n\n"], [undefined], "data: b\n"));
+    it("finds an end that comes in two parts", () => doTest(["data: a\n", "\n"], ["data: a\n\n"], [undefined]));
+    it("keeps lines that it does not know", () => doTest(["other: 3\nid: 4\n\n"], ["other: 3\nid: 4\n\n"], [4]));
+
+    it("finds the same events however the bytes are cut, and loses none", () => {
+        const event = fc.tuple(fc.nat(99), fc.constantFrom("\n", "\r\n")).map(([id, end]) =>
+            `id: ${id}${end}data: text ${id}${end}${end}`
+        );
+        fc.assert(
+            fc.property(fc.array(event), fc.array(fc.nat(40)), fc.string(), (events, cuts, tail) => {
+                const rest = tail.replace(/[\r\n]/g, "");
+                const text = events.join("") + rest;
+                const parts: string[] = [];
+                let place = 0;
+                for (const cut of cuts) {
+                    parts.push(text.slice(place, place + cut));
+                    place += cut;
+                }
+                parts.push(text.slice(place));
+                const result = split(parts);
+                expect(result.events).to.deep.equal(events);
+                expect(result.rest).to.equal(Buffer.from(rest).toString());
+            }),
+            { seed: 5, numRuns: 300 },
+        );
+    });
+});
--- /dev/null
+++ b/tests/forwarding/createForwarder.tests.ts
@@ -0,0 +1,312 @@
+import { expect } from "chai";
+import * as fc from "fast-check";
+import { RoutingDocument } from "../../src/documents";
+import { BackendAnswer, BackendAttempt, createForwarder, ForwardedRequest } from "../../src/forwarding";
+import { createSilentLogger } from "../../src/logging";
+import { createMetrics } from "../../src/metrics";
+import { FleetInstance, RefusalReason } from "../../src/protocol";
+import { createRandomSource } from "../../src/runtime";
+import { createTestFeedState, createTestInstance } from "../feed/createTestFeed";
+import { createManualClock } from "../support/createManualClock";
+import { createTestAnswer, createTestLink, fullAnswer, lostAnswer } from "./createTestLink";
+import { createTestReply } from "./createTestReply";
+import { createTestRequest } from "./createTestRequest";
+
+describe("createForwarder", () => {
+    const services = ["actions-1", "actions-2", "actions-3"].map(instanceId =>
+        createTestInstance({ instanceId, service: "actions", weights: [] })
+    );
+    const engines = ["engine-1", "engine-2", "engine-3"].map(instanceId => createTestInstance({ instanceId }));
+
+    interface TrialOptions {
+        answer: (attempt: BackendAttempt, number: number) => BackendAnswer | Promise<BackendAnswer>;
+        probe?: (instanceId: string) => boolean;
+        instances?: readonly FleetInstance[];
+        document?: Partial<RoutingDocument>;
+        retryReserve?: number;
+    }
+
+    function createTrial(options: TrialOptions) {
+        const clock = createManualClock();
+        const link = createTestLink(options.answer, options.probe);
+        const state = createTestFeedState(clock, options.instances ?? [...services, ...engines], options.document);
+        const forwarder = createForwarder({
+            state,
+            link,
+            keptCaches: { isReachable: () => false, hasPart: () => false },
+            dataCentre: "west",
+            signal: new AbortController().signal,
+            longestAgeMilliseconds: 3_500,
+            retryShare: 0.2,
+            retryReserve: options.retryReserve ?? 50,
+            clock,
+            random: createRandomSource(1),
+            logger: createSilentLogger(),
+            metrics: createMetrics(),
+        });
+        return { clock, link, state, forward };
+
+        async function forward(changes: Partial<ForwardedRequest>) {
+            const reply = createTestReply();
+            const ended = forwarder.forward(createTestRequest(changes), reply);
+            await clock.advance(0);
+            return { reply, ended };
+        }
+    }
+
+    /** Forwards one request and tells what the caller got: the answer, or the refusal's kind. */
+    async function getResult(options: TrialOptions, changes: Partial<ForwardedRequest>) {
+        const trial = createTrial(options);
+        const { reply, ended } = await trial.forward(changes);
+        await ended;
+        return { text: reply.getText(), refusal: reply.getRefusal()?.kind, sent: trial.link.attempts.length };
+    }
+
+    const read = { path: "/reads/1", target: "/reads/1" };
+    const release = { path: "/releases/1", target: "/releases/1" };
+    const label = createTestRequest.createPrompt("/labels/1");
+    const summary = createTestRequest.createPrompt("/summaries/1");
+
+    describe("a request that may run once", () => {
+        it("is answered", async () => {
+            expect(await getResult({ answer: () => createTestAnswer(["done"]) }, release))
+                .to.deep.equal({ text: "200 done whole", refusal: undefined, sent: 1 });
+        });
+        it("goes elsewhere where it certainly did not run", async () => {
+            const answer = (...[, number]: [BackendAttempt, number]) =>
+                number === 0 ? fullAnswer : createTestAnswer(["done"]);
+            expect(await getResult({ answer }, release))
+                .to.deep.equal({ text: "200 done whole", refusal: undefined, sent: 2 });
+        });
+        it("is not sent again once it may have run, and the caller is not told that it did not", async () => {
+            expect(await getResult({ answer: () => lostAnswer }, release))
+                .to.deep.equal({ text: "", refusal: "unknown", sent: 1 });
+        });
+        it("is not sent again where its answer breaks off", async () => {
+            expect(await getResult({ answer: () => createTestAnswer(["do"], false) }, release))
+                .to.deep.equal({ text: "", refusal: "unknown", sent: 1 });
+        });
+        it("is not sent again where the backend server failed", async () => {
+            expect(await getResult({ answer: () => createTestAnswer(["failed"], true, 500) }, release))
+                .to.deep.equal({ text: "500 failed whole", refusal: undefined, sent: 1 });
+        });
+        it("is refused as not run where nobody has room, and tells when to come back", async () => {
+            const trial = createTrial({ answer: () => fullAnswer });
+            const { reply, ended } = await trial.forward(release);
+            await ended;
+            const refusal = reply.getRefusal();
+            expect(refusal?.kind === "notRun" && refusal.retryAfterMilliseconds).to.equal(1_000);
+        });
+
+        it("never runs twice, nor is said not to have run after it may have, whatever comes back", async () => {
+            const outcome = fc.constantFrom("full", "lost", "notSent", "broken", "failed", "done");
+            const answers: Record<string, () => BackendAnswer> = {
+                full: () => fullAnswer,
+                lost: () => lostAnswer,
+                notSent: () => ({ kind: "notSent", reason: "refused" }),
+                broken: () => createTestAnswer(["do"], false),
+                failed: () => createTestAnswer(["failed"], true, 500),
+                done: () => createTestAnswer(["done"]),
+            };
+            await fc.assert(
+                fc.asyncProperty(fc.array(outcome, { minLength: 4, maxLength: 4 }), async outcomes => {
+                    const sent: string[] = [];
+                    const result = await getResult({
+                        answer: (...[, number]) => {
+                            sent.push(outcomes[number]!);
+                            return answers[outcomes[number]!]!();
+                        },
+                    }, release);
+                    const runs = sent.filter(kind => kind !== "full" && kind !== "notSent");
+                    expect(runs.length).to.be.at.most(1);
+                    expect(result.refusal === "notRun").to.equal(runs.length === 0);
+                }),
+                { seed: 3, numRuns: 200 },
+            );
+        });
+    });
+
+    describe("a request that may be repeated", () => {
+        it("goes elsewhere once its answer is lost", async () => {
+            const answer = (...[, number]: [BackendAttempt, number]) =>
+                number === 0 ? lostAnswer : createTestAnswer(["read"]);
+            expect(await getResult({ answer }, read))
+                .to.deep.equal({ text: "200 read whole", refusal: undefined, sent: 2 });
+        });
+        it("keeps to the route's attempts", async () => {
+            expect((await getResult({ answer: () => lostAnswer }, read)).sent).to.equal(2);
+        });
+        it("keeps to the shared budget of retries", async () => {
+            expect((await getResult({ answer: () => lostAnswer, retryReserve: 0 }, read)).sent).to.equal(1);
+        });
+        it("goes to another backend server each time", async () => {
+            const trial = createTrial({ answer: () => lostAnswer });
+            await (await trial.forward(read)).ended;
+            expect(new Set(trial.link.attempts.map(attempt => attempt.instance.instanceId)).size).to.equal(2);
+        });
+    });
+
+    describe("a stream", () => {
+        const events = ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"];
+
+        it("is passed on whole", async () => {
+            expect((await getResult({ answer: () => createTestAnswer([events.join("")]) }, summary)).text)
+                .to.equal(`200 ${events.join("")}end`);
+        });
+        it("is cut nowhere but between events", async () => {
+            const text = events.join("");
+            const answer = () => createTestAnswer([text.slice(0, 20), text.slice(20, 33)], false);
+            expect((await getResult({ answer }, summary)).text).to.equal(
+                `200 ${events.slice(0, 2).join("")}broken off`,
+            );
+        });
+        it("goes on elsewhere behind the last whole event where it may", async () => {
+            const answer = (attempt: BackendAttempt, number: number) => {
+                if (number === 0) {
+                    return createTestAnswer([events[0]!, "id: 2\ndata:"], false);
+                }
+                expect(attempt.lastEventId).to.equal("1");
+                return createTestAnswer(events.slice(1));
+            };
+            expect((await getResult({ answer }, label)).text).to.equal(`200 ${events.join("")}end`);
+        });
+        it("shows no event twice where the next engine begins anew", async () => {
+            const answer = (...[, number]: [BackendAttempt, number]) =>
+                number === 0 ? createTestAnswer(events.slice(0, 2), false) : createTestAnswer(events);
+            expect((await getResult({ answer }, label)).text).to.equal(`200 ${events.join("")}end`);
+        });
+        it("is broken off where nobody takes it over", async () => {
+            const answer = (...[, number]: [BackendAttempt, number]) =>
+                number === 0 ? createTestAnswer(events.slice(0, 1), false) : fullAnswer;
+            expect((await getResult({ answer }, label)).text).to.equal(`200 ${events[0]}broken off`);
+        });
+        it("keeps the head of its first engine", async () => {
+            const answer = (...[, number]: [BackendAttempt, number]) =>
+                number === 0
+                    ? createTestAnswer(events.slice(0, 1), false)
+                    : createTestAnswer(events.slice(1), true, 201);
+            expect((await getResult({ answer }, label)).text).to.equal(`200 ${events.join("")}end`);
+        });
+    });
+
+    describe("admission", () => {
+        function doTest(changes: Partial<ForwardedRequest>, expected: RefusalReason) {
+            return async () => {
+                const trial = createTrial({ answer: () => createTestAnswer([]) });
+                const { reply, ended } = await trial.forward(changes);
+                await ended;
+                expect([reply.getRefusal()?.reason, trial.link.attempts.length]).to.deep.equal([expected, 0]);
+            };
+        }
+
+        it("knows no other path", doTest({ path: "/other/1" }, RefusalReason.NOT_FOUND));
+        it("knows no other key", doTest({ ...read, apiKey: "other" }, RefusalReason.INVALID_KEY));
+        it("wants a key", doTest({ ...read, apiKey: undefined }, RefusalReason.INVALID_KEY));
+
+        it("refuses as not run what needs a key once the rules are too old", async () => {
+            const trial = createTrial({ answer: () => createTestAnswer([]) });
+            await trial.clock.advance(3_501);
+            const { reply, ended } = await trial.forward({ ...read, arrivalMilliseconds: 3_501 });
+            await ended;
+            expect([reply.getRefusal()?.kind, reply.getRefusal()?.reason, trial.link.attempts.length])
+                .to.deep.equal(["notRun", RefusalReason.STALE_SETTINGS, 0]);
+        });
+        it("denies nothing by rules that are too old", async () => {
+            const trial = createTrial({ answer: () => createTestAnswer([]) });
+            await trial.clock.advance(3_501);
+            const { reply, ended } = await trial.forward({ path: "/other/1", arrivalMilliseconds: 3_501 });
+            await ended;
+            expect(reply.getRefusal()?.kind).to.equal("notRun");
+        });
+        it("sends nothing to a backend server that leaves", async () => {
+            const leaving = services.map(instance =>
+                createTestInstance({ ...instance, weights: [], isLeaving: true, $typeName: undefined })
+            );
+            const result = await getResult({ answer: () => createTestAnswer([]), instances: leaving }, read);
+            expect([result.refusal, result.sent]).to.deep.equal(["notRun", 0]);
+        });
+    });
+
+    describe("time", () => {
+        it("is passed on as what is left of the shorter of route and caller", async () => {
+            const trial = createTrial({ answer: () => createTestAnswer(["x"]) });
+            await trial.clock.advance(100);
+            await (await trial.forward({ ...read, callerMilliseconds: 600 })).ended;
+            await (await trial.forward({ ...read, callerMilliseconds: 9_000 })).ended;
+            expect(trial.link.attempts.map(attempt => attempt.remainingMilliseconds)).to.deep.equal([500, 1_900]);
+        });
+        it("ends a request at its route's timeout, and says that it may have run", async () => {
+            const trial = createTrial({ answer: waitForEnd });
+            const { reply, ended } = await trial.forward({ ...release, callerMilliseconds: 9_000 });
+            await trial.clock.advance(1_999);
+            expect(reply.getRefusal()).to.equal(undefined);
+            await trial.clock.advance(1);
+            await ended;
+            expect(reply.getRefusal()).to.deep.equal({ kind: "unknown", reason: RefusalReason.DEADLINE });
+        });
+        it("ends the work once the caller has left", async () => {
+            const left = new AbortController();
+            const trial = createTrial({ answer: waitForEnd });
+            const { reply, ended } = await trial.forward({ ...release, signal: left.signal });
+            left.abort();
+            await ended;
+            expect([trial.link.attempts[0]!.signal.aborted, reply.getText(), reply.getRefusal()])
+                .to.deep.equal([true, "", undefined]);
+        });
+    });
+
+    describe("a dark backend server", () => {
+        it("loses what may be repeated to another, soon after it is found silent", async () => {
+            const trial = createTrial({
+                answer: (attempt, number) => number === 0 ? waitForEnd(attempt) : createTestAnswer(["read"]),
+                probe: () => false,
+            });
+            const { reply, ended } = await trial.forward(read);
+            await trial.clock.advance(500);
+            await ended;
+            expect(reply.getText()).to.equal("200 read whole");
+        });
+        it("keeps what it is slow with where it gives a sign of life", async () => {
+            const trial = createTrial({ answer: waitForEnd, probe: () => true });
+            const { reply, ended } = await trial.forward(read);
+            await trial.clock.advance(900);
+            expect([trial.link.attempts.length, reply.getRefusal()]).to.deep.equal([1, undefined]);
+            await trial.clock.advance(2_000);
+            await ended;
+        });
+        it("is sent no more requests until it answers again", async () => {
+            let isDark = true;
+            const instances = services.slice(0, 2);
+            const trial = createTrial({
+                answer: attempt =>
+                    isDark && attempt.instance.instanceId === "actions-1"
+                        ? waitForEnd(attempt)
+                        : createTestAnswer(["read"]),
+                probe: () => !isDark,
+                instances,
+            });
+            for (let count = 0; count < 4; count++) {
+                await trial.forward({ ...release, arrivalMilliseconds: trial.clock.getMonotonicMilliseconds() });
+            }
+            await trial.clock.advance(500);
+            const before = trial.link.attempts.length;
+            for (let count = 0; count < 10; count++) {
+                const arrivalMilliseconds = trial.clock.getMonotonicMilliseconds();
+                await (await trial.forward({ ...release, arrivalMilliseconds })).ended;
+            }
+            expect(trial.link.attempts.slice(before).map(attempt => attempt.instance.instanceId))
+                .to.not.include("actions-1");
+            isDark = false;
+            await trial.clock.advance(3_000);
+        });
+    });
+
+    /** Waits until the attempt is ended, as one does whose answer never comes. */
+    function waitForEnd({ signal, deadSignal }: BackendAttempt): Promise<BackendAnswer> {
+        return new Promise(resolve => {
+            const end = () => resolve(lostAnswer);
+            signal.addEventListener("abort", end);
+            deadSignal?.addEventListener("abort", end);
+        });
+    }
+});
--- /dev/null
+++ b/tests/forwarding/createTestLink.ts
@@ -0,0 +1,56 @@
+import { AnswerHead, BackendAnswer, BackendAttempt, BackendLink } from "../../src/forwarding";
+
+/** A link whose answers a test gives. */
+export interface TestLink extends BackendLink {
+    /** The attempts that were sent. */
+    readonly attempts: BackendAttempt[];
+}
+
+/** Creates a link; `answer` is asked for each attempt, with its number from 0. */
+export function createTestLink(
+    answer: (attempt: BackendAttempt, number: number) => BackendAnswer | Promise<BackendAnswer>,
+    probe: (instanceId: string) => boolean = () => true,
+): TestLink {
+    const attempts: BackendAttempt[] = [];
+    return {
+        attempts,
+        send: async attempt => {
+            attempts.push(attempt);
+            return answer(attempt, attempts.length - 1);
+        },
+        probe: instance => Promise.resolve(probe(instance.instanceId)),
+    };
+}
+
+/** Creates the head of an answer. */
+export function createTestHead(status = 200): AnswerHead {
+    return { status, headers: [], isSealed: true, weightsVersion: undefined };
+}
+
+/** Creates an answer whose body comes in parts. */
+export function createTestAnswer(parts: readonly string[], isComplete = true, status = 200): BackendAnswer {
+    return {
+        kind: "answered",
+        head: createTestHead(status),
+        load: undefined,
+        body: (async function*() {
+            for (const part of parts) {
+                yield await Promise.resolve(Buffer.from(part));
+            }
+        })(),
+        isComplete: () => isComplete,
+    };
+}
+
+/** The answer of a backend server that has no room. */
+export const fullAnswer: BackendAnswer = {
+    kind: "notRun",
+    isMisdirected: false,
+    answeredBy: undefined,
+    status: 503,
+    retryAfterMilliseconds: undefined,
+    load: undefined,
+};
+
+/** What remains of an attempt whose answer never came. */
+export const lostAnswer: BackendAnswer = { kind: "lost", reason: "the connection was closed" };
--- /dev/null
+++ b/tests/forwarding/createTestReply.ts
@@ -0,0 +1,28 @@
+import { CallerReply, Refusal } from "../../src/forwarding";
+
+/** A reply that remembers what the caller gets. */
+export interface TestReply extends CallerReply {
+    /** Gets what the caller got, in one line. */
+    getText(): string;
+    /** Gets the refusal that the caller got. */
+    getRefusal(): Refusal | undefined;
+}
+
+/** Creates the reply to one request. */
+export function createTestReply(): TestReply {
+    let text = "";
+    let refusal: Refusal | undefined;
+    return {
+        send: (head, body) => text += `${head.status} ${Buffer.from(body).toString()} whole`,
+        start: head => text += `${head.status} `,
+        write: bytes => {
+            text += Buffer.from(bytes).toString();
+            return Promise.resolve();
+        },
+        end: () => text += "end",
+        breakOff: () => text += "broken off",
+        refuse: given => refusal = given,
+        getText: () => text,
+        getRefusal: () => refusal,
+    };
+}
--- a/tests/platform/createTestRequest.ts
+++ b/tests/forwarding/createTestRequest.ts
@@ -1,6 +1,6 @@
 import { ForwardedRequest } from "../../src/forwarding";
 
-/** Creates a caller's request. */
+/** Creates a caller's request for a read. */
 export function createTestRequest(changes: Partial<ForwardedRequest> = {}): ForwardedRequest {
     return {
         requestId: "request-1",
@@ -11,7 +11,7 @@
         headers: ["Host", "one.example", "Basilwing-Request-Id", "request-1"],
         body: Buffer.from("body"),
         apiKey: "alpha-key",
-        callerMilliseconds: 1_000,
+        callerMilliseconds: 2_000,
         prompt: undefined,
         lastEventId: undefined,
         arrivalMilliseconds: 0,
@@ -19,3 +19,15 @@
         ...changes,
     };
 }
+
+/** Gets what differs for a request with a prompt. */
+createTestRequest.createPrompt = (path: string): Partial<ForwardedRequest> => ({
+    path,
+    target: path,
+    prompt: {
+        model: "large",
+        parts: [{ id: "a1", tokens: 500 }, { id: "b2", tokens: 4_000 }, { id: "c3", tokens: 900 }],
+        promptTokens: 5_400,
+        maximumOutputTokens: 80,
+    },
+});
--- a/tests/platform/backends/createBackendLink.tests.ts
+++ b/tests/platform/backends/createBackendLink.tests.ts
@@ -3,7 +3,7 @@
 import { createBackendLink } from "../../../platform/backends";
 import { BackendAnswer } from "../../../src/forwarding";
 import { createTestInstance } from "../../feed/createTestFeed";
-import { createTestRequest } from "../createTestRequest";
+import { createTestRequest } from "../../forwarding/createTestRequest";
 import { RawServer, startRawServer } from "../startRawServer";
 
 describe("createBackendLink", () => {
--- /dev/null
+++ b/tests/platform/callers/startCallerServer.tests.ts
@@ -0,0 +1,132 @@
+import { expect } from "chai";
+import { once } from "node:events";
+import { Server } from "node:http";
+import { AddressInfo, connect } from "node:net";
+import { request } from "undici";
+import { startCallerServer } from "../../../platform/callers";
+import { CallerReply, ForwardedRequest } from "../../../src/forwarding";
+import { createSilentLogger } from "../../../src/logging";
+import { RefusalReason } from "../../../src/protocol";
+import { createSystemClock } from "../../../src/runtime";
+import { createTestFeedState } from "../../feed/createTestFeed";
+
+describe("startCallerServer", () => {
+    let server: Server | undefined;
+    afterEach(() => {
+        server?.closeAllConnections();
+        server?.close();
+    });
+
+    async function start(
+        forward: (forwarded: ForwardedRequest, reply: CallerReply) => void | Promise<void>,
+        isStopping = false,
+    ): Promise<string> {
+        const clock = createSystemClock();
+        server = await startCallerServer({
+            address: "127.0.0.1:0",
+            forwarder: { forward: async (forwarded, reply) => forward(forwarded, reply), getActiveCount: () => 0 },
+            state: createTestFeedState(clock, []),
+            isStopping: () => isStopping,
+            clock,
+            logger: createSilentLogger(),
+        });
+        return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    }
+
+    const headers = { "basilwing-request-id": "request-1" };
+
+    it("hands a request over with its whole body", async () => {
+        let seen: ForwardedRequest | undefined;
+        const address = await start((forwarded, reply) => {
+            seen = forwarded;
+            reply.send(
+                { status: 201, headers: ["X-Own", "1"], isSealed: true, weightsVersion: undefined },
+                Buffer.from("ok"),
+            );
+        });
+        const response = await request(`http://${address}/reads/1`, { method: "POST", headers, body: "body" });
+        expect([response.statusCode, response.headers["x-own"], await response.body.text()])
+            .to.deep.equal([201, "1", "ok"]);
+        expect([seen?.requestId, Buffer.from(seen?.body ?? []).toString()]).to.deep.equal(["request-1", "body"]);
+    });
+
+    describe("a refusal", () => {
+        function doTest(refusal: Parameters<CallerReply["refuse"]>[0], status: number, retryAfter: string | undefined) {
+            return async () => {
+                const address = await start((...[, reply]) => reply.refuse(refusal));
+                const response = await request(`http://${address}/`, { headers });
+                await response.body.dump();
+                expect([response.statusCode, response.headers["retry-after"]]).to.deep.equal([status, retryAfter]);
+            };
+        }
+
+        it(
+            "says that the request has not run, and when to come back",
+            doTest(
+                { kind: "notRun", reason: RefusalReason.OVERLOADED, retryAfterMilliseconds: 250 },
+                503,
+                "0.250",
+            ),
+        );
+        it(
+            "promises nothing of what may have run",
+            doTest(
+                { kind: "unknown", reason: RefusalReason.OUTCOME_UNKNOWN },
+                502,
+                undefined,
+            ),
+        );
+        it("tells of a deadline", doTest({ kind: "unknown", reason: RefusalReason.DEADLINE }, 504, undefined));
+        it("tells of an unknown key", doTest({ kind: "denied", reason: RefusalReason.INVALID_KEY }, 401, undefined));
+        it("tells of an unknown path", doTest({ kind: "denied", reason: RefusalReason.NOT_FOUND }, 404, undefined));
+    });
+
+    it("lets no answer look complete that is broken off", async () => {
+        const address = await start(async (...[, reply]) => {
+            reply.start({ status: 200, headers: [], isSealed: true, weightsVersion: undefined });
+            await reply.write(Buffer.from("part"));
+            reply.breakOff();
+        });
+        const outcome = await request(`http://${address}/`, { headers })
+            .then(response => response.body.text()).catch(() => "incomplete");
+        expect(outcome).to.equal("incomplete");
+    });
+
+    it("tells the forwarder that the caller has left", async () => {
+        const left = new Promise<void>(resolve => {
+            void start(forwarded => forwarded.signal.addEventListener("abort", () => resolve())).then(address => {
+                const [host, port] = address.split(":") as [string, string];
+                const socket = connect(Number(port), host);
+                socket.write("GET / HTTP/1.1\r\nHost: x\r\nBasilwing-Request-Id: request-1\r\n\r\n");
+                setTimeout(() => socket.destroy(), 20);
+            });
+        });
+        await left;
+    });
+
+    it("takes no request that could be read in two ways", async () => {
+        let count = 0;
+        const address = await start(() => {
+            count += 1;
+        });
+        const [host, port] = address.split(":") as [string, string];
+        const socket = connect(Number(port), host);
+        socket.write(
+            "POST / HTTP/1.1\r\nHost: x\r\nBasilwing-Request-Id: request-1\r\nContent-Length: 4\r\n"
+                + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /reads/2 HTTP/1.1\r\nHost: x\r\n\r\n",
+        );
+        socket.resume();
+        await once(socket, "close");
+        expect(count).to.equal(0);
+    });
+
+    it("closes connections while the process stops", async () => {
+        const address = await start(
+            (...[, reply]) => reply.refuse({ kind: "denied", reason: RefusalReason.NOT_FOUND }),
+            true,
+        );
+        const response = await request(`http://${address}/`, { headers });
+        await response.body.dump();
+        expect(response.headers.connection).to.equal("close");
+    });
+});
--- /dev/null
+++ b/tests/platform/operators/decodeDocument.tests.ts
@@ -0,0 +1,77 @@
+import { expect } from "chai";
+import * as fc from "fast-check";
+import { decodeDocument } from "../../../platform/operators";
+import { RouteKind } from "../../../src/documents";
+
+describe("decodeDocument", () => {
+    const route = {
+        name: "r-1",
+        host: "one.example",
+        path_prefix: "/reads/",
+        kind: "safe",
+        timeout_ms: 1_500,
+        target_latency_ms: 400,
+        priority: 2,
+        service: "actions",
+        max_attempts: 2,
+        public: false,
+        sticky: true,
+        resumable: false,
+    };
+    const file = {
+        version: 7,
+        routes: [route],
+        services: [{ name: "actions", health_path: "/health", max_connections: 96, protocol: "h1", tls: false }],
+        limits: { max_header_bytes: 16_384 },
+        tenants: [{ name: "alpha", api_keys: ["alpha-key"], priority: 1, isolated: true }],
+    };
+
+    function getProblem(changed: object): string | undefined {
+        const outcome = decodeDocument(Buffer.from(JSON.stringify({ ...file, ...changed })));
+        return outcome.kind === "invalid" ? outcome.problem : undefined;
+    }
+
+    it("reads a document in the project's words", () => {
+        const outcome = decodeDocument(Buffer.from(JSON.stringify(file)));
+        const document = outcome.kind === "decoded" ? outcome.document : undefined;
+        expect(document?.routes[0]).to.deep.include({
+            kind: RouteKind.Idempotent,
+            timeoutMilliseconds: 1_500,
+            maximumAttempts: 2,
+            services: [{ service: "actions", weight: 1 }],
+        });
+        expect(document?.services).to.deep.equal([
+            { kind: "plain", name: "actions", healthPath: "/health", maximumConnections: 96 },
+        ]);
+        expect(document?.workspaces).to.deep.equal([
+            { name: "alpha", apiKeys: ["alpha-key"], priority: 1, isIsolated: true },
+        ]);
+    });
+
+    describe("what is wrong", () => {
+        function doTest(changed: object, expected: string) {
+            expect(getProblem(changed)).to.equal(expected);
+        }
+
+        it("is named by its path", () =>
+            doTest({ routes: [{ ...route, timeout_ms: "soon" }] }, "document/routes/0/timeout_ms must be number"));
+        it("is a missing part", () => doTest({ limits: undefined }, "document must have required property 'limits'"));
+        it("is an unknown service", () =>
+            doTest({ routes: [{ ...route, service: "nowhere" }] }, "route r-1: there is no service nowhere"));
+        it("is a timeout of 0", () =>
+            doTest({ routes: [{ ...route, timeout_ms: 0 }] }, "route r-1: its timeout must be above 0"));
+        it("is a version that is no whole number", () => doTest({ version: 1.5 }, "document/version must be integer"));
+    });
+
+    it("allows fields that it does not know", () => expect(getProblem({ coming: 1 })).to.equal(undefined));
+
+    it("takes no document that was cut short", () => {
+        const text = JSON.stringify(file);
+        fc.assert(
+            fc.property(fc.integer({ min: 0, max: text.length - 1 }), length => {
+                expect(decodeDocument(Buffer.from(text.slice(0, length))).kind).to.equal("invalid");
+            }),
+            { seed: 2, numRuns: 200 },
+        );
+    });
+});
--- /dev/null
+++ b/tests/platform/settings/decodePlatformSettings.tests.ts
@@ -0,0 +1,58 @@
+import { expect } from "chai";
+import { decodePlatformSettings, getInternalAddresses } from "../../../platform/settings";
+
+describe("decodePlatformSettings", () => {
+    const file = {
+        node_name: "front-west-1",
+        ip: "10.1.0.23",
+        zone: "west",
+        listen: { front: "10.1.0.23:8782", ready: "10.1.0.23:8789" },
+        port_range: [7_340, 7_355],
+        seeds: ["10.1.0.25:8783", "10.2.0.42:8783"],
+        bootstrap: true,
+        data_dir: JSON.parse("null") as unknown,
+        fault_tolerance: { machines: 1, zones: 0, regions: 0 },
+        bounds: { grace_s: 8, revoke_ms: 5_000, retry_budget_ratio: 0.2, retry_budget_slack: 56, lease_ms: 3_000 },
+        cloud_api: { address: "10.200.0.117:8784", rate_per_s: 44, duties: [], lag_ms: 800 },
+        to_come: true,
+    };
+
+    it("reads the file in the project's words, and leaves what it does not know alone", () => {
+        const outcome = decodePlatformSettings(JSON.stringify(file));
+        expect(outcome.kind === "decoded" && outcome.settings).to.deep.equal({
+            instanceId: "front-west-1",
+            address: "10.1.0.23",
+            dataCentre: "west",
+            callerAddress: "10.1.0.23:8782",
+            readinessAddress: "10.1.0.23:8789",
+            operatorAddress: undefined,
+            internalPort: 7_340,
+            seedAddresses: ["10.1.0.25:8783", "10.2.0.42:8783"],
+            isFirstStart: true,
+            toleratedLosses: 1,
+            dataFolder: undefined,
+            listAddress: "10.200.0.117:8784",
+            listCallsPerSecond: 44,
+            stopMilliseconds: 8_000,
+            revocationMilliseconds: 5_000,
+            retryShare: 0.2,
+            retryReserve: 56,
+            orderLeaseMilliseconds: 3_000,
+        });
+        expect(outcome.kind === "decoded" && getInternalAddresses(outcome.settings))
+            .to.deep.equal(["10.1.0.25:7340", "10.2.0.42:7340"]);
+    });
+
+    function doTest(changed: object, expected: string) {
+        const outcome = decodePlatformSettings(JSON.stringify({ ...file, ...changed }));
+        expect(outcome.kind === "invalid" && outcome.problem).to.equal(expected);
+    }
+
+    it("names what is missing", () => doTest({ seeds: undefined }, "settings must have required property 'seeds'"));
+    it("names what is wrong by its path", () =>
+        doTest({ seeds: ["here"] }, "settings/seeds/0 must match pattern \"^[0-9.]+:[0-9]+$\""));
+    it("says that a file is no JSON", () => {
+        const outcome = decodePlatformSettings("{");
+        expect(outcome.kind === "invalid" && outcome.problem).to.match(/^the settings are not JSON/);
+    });
+});
--- a/tests/support/createManualClock.ts
+++ b/tests/support/createManualClock.ts
@@ -31,6 +31,7 @@
 
             function wake(): void {
                 sleepers.delete(sleeper);
+                signal?.removeEventListener("abort", wake);
                 resolve();
             }
         });
