Leave weights that may no longer answer, and keep the weight store busy

Change: the log and the feed keep the versions named last, so that entries judge weights from the first version that replaced them and leave engines 1.5 s before the bound; the next engine gets ready while the one before shows its weights. Tested: a beginning leaves overdue weights however loaded the others are; load times; chooseLoads takes the newest.

--- a/src/documents/DocumentState.ts
+++ b/src/documents/DocumentState.ts
@@ -10,7 +10,7 @@
     getVersion(): number;
     /** Gets the newest document as the operator sent it. */
     getText(): Uint8Array;
-    /** Gets the newest named version of each model. */
+    /** Gets the versions of weights that were named last, of each model in ascending order. */
     getNamedWeights(): readonly NamedWeightsVersion[];
     /** Gets a number that grows with each change since the process started. */
     getChangeCount(): number;
--- a/src/documents/NamedWeightsVersion.ts
+++ b/src/documents/NamedWeightsVersion.ts
@@ -2,7 +2,7 @@
  * The weights that an operator wants in service.
  */
 
-/** A model's newest named version. */
+/** A version of a model's weights that was named. */
 export interface NamedWeightsVersion {
     /** The model's name. */
     model: string;
--- a/src/documents/createDocumentState.ts
+++ b/src/documents/createDocumentState.ts
@@ -10,10 +10,12 @@
 import { NamedWeightsVersion } from "./NamedWeightsVersion";
 
 const noResult = new Uint8Array();
+/** How many named versions of a model are kept: more than are named while engines take one. */
+const keptVersions = 8;
 
 /** Creates the state of a log without entries. */
 export function createDocumentState(): DocumentState {
-    const weights = new Map<string, NamedWeightsVersion>();
+    const weights = new Map<string, NamedWeightsVersion[]>();
     const listeners = new Set<() => void>();
     let version = 0;
     let text: Uint8Array = new Uint8Array();
@@ -24,7 +26,7 @@
         restoreSnapshot,
         getVersion: () => version,
         getText: () => text,
-        getNamedWeights: () => [...weights.values()],
+        getNamedWeights: () => [...weights.values()].flat(),
         getChangeCount: () => changeCount,
         addListener,
     };
@@ -50,14 +52,15 @@
     }
 
     function nameWeights(model: string, weightsVersion: number, timeMilliseconds: number): void {
-        if (weightsVersion > (weights.get(model)?.weightsVersion ?? 0)) {
-            weights.set(model, { model, weightsVersion, timeMilliseconds });
+        const named = weights.get(model) ?? [];
+        if (weightsVersion > (named.at(-1)?.weightsVersion ?? 0)) {
+            weights.set(model, [...named, { model, weightsVersion, timeMilliseconds }].slice(-keptVersions));
             announce();
         }
     }
 
     function takeSnapshot(): Uint8Array {
-        const named = [...weights.values()].map(({ model, weightsVersion, timeMilliseconds }) =>
+        const named = [...weights.values()].flat().map(({ model, weightsVersion, timeMilliseconds }) =>
             create(NamedWeightsSchema, {
                 model,
                 weightsVersion,
@@ -74,11 +77,8 @@
         text = snapshot.document;
         weights.clear();
         for (const { model, weightsVersion, timeMilliseconds } of snapshot.weights) {
-            weights.set(model, {
-                model,
-                weightsVersion,
-                timeMilliseconds: Number(timeMilliseconds),
-            });
+            const named = { model, weightsVersion, timeMilliseconds: Number(timeMilliseconds) };
+            weights.set(model, [...weights.get(model) ?? [], named]);
         }
         announce();
     }
--- a/src/feed/FeedState.ts
+++ b/src/feed/FeedState.ts
@@ -4,6 +4,7 @@
 import { RouteTable } from "../documents";
 import { StopwatchReading } from "../membership";
 import { FleetView, PollResponse } from "../protocol";
+import { WantedWeights } from "./WantedWeights";
 
 /** The entry's copy of the document and of the fleet, with its age. */
 export interface FeedState {
@@ -17,8 +18,8 @@
     getEntryCount(): number;
     /** Gets how long ago the document was last proved to be the newest, in milliseconds; Infinity where it never was. */
     getAgeMilliseconds(): number;
-    /** Gets how old a named weights version is, in milliseconds; undefined where the model has none. */
-    getWeightsTarget(model: string): { weightsVersion: number; ageMilliseconds: number; } | undefined;
+    /** Gets the versions of a model's weights that were named last, and how long ago that was. */
+    getWantedWeights(model: string): readonly WantedWeights[];
     /**
      * Takes an answer over.
      * @param response - A current answer.
--- a/src/forwarding/WantedWeights.ts
+++ b/src/feed/WantedWeights.ts
@@ -2,7 +2,7 @@
  * The weights that should answer a model's requests.
  */
 
-/** The newest named version of a model's weights. */
+/** A named version of a model's weights. */
 export interface WantedWeights {
     /** The version. */
     weightsVersion: number;
--- a/src/feed/createFeedState.ts
+++ b/src/feed/createFeedState.ts
@@ -6,6 +6,7 @@
 import { FleetView, PollResponse } from "../protocol";
 import { FeedState } from "./FeedState";
 import { FeedStateOptions } from "./FeedStateOptions";
+import { WantedWeights } from "./WantedWeights";
 
 /** Creates the state of an entry that knows nothing yet. */
 export function createFeedState(options: FeedStateOptions): FeedState {
@@ -22,7 +23,7 @@
         getFleetRevision: () => fleetRevision,
         getEntryCount: () => entryCount,
         getAgeMilliseconds: () => proved === undefined ? Infinity : getElapsedMilliseconds(clock, proved),
-        getWeightsTarget,
+        getWantedWeights,
         update,
     };
 
@@ -59,12 +60,13 @@
         return true;
     }
 
-    function getWeightsTarget(model: string): { weightsVersion: number; ageMilliseconds: number; } | undefined {
-        const target = fleet?.targets.find(candidate => candidate.model === model);
-        if (target === undefined) {
-            return undefined;
-        }
-        const { weightsVersion, ageMilliseconds } = target;
-        return { weightsVersion, ageMilliseconds: ageMilliseconds + getElapsedMilliseconds(clock, fleetRead) };
+    function getWantedWeights(model: string): readonly WantedWeights[] {
+        const elapsed = getElapsedMilliseconds(clock, fleetRead);
+        return (fleet?.targets ?? [])
+            .filter(target => target.model === model)
+            .map(({ weightsVersion, ageMilliseconds }) => ({
+                weightsVersion,
+                ageMilliseconds: ageMilliseconds + elapsed,
+            }));
     }
 }
--- a/src/feed/index.ts
+++ b/src/feed/index.ts
@@ -16,3 +16,4 @@
 export * from "./FeedTaskOptions";
 export * from "./FleetSource";
 export * from "./runFeed";
+export * from "./WantedWeights";
--- a/src/fleet/chooseLoads.ts
+++ b/src/fleet/chooseLoads.ts
@@ -15,14 +15,19 @@
  * Chooses the engines that start to load now.
  * @param instances - The backend servers.
  * @param targets - The named weights.
+ * @param isStoreBusy - Tells whether an engine is, or is about to be, reading weights from the store.
  */
 export function chooseLoads(
     instances: readonly FleetInstance[],
     targets: readonly NamedWeightsVersion[],
+    isStoreBusy: (instanceId: string) => boolean,
 ): readonly LoadChoice[] {
-    return targets.flatMap(({ model, weightsVersion }) => {
+    const models = new Set(targets.map(target => target.model));
+    return [...models].flatMap(model => {
+        const versions = targets.filter(target => target.model === model).map(target => target.weightsVersion);
+        const weightsVersion = Math.max(...versions);
         const engines = instances.filter(instance => getWeightsVersion(instance, model) !== undefined);
-        const loadingCount = engines.filter(engine => engine.isLoading).length;
+        const loadingCount = engines.filter(engine => isStoreBusy(engine.instanceId)).length;
         const freeCount = Math.ceil(loadShare * engines.length) - loadingCount;
         const isOld = (engine: FleetInstance) => getWeightsVersion(engine, model)! < weightsVersion;
         return engines
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -3,6 +3,7 @@
  */
 export * from "./chooseLoads";
 export * from "./createFleetBoard";
+export * from "./createLoadTimes";
 export * from "./EngineControl";
 export * from "./EngineReport";
 export * from "./FleetBoard";
@@ -10,6 +11,7 @@
 export * from "./FleetTaskOptions";
 export * from "./getWeightsVersion";
 export * from "./LoadChoice";
+export * from "./LoadTimes";
 export * from "./RolloutOptions";
 export * from "./runFleetList";
 export * from "./runLoad";
--- a/src/fleet/runLoad.ts
+++ b/src/fleet/runLoad.ts
@@ -8,6 +8,7 @@
 import { LoadedWeightsSchema } from "../protocol";
 import { getWeightsVersion } from "./getWeightsVersion";
 import { LoadChoice } from "./LoadChoice";
+import { LoadTimes } from "./LoadTimes";
 import { RolloutOptions } from "./RolloutOptions";
 import { WeightsOrderOutcome } from "./WeightsOrderOutcome";
 
@@ -28,14 +29,16 @@
  * Brings one engine to a version.
  * @param choice - The engine and the version.
  * @param options - What rollouts are made of.
+ * @param times - Follows the loads.
  */
-export async function runLoad(choice: LoadChoice, options: RolloutOptions): Promise<void> {
+export async function runLoad(choice: LoadChoice, options: RolloutOptions, times: LoadTimes): Promise<void> {
     const { instance, model, weightsVersion } = choice;
     const { board, engines, log, holder, clock, logger, signal } = options;
     const { instanceId } = instance;
     const { term } = log.getStatus();
     const fields = { instanceId, model, weightsVersion, fencingToken: String(term) };
     const start = clock.getMonotonicMilliseconds();
+    times.noteChosen(instanceId);
     board.setLoading(instanceId, true);
     await clock.sleep(leadMilliseconds, signal);
     let isDone = false;
@@ -54,6 +57,10 @@
             await clock.sleep(reportMilliseconds, signal);
         }
     }
+    if (isDone) {
+        times.noteServed(instanceId);
+    }
+    times.noteEnded(instanceId);
     const milliseconds = Math.round(clock.getMonotonicMilliseconds() - start);
     logger.info({ ...fields, isDone, milliseconds }, isDone ? "engine serves new weights" : "load given up");
     if (isLeading()) {
@@ -79,6 +86,9 @@
         );
         logger.info({ ...fields, expectedOrderCount, outcome }, "ordered new weights");
         nextOrderMilliseconds = clock.getMonotonicMilliseconds() + getPauseMilliseconds(outcome);
+        if (outcome.kind === "accepted") {
+            times.noteAccepted(instanceId);
+        }
         if (outcome.kind === "holds") {
             board.noteWeights(instanceId, [create(LoadedWeightsSchema, { model, weightsVersion })]);
         }
--- a/src/forwarding/EnginePlacement.ts
+++ b/src/forwarding/EnginePlacement.ts
@@ -1,10 +1,10 @@
 /*
  * The choice of an engine for a prompt.
  */
+import { WantedWeights } from "../feed";
 import { FleetInstance } from "../protocol";
 import { PrefixSources } from "./PrefixSources";
 import { PromptOutline } from "./PromptOutline";
-import { WantedWeights } from "./WantedWeights";
 
 /** Chooses engines. */
 export interface EnginePlacement {
@@ -13,13 +13,13 @@
      * @param prompt - The prompt's outline.
      * @param scope - The workspace within which its parts may be shared; empty for all.
      * @param candidates - The engines that may be chosen.
-     * @param wanted - The weights wanted for the prompt's model.
+     * @param wanted - The versions of the model's weights that were named last.
      */
     choose(
         prompt: PromptOutline,
         scope: string,
         candidates: readonly FleetInstance[],
-        wanted: WantedWeights | undefined,
+        wanted: readonly WantedWeights[],
     ): FleetInstance | undefined;
     /** Notes that a prompt was sent to an engine, which then holds its parts. */
     noteSent(prompt: PromptOutline, scope: string, instance: FleetInstance): void;
--- a/src/forwarding/ForwarderOptions.ts
+++ b/src/forwarding/ForwarderOptions.ts
@@ -20,6 +20,8 @@
     dataCentre: string;
     /** How old the rules may be for requests that need a key, in milliseconds. */
     longestAgeMilliseconds: number;
+    /** How long replaced weights may answer after newer ones were named, in milliseconds. */
+    longestWeightsAgeMilliseconds: number;
     /** How many retries all entries together may send for each request. */
     retryShare: number;
     /** How many retries all entries together may send beyond that. */
--- a/src/forwarding/createAnswerOpener.ts
+++ b/src/forwarding/createAnswerOpener.ts
@@ -37,7 +37,7 @@
     const { state, link, dataCentre, clock, random, metrics } = options;
     const watch = createSilenceWatch({ link, clock, logger: options.logger, signal: options.signal });
     const loads = createLoadBoard(clock, watch.isSilent);
-    const enginePlacement = createEnginePlacement(loads, clock);
+    const enginePlacement = createEnginePlacement(loads, clock, options.longestWeightsAgeMilliseconds);
     const budgets = createServiceBudgets(options.retryShare, options.retryReserve, state.getEntryCount);
     return {
         open,
@@ -100,7 +100,7 @@
             instance.service === service.name && !instance.isLeaving && !triedIds.has(instance.instanceId)
         );
         if (service.kind === "engine" && prompt) {
-            return enginePlacement.choose(prompt, getScope(task), candidates, state.getWeightsTarget(prompt.model));
+            return enginePlacement.choose(prompt, getScope(task), candidates, state.getWantedWeights(prompt.model));
         }
         return placePlainRequest(candidates, loads, dataCentre, random);
     }
--- a/src/forwarding/createEnginePlacement.ts
+++ b/src/forwarding/createEnginePlacement.ts
@@ -5,6 +5,7 @@
  * fetches the beginning from an engine that holds it.
  */
 import { LRUCache } from "lru-cache";
+import { WantedWeights } from "../feed";
 import { getWeightsVersion } from "../fleet";
 import { FleetInstance } from "../protocol";
 import { createInstanceDigest, getRendezvousScore, InstanceDigest } from "../routing";
@@ -14,7 +15,6 @@
 import { LoadBoard } from "./LoadBoard";
 import { PrefixSources } from "./PrefixSources";
 import { PromptOutline } from "./PromptOutline";
-import { WantedWeights } from "./WantedWeights";
 
 /** The prompt tokens that an engine reads in a millisecond, the order of today's engines. */
 const tokensPerMillisecond = 50;
@@ -30,6 +30,11 @@
 const suspectedMilliseconds = 20_000;
 /** What replaced weights add for each second since newer ones were named, in milliseconds: late answers are worth less. */
 const oldWeightsMillisecondsPerSecond = 40;
+/** How much sooner than weights may no longer answer their engines are left, in milliseconds: a request's longest wait. */
+const weightsMarginMilliseconds = 1_500;
+/** What weights that may no longer answer add, in milliseconds: more than any queue, less than a dead engine. */
+const overdueMilliseconds = 10_000;
+const millisecondsPerSecond = 1_000;
 /** How many digests are kept: more than any fleet has engines. */
 const maximumDigests = 4_096;
 
@@ -37,8 +42,13 @@
  * Creates the placement of an entry.
  * @param loads - The engines' load.
  * @param clock - The passing of time.
+ * @param longestWeightsAgeMilliseconds - How long replaced weights may answer after newer ones were named.
  */
-export function createEnginePlacement(loads: LoadBoard, clock: Clock): EnginePlacement {
+export function createEnginePlacement(
+    loads: LoadBoard,
+    clock: Clock,
+    longestWeightsAgeMilliseconds: number,
+): EnginePlacement {
     const digests = new LRUCache<string, InstanceDigest>({ max: maximumDigests });
     const reads = createPrefixReads(clock);
     return { choose, noteSent, getSources };
@@ -47,7 +57,7 @@
         prompt: PromptOutline,
         scope: string,
         candidates: readonly FleetInstance[],
-        wanted: WantedWeights | undefined,
+        wanted: readonly WantedWeights[],
     ): FleetInstance | undefined {
         const sharedTokens = getSharedTokens(prompt);
         const homes = getHomes(prompt, scope, candidates);
@@ -135,6 +145,15 @@
         return digest;
     }
 
+    /** Gets what replaced weights add, in milliseconds, by the age of the first version that replaced them. */
+    function getWeightsCost(candidate: FleetInstance, model: string, wanted: readonly WantedWeights[]): number {
+        const version = getWeightsVersion(candidate, model) ?? 0;
+        const ages = wanted.filter(newer => newer.weightsVersion > version).map(newer => newer.ageMilliseconds);
+        const age = Math.max(0, ...ages);
+        const overdueCost = age > longestWeightsAgeMilliseconds - weightsMarginMilliseconds ? overdueMilliseconds : 0;
+        return age / millisecondsPerSecond * oldWeightsMillisecondsPerSecond + overdueCost;
+    }
+
     /** Gets what a candidate's load and state add to the time to the first token, in milliseconds. */
     function getLoadCost({ instanceId, isLoading }: FleetInstance): number {
         return loads.getUnreadTokens(instanceId) / tokensPerMillisecond
@@ -145,15 +164,6 @@
     }
 }
 
-/** Gets what replaced weights add, in milliseconds. */
-function getWeightsCost(candidate: FleetInstance, model: string, wanted: WantedWeights | undefined): number {
-    const version = getWeightsVersion(candidate, model) ?? 0;
-    if (!wanted || version >= wanted.weightsVersion) {
-        return 0;
-    }
-    return wanted.ageMilliseconds / 1_000 * oldWeightsMillisecondsPerSecond;
-}
-
 /** Gets the name of a prompt's shared beginning under the weights of an engine. */
 function getKey(prompt: PromptOutline, scope: string, instance: FleetInstance): string {
     return `${scope} ${getWeightsVersion(instance, prompt.model) ?? 0} ${getSharedIds(prompt)}`;
--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -37,4 +37,3 @@
 export * from "./SilenceWatchOptions";
 export * from "./startKeptCacheView";
 export * from "./StreamEvent";
-export * from "./WantedWeights";
--- a/tests/documents/createDocumentState.tests.ts
+++ b/tests/documents/createDocumentState.tests.ts
@@ -42,13 +42,15 @@
         expect(getText(state)).to.equal("first");
     });
 
-    it("keeps the highest named weights of each model", () => {
+    it("keeps the named weights of each model in order, and none that a higher one had overtaken", () => {
         const state = createDocumentState();
         name(state, "large", 3);
         name(state, "large", 2);
+        name(state, "large", 5);
         name(state, "small", 1);
         expect(state.getNamedWeights()).to.deep.equal([
             { model: "large", weightsVersion: 3, timeMilliseconds: 500 },
+            { model: "large", weightsVersion: 5, timeMilliseconds: 500 },
             { model: "small", weightsVersion: 1, timeMilliseconds: 500 },
         ]);
     });
--- a/tests/feed/createFeedState.tests.ts
+++ b/tests/feed/createFeedState.tests.ts
@@ -67,7 +67,7 @@
         const targets = [{ model: "large", weightsVersion: 2, ageMilliseconds: 100 }];
         const state = createTestFeedState(clock, [createTestInstance()], {}, targets);
         await clock.advance(50);
-        expect(state.getWeightsTarget("large")).to.deep.equal({ weightsVersion: 2, ageMilliseconds: 150 });
-        expect(state.getWeightsTarget("small")).to.equal(undefined);
+        expect(state.getWantedWeights("large")).to.deep.equal([{ weightsVersion: 2, ageMilliseconds: 150 }]);
+        expect(state.getWantedWeights("small")).to.deep.equal([]);
     });
 });
--- a/tests/fleet/chooseLoads.tests.ts
+++ b/tests/fleet/chooseLoads.tests.ts
@@ -13,7 +13,13 @@
 
     function doTest(engines: readonly FleetInstance[], weightsVersion: number, expected: readonly string[]) {
         const targets = [{ model: "large", weightsVersion, timeMilliseconds: 0 }];
-        expect(chooseLoads(engines, targets).map(choice => choice.instance.instanceId)).to.deep.equal(expected);
+        expect(
+            chooseLoads(
+                engines,
+                targets,
+                instanceId => engines.some(engine => engine.instanceId === instanceId && engine.isLoading),
+            ).map(choice => choice.instance.instanceId),
+        ).to.deep.equal(expected);
     }
 
     it("chooses a quarter of the engines", () => doTest(createEngines(8), 2, ["engine-0", "engine-1"]));
@@ -30,6 +36,17 @@
         old.weights = [{ ...old.weights[0]!, weightsVersion: 0 }];
         doTest([...engines, old], 2, ["old", "engine-0"]);
     });
+    it("goes straight to the newest of several versions", () => {
+        const targets = [2, 4, 3].map(weightsVersion => ({ model: "large", weightsVersion, timeMilliseconds: 0 }));
+        expect(chooseLoads(createEngines(1), targets, () => false)[0]?.weightsVersion).to.equal(4);
+    });
+    it("lets the next engine begin once one has read its weights, though it does not serve them yet", () => {
+        const [first, ...others] = createEngines(4);
+        const engines = [{ ...first!, isLoading: true }, ...others];
+        const targets = [{ model: "large", weightsVersion: 2, timeMilliseconds: 0 }];
+        expect(chooseLoads(engines, targets, () => false).map(choice => choice.instance.instanceId))
+            .to.deep.equal(["engine-1"]);
+    });
     it("leaves engines of other models alone", () => {
         const other = createTestInstance({ instanceId: "other" });
         other.weights = [{ ...other.weights[0]!, model: "small" }];
--- a/tests/fleet/runLoad.tests.ts
+++ b/tests/fleet/runLoad.tests.ts
@@ -1,7 +1,7 @@
 import { create } from "@bufbuild/protobuf";
 import { expect } from "chai";
 import { ConsensusRole, LogStatus } from "../../src/control/consensus";
-import { createFleetBoard, runLoad, WeightsOrder, WeightsOrderOutcome } from "../../src/fleet";
+import { createFleetBoard, createLoadTimes, runLoad, WeightsOrder, WeightsOrderOutcome } from "../../src/fleet";
 import { createSilentLogger } from "../../src/logging";
 import { LoadedWeightsSchema } from "../../src/protocol";
 import { createTestInstance } from "../feed/createTestFeed";
@@ -49,7 +49,7 @@
             clock,
             logger: createSilentLogger(),
             signal: new AbortController().signal,
-        });
+        }, createLoadTimes(clock));
         return { clock, board, orders, load, engine, status };
 
         function start() {
--- a/tests/forwarding/createEnginePlacement.tests.ts
+++ b/tests/forwarding/createEnginePlacement.tests.ts
@@ -25,7 +25,7 @@
     function createTrial(isSilent: (instanceId: string) => boolean = () => false) {
         const clock = createManualClock();
         const loads = createLoadBoard(clock, isSilent);
-        return { clock, loads, placement: createEnginePlacement(loads, clock) };
+        return { clock, loads, placement: createEnginePlacement(loads, clock, 10_000) };
     }
 
     const engines = createEngines([1, 1, 1, 1, 1, 1, 1, 1]);
@@ -35,8 +35,8 @@
         const second = createTrial().placement;
         for (let beginning = 0; beginning < 40; beginning++) {
             const prompt = createPrompt(beginning);
-            expect(first.choose(prompt, "", engines, undefined)?.instanceId)
-                .to.equal(second.choose(prompt, "", [...engines].reverse(), undefined)?.instanceId);
+            expect(first.choose(prompt, "", engines, [])?.instanceId)
+                .to.equal(second.choose(prompt, "", [...engines].reverse(), [])?.instanceId);
         }
     });
 
@@ -44,7 +44,7 @@
         const { placement } = createTrial();
         const chosen = Array.from(
             { length: 200 },
-            (...[, place]) => placement.choose(createPrompt(place), "", engines, undefined)?.instanceId,
+            (...[, place]) => placement.choose(createPrompt(place), "", engines, [])?.instanceId,
         );
         expect(new Set(chosen).size).to.equal(engines.length);
     });
@@ -54,7 +54,7 @@
         const [first, second] = ["", "alpha"].map(scope =>
             Array.from(
                 { length: 30 },
-                (...[, place]) => placement.choose(createPrompt(place), scope, engines, undefined)?.instanceId,
+                (...[, place]) => placement.choose(createPrompt(place), scope, engines, [])?.instanceId,
             )
         );
         expect(first).to.not.deep.equal(second);
@@ -62,25 +62,25 @@
 
     it("leaves a beginning's engine once its queue outweighs reading the beginning again", () => {
         const { placement, loads } = createTrial();
-        const home = placement.choose(createPrompt(1), "", engines, undefined)!;
+        const home = placement.choose(createPrompt(1), "", engines, [])!;
         loads.noteReport(home.instanceId, { running: 10, waiting: 0, slots: 64 });
-        expect(placement.choose(createPrompt(1), "", engines, undefined)).to.equal(home);
+        expect(placement.choose(createPrompt(1), "", engines, [])).to.equal(home);
         loads.noteReport(home.instanceId, { running: 64, waiting: 20, slots: 64 });
-        expect(placement.choose(createPrompt(1), "", engines, undefined)).to.not.equal(home);
+        expect(placement.choose(createPrompt(1), "", engines, [])).to.not.equal(home);
     });
 
     it("goes round engines that load or are dead", () => {
         const dead = new Set<string>();
         const { placement } = createTrial(instanceId => dead.has(instanceId));
-        const home = placement.choose(createPrompt(1), "", engines, undefined)!;
+        const home = placement.choose(createPrompt(1), "", engines, [])!;
         dead.add(home.instanceId);
-        const next = placement.choose(createPrompt(1), "", engines, undefined)!;
+        const next = placement.choose(createPrompt(1), "", engines, [])!;
         expect(next).to.not.equal(home);
         const loading = engines.map(engine =>
             engine === next ? createTestInstance({ ...engine, isLoading: true, $typeName: undefined }) : engine
         );
         expect([home.instanceId, next.instanceId])
-            .to.not.include(placement.choose(createPrompt(1), "", loading, undefined)?.instanceId);
+            .to.not.include(placement.choose(createPrompt(1), "", loading, [])?.instanceId);
     });
 
     it("turns to newer weights the longer they are named", () => {
@@ -90,13 +90,25 @@
             Array.from(
                 { length: 60 },
                 (...[, place]) =>
-                    placement.choose(createPrompt(place), "", mixed, { weightsVersion: 2, ageMilliseconds })!,
+                    placement.choose(createPrompt(place), "", mixed, [{ weightsVersion: 2, ageMilliseconds }])!,
             )
                 .filter(engine => engine.weights[0]!.weightsVersion === 2).length;
         expect(countNew(9_000)).to.equal(60);
         expect(countNew(0)).to.be.below(60);
     });
 
+    it("leaves weights before they may no longer answer, however loaded the others are", () => {
+        const { placement, loads } = createTrial();
+        const mixed = createEngines([2, 3]);
+        loads.noteReport("engine-1", { running: 64, waiting: 20, slots: 64 });
+        const wanted = (ageMilliseconds: number) => [
+            { weightsVersion: 3, ageMilliseconds },
+            { weightsVersion: 4, ageMilliseconds: 500 },
+        ];
+        expect(placement.choose(createPrompt(1), "", mixed, wanted(4_500))).to.equal(mixed[0]);
+        expect(placement.choose(createPrompt(1), "", mixed, wanted(8_600))).to.equal(mixed[1]);
+    });
+
     describe("getSources", () => {
         it("names the engine to which the beginning went before", () => {
             const { placement } = createTrial();
@@ -143,7 +155,7 @@
                 for (let count = 0; count < 300; count++) {
                     const prompt = createPrompt(random.getInteger(80));
                     const entry = entries[random.getInteger(entries.length)]!;
-                    const wanted = { weightsVersion: 2, ageMilliseconds: step * 600 };
+                    const wanted = [{ weightsVersion: 2, ageMilliseconds: step * 600 }];
                     const chosen = entry.choose(prompt, "", fleet, wanted)!;
                     const version = chosen.weights[0]!.weightsVersion;
                     const { known, likely } = entry.getSources(prompt, "", chosen, fleet);
--- a/tests/forwarding/createForwarder.tests.ts
+++ b/tests/forwarding/createForwarder.tests.ts
@@ -37,6 +37,7 @@
             dataCentre: "west",
             signal: new AbortController().signal,
             longestAgeMilliseconds: 3_500,
+            longestWeightsAgeMilliseconds: 10_000,
             retryShare: 0.2,
             retryReserve: options.retryReserve ?? 50,
             clock,
--- a/tests/platform/settings/decodePlatformSettings.tests.ts
+++ b/tests/platform/settings/decodePlatformSettings.tests.ts
@@ -35,6 +35,7 @@
             listCallsPerSecond: 44,
             stopMilliseconds: 8_000,
             revocationMilliseconds: 5_000,
+            weightsMilliseconds: 10_000,
             retryShare: 0.2,
             retryReserve: 56,
             orderLeaseMilliseconds: 3_000,
