--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -3,7 +3,7 @@
  */
 export * from "./chooseLoads";
 export * from "./createFleetBoard";
-export * from "./createLoadTimes";
+export * from "./createSilentEngines";
 export * from "./EngineControl";
 export * from "./EngineReport";
 export * from "./FleetBoard";
@@ -11,10 +11,10 @@
 export * from "./FleetTaskOptions";
 export * from "./getWeightsVersion";
 export * from "./LoadChoice";
-export * from "./LoadTimes";
 export * from "./RolloutOptions";
 export * from "./runFleetList";
 export * from "./runLoad";
 export * from "./runRollout";
+export * from "./SilentEngines";
 export * from "./WeightsOrder";
 export * from "./WeightsOrderOutcome";
--- a/src/fleet/runLoad.ts
+++ b/src/fleet/runLoad.ts
@@ -6,10 +6,11 @@
 import { ConsensusRole } from "../control/consensus";
 import { assertNever } from "../errors";
 import { LoadedWeightsSchema } from "../protocol";
+import { waitAtMost } from "../runtime";
 import { getWeightsVersion } from "./getWeightsVersion";
 import { LoadChoice } from "./LoadChoice";
-import { LoadTimes } from "./LoadTimes";
 import { RolloutOptions } from "./RolloutOptions";
+import { SilentEngines } from "./SilentEngines";
 import { WeightsOrderOutcome } from "./WeightsOrderOutcome";
 
 /** How long entries have to turn away from the engine before the order, in milliseconds: a push and some delay. */
@@ -17,7 +18,7 @@
 /** How often the engine's report is read meanwhile, in milliseconds: each reading is a call that costs the engine. */
 const reportMilliseconds = 150;
 /** How long one call may take, in milliseconds; engines answer within a few otherwise. */
-const callMilliseconds = 1_000;
+const callMilliseconds = 500;
 /** After which time the load is given up, to be chosen again, in milliseconds: several times a slow load. */
 const loadMilliseconds = 6_000;
 /** How long an accepted order is waited for before another one, in milliseconds: longer than an undisturbed load. */
@@ -29,22 +30,25 @@
  * Brings one engine to a version.
  * @param choice - The engine and the version.
  * @param options - What rollouts are made of.
- * @param times - Follows the loads.
+ * @param silentEngines - Told of an engine that does not answer.
  */
-export async function runLoad(choice: LoadChoice, options: RolloutOptions, times: LoadTimes): Promise<void> {
+export async function runLoad(
+    choice: LoadChoice,
+    options: RolloutOptions,
+    silentEngines: SilentEngines,
+): Promise<void> {
     const { instance, model, weightsVersion } = choice;
     const { board, engines, log, holder, clock, logger, signal } = options;
     const { instanceId } = instance;
     const { term } = log.getStatus();
     const fields = { instanceId, model, weightsVersion, fencingToken: String(term) };
     const start = clock.getMonotonicMilliseconds();
-    times.noteChosen(instanceId);
     board.setLoading(instanceId, true);
     await clock.sleep(leadMilliseconds, signal);
     let isDone = false;
     let nextOrderMilliseconds = 0;
     while (!isDone && isLeading() && clock.getMonotonicMilliseconds() < start + loadMilliseconds) {
-        const report = await engines.readReport(instance, getCallSignal());
+        const report = await waitAtMost(clock, engines.readReport(instance, getCallSignal()), callMilliseconds);
         if (report) {
             isDone = (getWeightsVersion({ weights: [...report.weights] }, model) ?? 0) >= weightsVersion;
             board.noteWeights(instanceId, report.weights);
@@ -53,14 +57,14 @@
         if (report && !isDone && !report.isBusy && isOrderDue && await isProvedLeader()) {
             isDone = await order(report.orderCount);
         }
+        if (!report) {
+            silentEngines.note(instanceId);
+            break;
+        }
         if (!isDone) {
             await clock.sleep(reportMilliseconds, signal);
         }
     }
-    if (isDone) {
-        times.noteServed(instanceId);
-    }
-    times.noteEnded(instanceId);
     const milliseconds = Math.round(clock.getMonotonicMilliseconds() - start);
     logger.info({ ...fields, isDone, milliseconds }, isDone ? "engine serves new weights" : "load given up");
     if (isLeading()) {
@@ -86,9 +90,6 @@
         );
         logger.info({ ...fields, expectedOrderCount, outcome }, "ordered new weights");
         nextOrderMilliseconds = clock.getMonotonicMilliseconds() + getPauseMilliseconds(outcome);
-        if (outcome.kind === "accepted") {
-            times.noteAccepted(instanceId);
-        }
         if (outcome.kind === "holds") {
             board.noteWeights(instanceId, [create(LoadedWeightsSchema, { model, weightsVersion })]);
         }
--- a/src/fleet/runRollout.ts
+++ b/src/fleet/runRollout.ts
@@ -3,7 +3,7 @@
  */
 import { ConsensusRole } from "../control/consensus";
 import { chooseLoads } from "./chooseLoads";
-import { createLoadTimes } from "./createLoadTimes";
+import { createSilentEngines } from "./createSilentEngines";
 import { RolloutOptions } from "./RolloutOptions";
 import { runLoad } from "./runLoad";
 
@@ -17,7 +17,7 @@
 export async function runRollout(options: RolloutOptions): Promise<void> {
     const { documents, board, log, clock, signal, handoverMilliseconds } = options;
     const loads = new Set<Promise<void>>();
-    const times = createLoadTimes(clock);
+    const silentEngines = createSilentEngines(clock);
     let ledTerm: bigint | undefined;
     let orderMilliseconds = 0;
     while (!signal.aborted) {
@@ -37,8 +37,8 @@
     await Promise.all(loads);
 
     function startLoads(): void {
-        for (const choice of chooseLoads(board.getInstances(), documents.getNamedWeights(), times.isStoreBusy)) {
-            const load = runLoad(choice, options, times).finally(() => loads.delete(load));
+        for (const choice of chooseLoads(board.getInstances(), documents.getNamedWeights(), silentEngines)) {
+            const load = runLoad(choice, options, silentEngines).finally(() => loads.delete(load));
             loads.add(load);
         }
     }
--- a/src/forwarding/createSilenceWatch.ts
+++ b/src/forwarding/createSilenceWatch.ts
@@ -6,6 +6,7 @@
 import { setMaxListeners } from "node:events";
 import { BackendService } from "../documents";
 import { FleetInstance } from "../protocol";
+import { waitAtMost } from "../runtime";
 import { SilenceWatch } from "./SilenceWatch";
 import { SilenceWatchOptions } from "./SilenceWatchOptions";
 
@@ -95,9 +96,11 @@
         const start = clock.getMonotonicMilliseconds();
         const end = start + longestProbingMilliseconds;
         while (!signal.aborted && clock.getMonotonicMilliseconds() < end) {
-            if (
-                await link.probe(instance, service, AbortSignal.any([signal, AbortSignal.timeout(probeMilliseconds)]))
-            ) {
+            const ended = new AbortController();
+            const answer = link.probe(instance, service, ended.signal);
+            const isAlive = await waitAtMost(clock, answer, probeMilliseconds);
+            ended.abort();
+            if (isAlive) {
                 break;
             }
             if (!entry.dead.signal.aborted) {
--- a/tests/platform/backends/createBackendLink.tests.ts
+++ b/tests/platform/backends/createBackendLink.tests.ts
@@ -145,6 +145,17 @@
         expect((await send(server.address)).kind).to.equal("notSent");
     });
 
+    it("says at once that a request was not sent whose caller leaves during the connection, and never sends it", async () => {
+        const left = new AbortController();
+        const server = await startServer(() => undefined);
+        const answer = send(server.address, "request-1", left.signal);
+        left.abort();
+        expect((await answer).kind).to.equal("notSent");
+        const second = await send(server.address, "request-2", AbortSignal.timeout(200));
+        expect(second.kind).to.not.equal("answered");
+        expect(server.requests.every(request => !request.includes("request-1"))).to.equal(true);
+    });
+
     it("says that a request is lost whose connection ends without an answer", async () => {
         const server = await startServer(socket => socket.destroy());
         expect((await send(server.address)).kind).to.equal("lost");
