--- a/src/forwarding/AnswerHead.ts
+++ b/src/forwarding/AnswerHead.ts
@@ -8,8 +8,4 @@
     status: number;
     /** The headers that are passed on, names and values in turn. */
     headers: readonly string[];
-    /** Whether the answer carries proof that the backend server made it. */
-    isSealed: boolean;
-    /** The weights version under which an engine answers. */
-    weightsVersion: number | undefined;
 }
--- a/src/forwarding/LoadBoard.ts
+++ b/src/forwarding/LoadBoard.ts
@@ -17,10 +17,6 @@
     noteFailure(instanceId: string): void;
     /** Notes that a backend server's address answers for another one; it is avoided until the fleet view changes. */
     noteGone(instanceId: string): void;
-    /** Notes the weights version under which an engine answers. */
-    noteWeights(instanceId: string, weightsVersion: number): void;
-    /** Gets the weights version that an engine was seen to serve; undefined where none was seen. */
-    getWeightsVersion(instanceId: string): number | undefined;
     /** Tells whether a backend server failed lately. */
     isSuspected(instanceId: string): boolean;
     /** Gets the requests that wait at a backend server, by its last report; 0 where that is old. */
--- a/src/forwarding/createLoadBoard.ts
+++ b/src/forwarding/createLoadBoard.ts
@@ -24,7 +24,6 @@
     changeSinceReport: number;
     failures: number;
     suspectedUntil: number;
-    weightsVersion: number | undefined;
 }
 
 /**
@@ -42,8 +41,6 @@
         noteFailure,
         noteGone: instanceId =>
             getLoad(instanceId).suspectedUntil = clock.getMonotonicMilliseconds() + goneMilliseconds,
-        noteWeights: (instanceId, weightsVersion) => getLoad(instanceId).weightsVersion = weightsVersion,
-        getWeightsVersion: instanceId => loads.get(instanceId)?.weightsVersion,
         isSuspected: instanceId =>
             isSilent(instanceId) || (loads.get(instanceId)?.suspectedUntil ?? 0) > clock.getMonotonicMilliseconds(),
         getWaiting,
@@ -64,7 +61,6 @@
             changeSinceReport: 0,
             failures: 0,
             suspectedUntil: 0,
-            weightsVersion: undefined,
         };
         loads.set(instanceId, load);
         return load;
--- a/tests/forwarding/createTestLink.ts
+++ b/tests/forwarding/createTestLink.ts
@@ -27,7 +27,7 @@
 
 /** Creates the head of an answer. */
 export function createTestHead(status = 200): AnswerHead {
-    return { status, headers: [], isSealed: true, weightsVersion: undefined };
+    return { status, headers: [] };
 }
 
 /** Creates an answer whose body comes in parts. */
--- a/tests/platform/callers/startCallerServer.tests.ts
+++ b/tests/platform/callers/startCallerServer.tests.ts
@@ -40,7 +40,7 @@
         const address = await start((forwarded, reply) => {
             seen = forwarded;
             reply.send(
-                { status: 201, headers: ["X-Own", "1"], isSealed: true, weightsVersion: undefined },
+                { status: 201, headers: ["X-Own", "1"] },
                 Buffer.from("ok"),
             );
         });
@@ -83,7 +83,7 @@
 
     it("lets no answer look complete that is broken off", async () => {
         const address = await start(async (...[, reply]) => {
-            reply.start({ status: 200, headers: [], isSealed: true, weightsVersion: undefined });
+            reply.start({ status: 200, headers: [] });
             await reply.write(Buffer.from("part"));
             reply.breakOff();
         });
