Test engines that are gone and reports that never come

Change: tests for a misdirected order and for a report that never ends. Each fails with its mend taken out, as does the one for a sign of life that never ends (tried now). No code is changed.

--- a/tests/fleet/runLoad.tests.ts
+++ b/tests/fleet/runLoad.tests.ts
@@ -19,7 +19,7 @@
         const instance = createTestInstance();
         board.restart(4n);
         board.setInstances([instance]);
-        const engine = { weightsVersion: 1, orderCount: 7, isBusy: false, isDark: false };
+        const engine = { weightsVersion: 1, orderCount: 7, isBusy: false, isDark: false, isMute: false };
         const silentEngines = createSilentEngines(clock);
         const orders: WeightsOrder[] = [];
         const status = { role: ConsensusRole.Leader, term: 4n } as LogStatus;
@@ -28,6 +28,9 @@
             board,
             engines: {
                 readReport: () => {
+                    if (engine.isMute) {
+                        return new Promise(() => undefined);
+                    }
                     if (engine.isDark) {
                         return Promise.resolve(undefined);
                     }
@@ -116,6 +119,21 @@
             .to.deep.equal([0, false, true]);
     });
 
+    it("takes an engine for gone whose address answers for another one, and orders nothing more there", async () => {
+        const trial = createTrial([{ kind: "misdirected" }]);
+        await trial.clock.advance(4_000);
+        await trial.load;
+        expect([trial.orders.length, trial.board.getInstances()[0]!.isLeaving]).to.deep.equal([1, true]);
+    });
+
+    it("gives an engine up whose report never comes, for its place in the rollout", async () => {
+        const trial = createTrial([{ kind: "accepted" }]);
+        trial.engine.isMute = true;
+        await trial.clock.advance(700);
+        expect([trial.orders.length, isLoading(trial)]).to.deep.equal([0, false]);
+        await trial.load;
+    });
+
     it("gives up after a time, so that the engine is chosen again", async () => {
         const trial = createTrial([]);
         await trial.clock.advance(8_000);
