Share reads of beginnings, and find the parts that engines lack

Change: a request whose beginning another request's engine is reading waits for that, for a part of its route's objective; the fetch source is the longest beginning known to be somewhere; stores divide the shared parts among them; a save is left to requests whose own part is not larger than what the store lacks; two engines keep a beginning, by rank.

--- a/src/forwarding/EnginePlacement.ts
+++ b/src/forwarding/EnginePlacement.ts
@@ -21,8 +21,12 @@
         candidates: readonly FleetInstance[],
         wanted: readonly WantedWeights[],
     ): FleetInstance | undefined;
-    /** Notes that a prompt was sent to an engine, which then holds its parts. */
-    noteSent(prompt: PromptOutline, scope: string, instance: FleetInstance): void;
+    /** Notes that a request's prompt is sent to an engine, which then reads what it lacks of it. */
+    noteSent(requestId: string, prompt: PromptOutline, scope: string, instance: FleetInstance): void;
+    /** Notes that an engine has read a request's prompt, or never will. */
+    noteRead(requestId: string): void;
+    /** Gets the end of a read that is under way of what the chosen engine lacks; undefined where there is none. */
+    getReading(prompt: PromptOutline, scope: string, chosen: FleetInstance): Promise<void> | undefined;
     /**
      * Tells where the chosen engine may fetch a prompt's shared parts from.
      * @param prompt - The prompt's outline.
--- a/src/forwarding/ForwardingTask.ts
+++ b/src/forwarding/ForwardingTask.ts
@@ -22,6 +22,8 @@
     readonly logger: Logger;
     /** The backend servers that were tried. */
     readonly triedIds: Set<string>;
+    /** Whether it has waited for another request's read. */
+    hasWaited: boolean;
     /** How many attempts were sent, whether they ran or not. */
     sentCount: number;
     /** How many attempts ran or may have run. */
--- a/src/forwarding/PrefixReads.ts
+++ b/src/forwarding/PrefixReads.ts
@@ -1,17 +1,26 @@
 /*
- * Where shared prompt beginnings were read lately.
+ * Where shared prompt beginnings are and were read.
  */
 
 /** Remembers to which engines this entry sent which beginnings. */
 export interface PrefixReads {
     /**
-     * Notes that an engine reads a beginning.
-     * @param key - The beginning, with the weights and the workspace within which it may be shared.
+     * Notes that an engine is about to read beginnings.
+     * @param requestId - The request that makes it read them.
+     * @param keys - The beginnings.
      * @param instanceId - The engine.
      */
-    note(key: string, instanceId: string): void;
-    /** Tells whether an engine read a beginning lately, so that it is likely to hold it still. */
+    begin(requestId: string, keys: readonly string[], instanceId: string): void;
+    /** Notes that what a request made an engine read has been read, or never will be. */
+    end(requestId: string): void;
+    /** Tells whether an engine reads a beginning or read it lately, so that it is likely to hold it still. */
     isHeld(key: string, instanceId: string): boolean;
-    /** Gets the engines that read a beginning lately, the last one first. */
-    getHolders(key: string): readonly string[];
+    /**
+     * Gets the engines that read a beginning lately, the last one first.
+     * @param key - The beginning.
+     * @param longestMilliseconds - How long ago at the most.
+     */
+    getHolders(key: string, longestMilliseconds: number): readonly string[];
+    /** Gets the end of the read of a beginning that is under way at some engine; undefined where none is. */
+    getReading(key: string): Promise<void> | undefined;
 }
--- a/src/forwarding/PrefixSources.ts
+++ b/src/forwarding/PrefixSources.ts
@@ -1,14 +1,15 @@
 /*
- * Where a prompt's shared beginning may be found.
+ * Where a prompt's shared beginnings may be found.
  */
 import { FleetInstance } from "../protocol";
+import { BeginningSource } from "./BeginningSource";
 
-/** The engines that may hold a beginning. */
+/** The engines that may hold a prompt's beginnings, the chosen one left out. */
 export interface PrefixSources {
-    /** Whether the chosen engine read it lately itself. */
-    isHeld: boolean;
-    /** Another engine to which this entry sent it lately. */
-    known: FleetInstance | undefined;
-    /** Another engine that is likely to hold it, by the hashing that all entries share. */
+    /** The beginnings, the longest first, with where this entry knows them to be. */
+    beginnings: readonly BeginningSource[];
+    /** The engine that is most likely to hold the longest one, by the hashing that all entries share. */
     likely: FleetInstance | undefined;
+    /** Whether that is the engine which all entries prefer for it. */
+    isLikelyHome: boolean;
 }
--- a/src/forwarding/createAnswerOpener.ts
+++ b/src/forwarding/createAnswerOpener.ts
@@ -7,11 +7,13 @@
 import { getWeightsVersion } from "../fleet";
 import { HistogramName, RetryReason } from "../metrics";
 import { FleetInstance, RefusalReason } from "../protocol";
+import { waitAtMost } from "../runtime";
 import { AnswerOpener } from "./AnswerOpener";
 import { BackendAnswer } from "./BackendAnswer";
 import { collectBody } from "./collectBody";
 import { createEnginePlacement } from "./createEnginePlacement";
 import { createLoadBoard } from "./createLoadBoard";
+import { createRendezvousRanking } from "./createRendezvousRanking";
 import { createServiceBudgets } from "./createServiceBudgets";
 import { createSilenceWatch } from "./createSilenceWatch";
 import { ForwarderOptions } from "./ForwarderOptions";
@@ -26,6 +28,11 @@
 const maximumOffers = 4;
 /** When a caller should come back whose request found no room, in milliseconds: a few requests' time. */
 const fullRetryMilliseconds = 1_000;
+/**
+ * The part of a route's latency objective for which a request waits while another one's engine reads the beginning that
+ * both share: reading it twice at once costs both as much.
+ */
+const sharedReadPart = 0.4;
 /** The shortest rest of a request's time that is worth another attempt, in milliseconds. */
 const shortestAttemptMilliseconds = 20;
 
@@ -37,11 +44,12 @@
     const { state, link, dataCentre, clock, random, metrics } = options;
     const watch = createSilenceWatch({ link, clock, logger: options.logger, signal: options.signal });
     const loads = createLoadBoard(clock, watch.isSilent);
-    const enginePlacement = createEnginePlacement(loads, clock, options.longestWeightsAgeMilliseconds);
+    const ranking = createRendezvousRanking();
+    const enginePlacement = createEnginePlacement(loads, ranking, clock, options.longestWeightsAgeMilliseconds);
     const budgets = createServiceBudgets(options.retryShare, options.retryReserve, state.getEntryCount);
     return {
         open,
-        noteStarted: (task, instanceId) => loads.noteStarted(instanceId, getPromptTokens(task)),
+        noteStarted,
         noteEnded,
         canRepeat,
     };
@@ -61,6 +69,9 @@
             if (!instance || task.triedIds.size >= maximumOffers || !takeAttempt(task)) {
                 return { kind: "givenUp", refusal: getFullRefusal(task, retryAfterMilliseconds) };
             }
+            if (await waitForRead(task, instance)) {
+                continue;
+            }
             const answer = await send(task, instance, lastEventId ?? request.lastEventId);
             const isFinal = note(task, instance, answer);
             if (answer.kind === "answered" && isFinal) {
@@ -88,6 +99,23 @@
         return isStale ? getRefusal(task, RefusalReason.STALE_SETTINGS, fullRetryMilliseconds) : undefined;
     }
 
+    /**
+     * Waits for the end of a read that is under way of what a request's engine lacks; tells whether it waited, so that the
+     * request is placed anew. A request waits once.
+     */
+    async function waitForRead(task: ForwardingTask, instance: FleetInstance): Promise<boolean> {
+        const { request: { prompt }, admission: { route } } = task;
+        const reading = prompt && task.sentCount === 0 && !task.hasWaited
+            ? enginePlacement.getReading(prompt, getScope(task), instance)
+            : undefined;
+        if (!reading) {
+            return false;
+        }
+        task.hasWaited = true;
+        await waitAtMost(clock, reading, sharedReadPart * route.targetMilliseconds);
+        return true;
+    }
+
     /** Takes what another attempt costs; the first one is free. */
     function takeAttempt(task: ForwardingTask): boolean {
         return task.sentCount === 0 || budgets.tryTakeRetry(task.admission.service.name);
@@ -127,10 +155,11 @@
                 entryCount: state.getEntryCount(),
                 sources: takeSources(task, instance),
                 keptCaches: options.keptCaches,
+                ranking,
             }),
         });
         if (answer.kind !== "answered") {
-            loads.noteStarted(instanceId, getPromptTokens(task));
+            noteStarted(task, instanceId);
             noteEnded(instanceId);
         }
         return answer;
@@ -143,7 +172,7 @@
             return undefined;
         }
         const sources = enginePlacement.getSources(prompt, getScope(task), instance, state.getFleet()?.instances ?? []);
-        enginePlacement.noteSent(prompt, getScope(task), instance);
+        enginePlacement.noteSent(task.request.requestId, prompt, getScope(task), instance);
         return sources;
     }
 
@@ -200,7 +229,7 @@
         if (head.status < 500 || !canRepeat(task)) {
             return true;
         }
-        loads.noteStarted(instance.instanceId, getPromptTokens(task));
+        noteStarted(task, instance.instanceId);
         noteEnded(instance.instanceId);
         noteRetry(task, instance, RetryReason.BackendRefused, `status ${head.status}`);
         return false;
@@ -218,6 +247,12 @@
         }, "attempt failed");
     }
 
+    /** Notes that an engine has read a request's prompt, or never will. */
+    function noteStarted(task: ForwardingTask, instanceId: string): void {
+        loads.noteStarted(instanceId, getPromptTokens(task));
+        enginePlacement.noteRead(task.request.requestId);
+    }
+
     function noteEnded(instanceId: string): void {
         loads.noteEnded(instanceId);
         watch.noteEnded(instanceId);
--- a/src/forwarding/createEnginePlacement.ts
+++ b/src/forwarding/createEnginePlacement.ts
@@ -4,17 +4,19 @@
  * leave it only where its load outweighs reading the beginning again. Where a prompt goes elsewhere all the same, it
  * fetches the beginning from an engine that holds it.
  */
-import { LRUCache } from "lru-cache";
 import { WantedWeights } from "../feed";
 import { getWeightsVersion } from "../fleet";
 import { FleetInstance } from "../protocol";
-import { createInstanceDigest, getRendezvousScore, InstanceDigest } from "../routing";
 import { Clock } from "../runtime";
+import { BeginningSource } from "./BeginningSource";
 import { createPrefixReads } from "./createPrefixReads";
 import { EnginePlacement } from "./EnginePlacement";
+import { getBeginnings } from "./getBeginnings";
 import { LoadBoard } from "./LoadBoard";
 import { PrefixSources } from "./PrefixSources";
+import { PromptBeginning } from "./PromptBeginning";
 import { PromptOutline } from "./PromptOutline";
+import { RendezvousRanking } from "./RendezvousRanking";
 
 /** The prompt tokens that an engine reads in a millisecond, the order of today's engines. */
 const tokensPerMillisecond = 50;
@@ -24,6 +26,8 @@
 const waitingMilliseconds = 60;
 /** What leaving a beginning's engine costs beside the reading, in milliseconds: other prompts wait for it too. */
 const leaveMilliseconds = 60;
+/** What an engine adds that does not keep the beginning, in milliseconds: a copy there pushes others out. */
+const strayMilliseconds = 40;
 /** What an engine that takes new weights adds, in milliseconds: the time of a load. */
 const loadingMilliseconds = 2_000;
 /** What an engine that failed lately adds, in milliseconds: more than any queue. */
@@ -35,23 +39,28 @@
 /** What weights that may no longer answer add, in milliseconds: more than any queue, less than a dead engine. */
 const overdueMilliseconds = 10_000;
 const millisecondsPerSecond = 1_000;
-/** How many digests are kept: more than any fleet has engines. */
-const maximumDigests = 4_096;
+/** How long ago an engine read what it holds for sure, in milliseconds: engines under load drop within some seconds. */
+const recentMilliseconds = 2_000;
+/** How long ago an engine read what it may hold still, in milliseconds. */
+const formerMilliseconds = 10_000;
+/** How many engines keep a beginning: the preferred one, and one more for what outweighs it. */
+const homeCount = 2;
 
 /**
  * Creates the placement of an entry.
  * @param loads - The engines' load.
+ * @param ranking - Names the engines that keep a beginning.
  * @param clock - The passing of time.
  * @param longestWeightsAgeMilliseconds - How long replaced weights may answer after newer ones were named.
  */
 export function createEnginePlacement(
     loads: LoadBoard,
+    ranking: RendezvousRanking,
     clock: Clock,
     longestWeightsAgeMilliseconds: number,
 ): EnginePlacement {
-    const digests = new LRUCache<string, InstanceDigest>({ max: maximumDigests });
     const reads = createPrefixReads(clock);
-    return { choose, noteSent, getSources };
+    return { choose, noteSent, noteRead: reads.end, getReading, getSources };
 
     function choose(
         prompt: PromptOutline,
@@ -61,13 +70,14 @@
     ): FleetInstance | undefined {
         const sharedTokens = getSharedTokens(prompt);
         const homes = getHomes(prompt, scope, candidates);
+        const longestByVersion = new Map<number | undefined, PromptBeginning | undefined>();
         let best: FleetInstance | undefined;
         let bestCost = Infinity;
         for (const candidate of candidates) {
-            const isHome = homes.has(candidate);
-            const isHolder = isHome || reads.isHeld(getKey(prompt, scope, candidate), candidate.instanceId);
+            const rank = homes.get(candidate);
+            const isHolder = rank === 0 || isHeldBy(candidate, getLongest(candidate));
             const readCost = isHolder ? 0 : sharedTokens / tokensPerMillisecond + leaveMilliseconds;
-            const homeCost = isHome ? 0 : requestMilliseconds;
+            const homeCost = rank === undefined ? strayMilliseconds : rank * requestMilliseconds;
             const cost = readCost + homeCost + getLoadCost(candidate) + getWeightsCost(candidate, prompt.model, wanted);
             if (cost < bestCost) {
                 best = candidate;
@@ -75,10 +85,33 @@
             }
         }
         return best;
+
+        /** Gets the longest beginning under a candidate's weights, composed once for each version. */
+        function getLongest(candidate: FleetInstance): PromptBeginning | undefined {
+            const version = getWeightsVersion(candidate, prompt.model);
+            const longest = longestByVersion.get(version) ?? getBeginnings(prompt, scope, version)[0];
+            longestByVersion.set(version, longest);
+            return longest;
+        }
+    }
+
+    function noteSent(requestId: string, prompt: PromptOutline, scope: string, instance: FleetInstance): void {
+        const keys = getInstanceBeginnings(prompt, scope, instance).map(beginning => beginning.key);
+        reads.begin(requestId, keys, instance.instanceId);
+    }
+
+    function getReading(prompt: PromptOutline, scope: string, chosen: FleetInstance): Promise<void> | undefined {
+        for (const { key } of getInstanceBeginnings(prompt, scope, chosen)) {
+            const reading = reads.getReading(key);
+            if (reading || reads.isHeld(key, chosen.instanceId)) {
+                return reading;
+            }
+        }
+        return undefined;
     }
 
-    function noteSent(prompt: PromptOutline, scope: string, instance: FleetInstance): void {
-        reads.note(getKey(prompt, scope, instance), instance.instanceId);
+    function isHeldBy({ instanceId }: FleetInstance, beginning: PromptBeginning | undefined): boolean {
+        return beginning !== undefined && reads.isHeld(beginning.key, instanceId);
     }
 
     function getSources(
@@ -87,62 +120,50 @@
         chosen: FleetInstance,
         instances: readonly FleetInstance[],
     ): PrefixSources {
-        const key = getKey(prompt, scope, chosen);
         const version = getWeightsVersion(chosen, prompt.model);
         const sources = instances.filter(instance =>
             instance.service === chosen.service && instance !== chosen && !instance.isLoading
             && getWeightsVersion(instance, prompt.model) === version && !loads.isSuspected(instance.instanceId)
         );
-        const [lastId] = reads.getHolders(key);
+        const [likely] = getKeepers(prompt, scope, sources);
         return {
-            isHeld: reads.isHeld(key, chosen.instanceId),
-            known: sources.find(instance => instance.instanceId === lastId),
-            likely: getHome(prompt, scope, sources),
+            beginnings: getInstanceBeginnings(prompt, scope, chosen).map(beginning => getSource(beginning, sources)),
+            likely,
+            isLikelyHome: likely !== undefined && getKeepers(prompt, scope, [chosen, likely])[0] === likely,
         };
     }
 
-    /** Gets the engine that keeps a prompt's shared beginning for each version of the weights in service. */
+    function getSource({ key, parts }: PromptBeginning, sources: readonly FleetInstance[]): BeginningSource {
+        return { parts, recent: findHolder(recentMilliseconds), former: findHolder(formerMilliseconds) };
+
+        function findHolder(longestMilliseconds: number): FleetInstance | undefined {
+            const holders = reads.getHolders(key, longestMilliseconds);
+            return holders.map(id => sources.find(source => source.instanceId === id)).find(source => source);
+        }
+    }
+
+    /** Gets the engines that keep a prompt's shared beginning for each version of the weights in service, with their rank. */
     function getHomes(
         prompt: PromptOutline,
         scope: string,
         candidates: readonly FleetInstance[],
-    ): ReadonlySet<FleetInstance | undefined> {
+    ): ReadonlyMap<FleetInstance, number> {
         const usable = candidates.filter(({ instanceId, isLoading }) => !isLoading && !loads.isSuspected(instanceId));
         const versions = new Set(usable.map(candidate => getWeightsVersion(candidate, prompt.model)));
-        return new Set(
-            [...versions].map(version =>
-                getHome(
-                    prompt,
-                    scope,
-                    usable.filter(candidate => getWeightsVersion(candidate, prompt.model) === version),
-                )
-            ),
-        );
+        return new Map([...versions].flatMap(version => {
+            const engines = usable.filter(candidate => getWeightsVersion(candidate, prompt.model) === version);
+            return getKeepers(prompt, scope, engines).map((engine, rank): [FleetInstance, number] => [engine, rank]);
+        }));
     }
 
-    /** Gets the candidate that rendezvous hashing names, the same at every entry. */
-    function getHome(
+    /** Gets the engines that keep a prompt's shared beginning, the same ones at every entry. */
+    function getKeepers(
         prompt: PromptOutline,
         scope: string,
-        candidates: readonly FleetInstance[],
-    ): FleetInstance | undefined {
-        const { first, second } = getDigest(`${scope} ${getSharedIds(prompt)}`);
-        let home: FleetInstance | undefined;
-        let homeScore = -1;
-        for (const candidate of candidates) {
-            const score = getRendezvousScore(first, second, getDigest(candidate.instanceId));
-            if (score > homeScore) {
-                home = candidate;
-                homeScore = score;
-            }
-        }
-        return home;
-    }
-
-    function getDigest(text: string): InstanceDigest {
-        const digest = digests.get(text) ?? createInstanceDigest(text);
-        digests.set(text, digest);
-        return digest;
+        engines: readonly FleetInstance[],
+    ): readonly FleetInstance[] {
+        const key = `${scope} ${getSharedIds(prompt)}`;
+        return ranking.getHighest(key, engines, engine => engine.instanceId, homeCount);
     }
 
     /** Gets what replaced weights add, in milliseconds, by the age of the first version that replaced them. */
@@ -164,9 +185,13 @@
     }
 }
 
-/** Gets the name of a prompt's shared beginning under the weights of an engine. */
-function getKey(prompt: PromptOutline, scope: string, instance: FleetInstance): string {
-    return `${scope} ${getWeightsVersion(instance, prompt.model) ?? 0} ${getSharedIds(prompt)}`;
+/** Gets a prompt's shared beginnings under the weights of an engine. */
+function getInstanceBeginnings(
+    prompt: PromptOutline,
+    scope: string,
+    instance: FleetInstance,
+): readonly PromptBeginning[] {
+    return getBeginnings(prompt, scope, getWeightsVersion(instance, prompt.model));
 }
 
 function getSharedIds({ parts }: PromptOutline): string {
--- a/src/forwarding/createForwarder.ts
+++ b/src/forwarding/createForwarder.ts
@@ -65,6 +65,7 @@
             signal: requestSignal.signal,
             logger: requestLogger,
             triedIds: new Set(),
+            hasWaited: false,
             sentCount: 0,
             runCount: 0,
         };
--- a/src/forwarding/getAttemptTerms.ts
+++ b/src/forwarding/getAttemptTerms.ts
@@ -6,9 +6,9 @@
 import { getWeightsVersion } from "../fleet";
 import { FleetInstance } from "../protocol";
 import { BackendAttempt } from "./BackendAttempt";
+import { CacheSurroundings } from "./CacheSurroundings";
 import { ForwardingTask } from "./ForwardingTask";
-import { KeptCacheView } from "./KeptCacheView";
-import { PrefixSources } from "./PrefixSources";
+import { getCacheTerms } from "./getCacheTerms";
 
 /** The part of a backend server's connections that entries use together. */
 const usedConnectionPart = 0.8;
@@ -20,13 +20,9 @@
 const routeRanks = 3;
 
 /** What the terms of an attempt depend on beside the request. */
-interface AttemptSurroundings {
+interface AttemptSurroundings extends CacheSurroundings {
     /** How many entries share the backend server's connections. */
     entryCount: number;
-    /** The engines that may hold the prompt's shared parts; undefined for requests without a prompt. */
-    sources: PrefixSources | undefined;
-    /** What the stores of kept KV cache hold. */
-    keptCaches: KeptCacheView;
 }
 
 const noStore = { fetchAddress: undefined, saveAddress: undefined };
@@ -47,7 +43,8 @@
     instance: FleetInstance,
     surroundings: AttemptSurroundings,
 ): AttemptTerms {
-    const { request: { prompt }, admission: { service, route, workspace } } = task;
+    const { request: { prompt }, admission: { service, route, workspace, table } } = task;
+    const storeAddresses = table.getKeptCaches().map(cache => cache.address);
     const share = Math.floor(usedConnectionPart * service.maximumConnections / surroundings.entryCount);
     const weightsVersion = prompt && getWeightsVersion(instance, prompt.model);
     const caches = service.kind === "engine" && weightsVersion !== undefined;
@@ -58,7 +55,7 @@
         priority: Math.min(lowestPriority, (workspace?.priority ?? 0) * routeRanks + route.priority),
         weightsVersion: caches ? weightsVersion : undefined,
         cacheSalt,
-        ...cacheSalt === undefined ? noStore : getCacheTerms(task, instance, cacheSalt, surroundings),
+        ...cacheSalt === undefined ? noStore : getCacheTerms(prompt!, cacheSalt, storeAddresses, surroundings),
     };
 }
 
@@ -67,26 +64,3 @@
     const scopeWorkspace = workspace?.isIsolated ? workspace.name : "";
     return createCacheSalt({ workspace: scopeWorkspace, model, version: String(weightsVersion) });
 }
-
-/**
- * Gets where parts are fetched from and saved to. What this entry knows of an engine or of the store goes before a guess;
- * a fetch of what is not there costs next to nothing. Parts are saved only where a shared one is missing.
- */
-function getCacheTerms(
-    task: ForwardingTask,
-    instance: FleetInstance,
-    cacheSalt: string,
-    { sources, keptCaches }: AttemptSurroundings,
-): Pick<BackendAttempt, "fetchAddress" | "saveAddress"> {
-    const { request: { prompt }, admission: { table } } = task;
-    const sharedParts = prompt?.parts.slice(0, -1) ?? [];
-    const stores = table.getKeptCaches().filter(candidate => keptCaches.isReachable(candidate.address));
-    const store = stores.find(candidate => candidate.dataCentre === instance.dataCentre) ?? stores[0];
-    const missing = sharedParts.find(part => !store || !keptCaches.hasPart(store.address, cacheSalt, part.id));
-    const isKept = store !== undefined && missing === undefined;
-    const guess = sources?.isHeld ? undefined : sources?.likely;
-    return {
-        fetchAddress: sources?.known?.address ?? (isKept ? store.address : guess?.address),
-        saveAddress: missing === undefined ? undefined : store?.address,
-    };
-}
--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -15,6 +15,7 @@
 export * from "./createForwarder";
 export * from "./createLoadBoard";
 export * from "./createPrefixReads";
+export * from "./createRendezvousRanking";
 export * from "./createServiceBudgets";
 export * from "./createSilenceWatch";
 export * from "./EnginePlacement";
--- a/tests/forwarding/createEnginePlacement.tests.ts
+++ b/tests/forwarding/createEnginePlacement.tests.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { createEnginePlacement, createLoadBoard, PromptOutline } from "../../src/forwarding";
+import { createEnginePlacement, createLoadBoard, createRendezvousRanking, PromptOutline } from "../../src/forwarding";
 import { FleetInstance } from "../../src/protocol";
 import { createRandomSource } from "../../src/runtime";
 import { createTestInstance } from "../feed/createTestFeed";
@@ -25,7 +25,7 @@
     function createTrial(isSilent: (instanceId: string) => boolean = () => false) {
         const clock = createManualClock();
         const loads = createLoadBoard(clock, isSilent);
-        return { clock, loads, placement: createEnginePlacement(loads, clock, 10_000) };
+        return { clock, loads, placement: createEnginePlacement(loads, createRendezvousRanking(), clock, 10_000) };
     }
 
     const engines = createEngines([1, 1, 1, 1, 1, 1, 1, 1]);
@@ -110,35 +110,80 @@
     });
 
     describe("getSources", () => {
+        const [first, second] = engines as [FleetInstance, FleetInstance];
+
         it("names the engine to which the beginning went before", () => {
             const { placement } = createTrial();
-            const [first, second] = engines as [FleetInstance, FleetInstance];
-            placement.noteSent(createPrompt(1), "", first);
-            const sources = placement.getSources(createPrompt(1), "", second, engines);
-            expect([sources.isHeld, sources.known]).to.deep.equal([false, first]);
+            placement.noteSent("request-1", createPrompt(1), "", first);
+            const [longest] = placement.getSources(createPrompt(1), "", second, engines).beginnings;
+            expect([longest?.recent, longest?.former]).to.deep.equal([first, first]);
+        });
+        it("names an engine that holds a shorter beginning where none holds the longest", () => {
+            const { placement } = createTrial();
+            placement.noteSent("request-1", createPrompt(1), "", first);
+            const { beginnings } = placement.getSources(createPrompt(4), "", second, engines);
+            expect(beginnings.map(({ parts, recent }) => [parts.length, recent]))
+                .to.deep.equal([[2, undefined], [1, first]]);
         });
-        it("needs none where the chosen engine read the beginning itself", () => {
+        it("tells whether the likely holder is the engine that all entries prefer", () => {
             const { placement } = createTrial();
-            placement.noteSent(createPrompt(1), "", engines[0]!);
-            expect(placement.getSources(createPrompt(1), "", engines[0]!, engines).isHeld).to.equal(true);
+            const home = placement.choose(createPrompt(1), "", engines, [])!;
+            const other = engines.find(engine => engine !== home)!;
+            const getLikely = (chosen: FleetInstance) => {
+                const { likely, isLikelyHome } = placement.getSources(createPrompt(1), "", chosen, engines);
+                return [likely === home, isLikelyHome];
+            };
+            expect(getLikely(other)).to.deep.equal([true, true]);
+            expect(getLikely(home)).to.deep.equal([false, false]);
         });
         it("never names an engine on other weights", () => {
             const { placement } = createTrial();
             const mixed = createEngines([1, 2]);
-            placement.noteSent(createPrompt(1), "", mixed[0]!);
-            expect(placement.getSources(createPrompt(1), "", mixed[1]!, mixed))
-                .to.deep.equal({ isHeld: false, known: undefined, likely: undefined });
+            placement.noteSent("request-1", createPrompt(1), "", mixed[0]!);
+            const { beginnings, likely } = placement.getSources(createPrompt(1), "", mixed[1]!, mixed);
+            expect([likely, ...beginnings.map(beginning => beginning.former)])
+                .to.deep.equal([undefined, undefined, undefined]);
         });
         it("never names what an isolated workspace read", () => {
             const { placement } = createTrial();
-            placement.noteSent(createPrompt(1), "alpha", engines[0]!);
-            expect(placement.getSources(createPrompt(1), "", engines[1]!, engines).known).to.equal(undefined);
+            placement.noteSent("request-1", createPrompt(1), "alpha", first);
+            const { beginnings } = placement.getSources(createPrompt(1), "", second, engines);
+            expect(beginnings.map(beginning => beginning.former)).to.deep.equal([undefined, undefined]);
         });
-        it("forgets after a time", async () => {
+        it("doubts what was read some seconds ago, and forgets it after a time", async () => {
             const { placement, clock } = createTrial();
-            placement.noteSent(createPrompt(1), "", engines[0]!);
-            await clock.advance(10_000);
-            expect(placement.getSources(createPrompt(1), "", engines[1]!, engines).known).to.equal(undefined);
+            placement.noteSent("request-1", createPrompt(1), "", first);
+            await clock.advance(2_000);
+            const [doubted] = placement.getSources(createPrompt(1), "", second, engines).beginnings;
+            expect([doubted?.recent, doubted?.former]).to.deep.equal([undefined, first]);
+            await clock.advance(8_000);
+            const [forgotten] = placement.getSources(createPrompt(1), "", second, engines).beginnings;
+            expect(forgotten?.former).to.equal(undefined);
+        });
+    });
+
+    describe("getReading", () => {
+        const [first, second] = engines as [FleetInstance, FleetInstance];
+
+        it("names a read of the same or of a shorter beginning, at whatever engine", () => {
+            const { placement } = createTrial();
+            placement.noteSent("request-1", createPrompt(1), "", first);
+            expect(placement.getReading(createPrompt(1), "", second)).to.not.equal(undefined);
+            expect(placement.getReading(createPrompt(4), "", first)).to.not.equal(undefined);
+            expect(placement.getReading(createPrompt(2), "", first)).to.equal(undefined);
+        });
+        it("names none once it has ended, or where the engine holds the beginning already", () => {
+            const { placement } = createTrial();
+            placement.noteSent("request-1", createPrompt(1), "", first);
+            placement.noteRead("request-1");
+            expect(placement.getReading(createPrompt(1), "", second)).to.equal(undefined);
+            placement.noteSent("request-2", createPrompt(1), "", first);
+            expect(placement.getReading(createPrompt(1), "", first)).to.equal(undefined);
+        });
+        it("keeps an isolated workspace's reads apart from the others'", () => {
+            const { placement } = createTrial();
+            placement.noteSent("request-1", createPrompt(1), "alpha", first);
+            expect(placement.getReading(createPrompt(1), "", first)).to.equal(undefined);
         });
     });
 
@@ -158,10 +203,10 @@
                     const wanted = [{ weightsVersion: 2, ageMilliseconds: step * 600 }];
                     const chosen = entry.choose(prompt, "", fleet, wanted)!;
                     const version = chosen.weights[0]!.weightsVersion;
-                    const { known, likely } = entry.getSources(prompt, "", chosen, fleet);
-                    entry.noteSent(prompt, "", chosen);
+                    const { beginnings: [longest], likely } = entry.getSources(prompt, "", chosen, fleet);
+                    entry.noteSent(`request-${requests}`, prompt, "", chosen);
                     const getName = (engine: FleetInstance) => `${engine.instanceId} ${version} ${prompt.parts[1]!.id}`;
-                    const sources = [chosen, known, likely].filter(engine => engine !== undefined);
+                    const sources = [chosen, longest?.former, likely].filter(engine => engine !== undefined);
                     reads += sources.some(engine => held.has(getName(engine))) ? 0 : 1;
                     requests += 1;
                     held.add(getName(chosen));
