Split what is decided of prompts from the attempts, and ask slow engines more seldom

Change: each sign of life doubles the silence until the next question, up to 2.8 s; decisions on prompts stand in a module of their own; the price on engines that don't keep a beginning falls from 40 to 8 ms. Tested: questions to a slow engine (fails without the change: 4 in place of 2); where parts are fetched and saved; requests of one beginning at once.

--- a/src/forwarding/createAnswerOpener.ts
+++ b/src/forwarding/createAnswerOpener.ts
@@ -7,12 +7,12 @@
 import { getWeightsVersion } from "../fleet";
 import { HistogramName, RetryReason } from "../metrics";
 import { FleetInstance, RefusalReason } from "../protocol";
-import { waitAtMost } from "../runtime";
 import { AnswerOpener } from "./AnswerOpener";
 import { BackendAnswer } from "./BackendAnswer";
 import { collectBody } from "./collectBody";
 import { createEnginePlacement } from "./createEnginePlacement";
 import { createLoadBoard } from "./createLoadBoard";
+import { createPromptDispatch } from "./createPromptDispatch";
 import { createRendezvousRanking } from "./createRendezvousRanking";
 import { createServiceBudgets } from "./createServiceBudgets";
 import { createSilenceWatch } from "./createSilenceWatch";
@@ -21,18 +21,12 @@
 import { getAttemptTerms } from "./getAttemptTerms";
 import { OpenOutcome } from "./OpenOutcome";
 import { placePlainRequest } from "./placePlainRequest";
-import { PrefixSources } from "./PrefixSources";
 import { Refusal } from "./Refusal";
 
 /** How many backend servers a request is offered to at most: more would delay a refusal that is due. */
 const maximumOffers = 4;
 /** When a caller should come back whose request found no room, in milliseconds: a few requests' time. */
 const fullRetryMilliseconds = 1_000;
-/**
- * The part of a route's latency objective for which a request waits while another one's engine reads the beginning that
- * both share: reading it twice at once costs both as much.
- */
-const sharedReadPart = 0.4;
 /** The shortest rest of a request's time that is worth another attempt, in milliseconds. */
 const shortestAttemptMilliseconds = 20;
 
@@ -45,7 +39,8 @@
     const watch = createSilenceWatch({ link, clock, logger: options.logger, signal: options.signal });
     const loads = createLoadBoard(clock, watch.isSilent);
     const ranking = createRendezvousRanking();
-    const enginePlacement = createEnginePlacement(loads, ranking, clock, options.longestWeightsAgeMilliseconds);
+    const placement = createEnginePlacement(loads, ranking, clock, options.longestWeightsAgeMilliseconds);
+    const prompts = createPromptDispatch(placement, state, clock);
     const budgets = createServiceBudgets(options.retryShare, options.retryReserve, state.getEntryCount);
     return {
         open,
@@ -69,7 +64,7 @@
             if (!instance || task.triedIds.size >= maximumOffers || !takeAttempt(task)) {
                 return { kind: "givenUp", refusal: getFullRefusal(task, retryAfterMilliseconds) };
             }
-            if (await waitForRead(task, instance)) {
+            if (await prompts.waitForRead(task, instance)) {
                 continue;
             }
             const answer = await send(task, instance, lastEventId ?? request.lastEventId);
@@ -99,23 +94,6 @@
         return isStale ? getRefusal(task, RefusalReason.STALE_SETTINGS, fullRetryMilliseconds) : undefined;
     }
 
-    /**
-     * Waits for the end of a read that is under way of what a request's engine lacks; tells whether it waited, so that the
-     * request is placed anew. A request waits once.
-     */
-    async function waitForRead(task: ForwardingTask, instance: FleetInstance): Promise<boolean> {
-        const { request: { prompt }, admission: { route } } = task;
-        const reading = prompt && task.sentCount === 0 && !task.hasWaited
-            ? enginePlacement.getReading(prompt, getScope(task), instance)
-            : undefined;
-        if (!reading) {
-            return false;
-        }
-        task.hasWaited = true;
-        await waitAtMost(clock, reading, sharedReadPart * route.targetMilliseconds);
-        return true;
-    }
-
     /** Takes what another attempt costs; the first one is free. */
     function takeAttempt(task: ForwardingTask): boolean {
         return task.sentCount === 0 || budgets.tryTakeRetry(task.admission.service.name);
@@ -128,7 +106,7 @@
             instance.service === service.name && !instance.isLeaving && !triedIds.has(instance.instanceId)
         );
         if (service.kind === "engine" && prompt) {
-            return enginePlacement.choose(prompt, getScope(task), candidates, state.getWantedWeights(prompt.model));
+            return prompts.choose(task, candidates);
         }
         return placePlainRequest(candidates, loads, dataCentre, random);
     }
@@ -153,7 +131,7 @@
             onHeard: () => watch.noteHeard(instanceId),
             ...getAttemptTerms(task, instance, {
                 entryCount: state.getEntryCount(),
-                sources: takeSources(task, instance),
+                sources: prompts.takeSources(task, instance),
                 keptCaches: options.keptCaches,
                 ranking,
             }),
@@ -165,17 +143,6 @@
         return answer;
     }
 
-    /** Gets where an attempt's engine may fetch shared parts from, and notes that it reads them. */
-    function takeSources(task: ForwardingTask, instance: FleetInstance): PrefixSources | undefined {
-        const { prompt } = task.request;
-        if (!prompt) {
-            return undefined;
-        }
-        const sources = enginePlacement.getSources(prompt, getScope(task), instance, state.getFleet()?.instances ?? []);
-        enginePlacement.noteSent(task.request.requestId, prompt, getScope(task), instance);
-        return sources;
-    }
-
     /** Notes an answer; tells whether it is the request's last one. */
     function note(task: ForwardingTask, instance: FleetInstance, answer: BackendAnswer): boolean {
         const { instanceId } = instance;
@@ -250,7 +217,7 @@
     /** Notes that an engine has read a request's prompt, or never will. */
     function noteStarted(task: ForwardingTask, instanceId: string): void {
         loads.noteStarted(instanceId, getPromptTokens(task));
-        enginePlacement.noteRead(task.request.requestId);
+        prompts.noteRead(task);
     }
 
     function noteEnded(instanceId: string): void {
@@ -275,11 +242,6 @@
     }
 }
 
-/** Gets the workspace within which a request's cached parts may be shared; empty for all. */
-function getScope({ admission: { workspace } }: ForwardingTask): string {
-    return workspace?.isIsolated ? workspace.name : "";
-}
-
 /** Gets the prompt tokens that an attempt makes an engine read, at the most. */
 function getPromptTokens(task: ForwardingTask): number {
     return task.request.prompt?.promptTokens ?? 0;
--- a/src/forwarding/createEnginePlacement.ts
+++ b/src/forwarding/createEnginePlacement.ts
@@ -26,8 +26,8 @@
 const waitingMilliseconds = 60;
 /** What leaving a beginning's engine costs beside the reading, in milliseconds: other prompts wait for it too. */
 const leaveMilliseconds = 60;
-/** What an engine adds that does not keep the beginning, in milliseconds: a copy there pushes others out. */
-const strayMilliseconds = 40;
+/** What an engine adds that does not keep the beginning, in milliseconds: more than the second keeper, less than a queue. */
+const strayMilliseconds = 8;
 /** What an engine that takes new weights adds, in milliseconds: the time of a load. */
 const loadingMilliseconds = 2_000;
 /** What an engine that failed lately adds, in milliseconds: more than any queue. */
--- a/src/forwarding/createSilenceWatch.ts
+++ b/src/forwarding/createSilenceWatch.ts
@@ -12,6 +12,10 @@
 
 /** How long one that owes an answer may be silent until it is asked, in milliseconds: a long prompt's reading. */
 const silenceMilliseconds = 350;
+/** By what a sign of life stretches the silence until the next question: a slow one is asked ever more seldom. */
+const patienceFactor = 2;
+/** The longest silence until a question, in milliseconds. */
+const longestSilenceMilliseconds = 2_800;
 /** How long the answer to the question may take, in milliseconds: many times a link's delay. */
 const probeMilliseconds = 350;
 /** The pause between two questions to a dead one, in milliseconds. */
@@ -26,6 +30,7 @@
     service: BackendService;
     owed: number;
     heardMilliseconds: number;
+    allowedMilliseconds: number;
     isProbed: boolean;
     dead: AbortController;
 }
@@ -50,7 +55,7 @@
     function noteSent(instance: FleetInstance, service: BackendService): void {
         const now = clock.getMonotonicMilliseconds();
         const entry = watched.get(instance.instanceId)
-            ?? { instance, service, owed: 0, heardMilliseconds: now, isProbed: false, dead: createDeadSignal() };
+            ?? createWatched(instance, service, now);
         watched.set(instance.instanceId, entry);
         if (entry.owed === 0) {
             entry.heardMilliseconds = now;
@@ -62,6 +67,7 @@
         const entry = watched.get(instanceId);
         if (entry) {
             entry.heardMilliseconds = clock.getMonotonicMilliseconds();
+            entry.allowedMilliseconds = silenceMilliseconds;
         }
     }
 
@@ -78,9 +84,10 @@
 
     async function look(): Promise<void> {
         while (!signal.aborted) {
-            const oldest = clock.getMonotonicMilliseconds() - silenceMilliseconds;
+            const now = clock.getMonotonicMilliseconds();
             for (const entry of watched.values()) {
-                if (!entry.isProbed && entry.owed > 0 && entry.heardMilliseconds < oldest) {
+                const isTooSilent = now - entry.heardMilliseconds > entry.allowedMilliseconds;
+                if (!entry.isProbed && entry.owed > 0 && isTooSilent) {
                     entry.isProbed = true;
                     void probe(entry);
                 }
@@ -109,10 +116,12 @@
             }
             await clock.sleep(probePauseMilliseconds, signal);
         }
+        entry.allowedMilliseconds = Math.min(longestSilenceMilliseconds, patienceFactor * entry.allowedMilliseconds);
         if (entry.dead.signal.aborted) {
             const milliseconds = Math.round(clock.getMonotonicMilliseconds() - start);
             logger.info({ instanceId, milliseconds }, "backend server answers again");
             entry.dead = createDeadSignal();
+            entry.allowedMilliseconds = silenceMilliseconds;
         }
         entry.heardMilliseconds = clock.getMonotonicMilliseconds();
         entry.isProbed = false;
@@ -122,6 +131,18 @@
     }
 }
 
+function createWatched(instance: FleetInstance, service: BackendService, now: number): Watched {
+    return {
+        instance,
+        service,
+        owed: 0,
+        heardMilliseconds: now,
+        allowedMilliseconds: silenceMilliseconds,
+        isProbed: false,
+        dead: createDeadSignal(),
+    };
+}
+
 /** Creates the signal of one backend server, on which each of its attempts listens. */
 function createDeadSignal(): AbortController {
     const controller = new AbortController();
--- a/tests/forwarding/createForwarder.tests.ts
+++ b/tests/forwarding/createForwarder.tests.ts
@@ -190,6 +190,57 @@
         });
     });
 
+    describe("requests of one beginning at once", () => {
+        const events = ["id: 1\ndata: a\n\n"];
+
+        /** Sends two requests whose answers begin when told, the second one of another or of the same beginning. */
+        async function createPair(second: Partial<ForwardedRequest>) {
+            const starts: (() => void)[] = [];
+            const trial = createTrial({
+                answer: () => new Promise(resolve => starts.push(() => resolve(createTestAnswer(events)))),
+            });
+            const requests = [
+                await trial.forward(summary),
+                await trial.forward({ ...second, requestId: "request-2" }),
+            ];
+            return { trial, starts, requests };
+        }
+
+        it("are read once: the second one is sent to the same engine after the first one's first event", async () => {
+            const { trial, starts, requests } = await createPair(summary);
+            expect(trial.link.attempts.length).to.equal(1);
+            starts[0]!();
+            await requests[0]!.ended;
+            await trial.clock.advance(0);
+            const [first, second] = trial.link.attempts;
+            expect(second?.instance.instanceId).to.equal(first?.instance.instanceId);
+            starts[1]!();
+            await requests[1]!.ended;
+            expect(requests[1]!.reply.getText()).to.equal(`200 ${events[0]}end`);
+        });
+        it("wait for each other no longer than a part of the objective", async () => {
+            const { trial } = await createPair(summary);
+            await trial.clock.advance(199);
+            expect(trial.link.attempts.length).to.equal(1);
+            await trial.clock.advance(1);
+            expect(trial.link.attempts.length).to.equal(2);
+        });
+        it("are sent at once where their beginnings differ", async () => {
+            const { prompt } = summary;
+            const parts = prompt!.parts.map(part => ({ ...part, id: `other-${part.id}` }));
+            const { trial } = await createPair({ ...summary, prompt: { ...prompt!, parts } });
+            expect(trial.link.attempts.length).to.equal(2);
+        });
+        it("do not wait for a caller that has left", async () => {
+            const left = new AbortController();
+            const { trial, requests } = await createPair({ ...summary, signal: left.signal });
+            left.abort();
+            await trial.clock.advance(200);
+            await requests[1]!.ended;
+            expect([trial.link.attempts.length, requests[1]!.reply.getText()]).to.deep.equal([1, ""]);
+        });
+    });
+
     describe("admission", () => {
         function doTest(changes: Partial<ForwardedRequest>, expected: RefusalReason) {
             return async () => {
@@ -285,6 +336,23 @@
             await trial.clock.advance(2_000);
             await ended;
         });
+        it("is asked ever more seldom while it is only slow", async () => {
+            const questions: number[] = [];
+            const trial = createTrial({
+                answer: waitForEnd,
+                probe: () => {
+                    questions.push(trial.clock.getMonotonicMilliseconds());
+                    return true;
+                },
+            });
+            const { ended } = await trial.forward(read);
+            for (let step = 0; step < 40; step++) {
+                await trial.clock.advance(50);
+            }
+            await ended;
+            // Silences of 350, 700 and 1,400 ms: within the route's 2 s the third one does not end.
+            expect(questions.length).to.equal(2);
+        });
         it("is sent no more requests until it answers again", async () => {
             let isDark = true;
             const instances = services.slice(0, 2);
