--- /dev/null
+++ b/tests/soak/soakRoutes.ts
@@ -0,0 +1,11 @@
+/*
+ * The routes of a soak, one of each kind.
+ */
+
+/** A route by what its requests may do. */
+export const soakRoutes = [
+    { prefix: "/summary/", kind: "stream", service: "engines", isStream: true, mayRepeat: false, maximumAttempts: 1 },
+    { prefix: "/label/", kind: "stream", service: "engines", isStream: true, mayRepeat: true, maximumAttempts: 2 },
+    { prefix: "/release/", kind: "unsafe", service: "actions", isStream: false, mayRepeat: false, maximumAttempts: 1 },
+    { prefix: "/read/", kind: "safe", service: "actions", isStream: false, mayRepeat: true, maximumAttempts: 2 },
+];
