Tell a request's story from the logs, and describe the soak

Cause: the way from a request's id to its cause was a grep over files, sorted by hand; the soak had no page and stood outside the folder where the platform's words belong. Change: `basilwing explain REQUEST-ID FILE...`; docs/operating/soak.md; tests/platform/soak.

--- a/src/commands/runCommandLine.ts
+++ b/src/commands/runCommandLine.ts
@@ -15,6 +15,7 @@
 import { DemoCommand } from "./DemoCommand";
 import { EventsCommand } from "./EventsCommand";
 import { ExperimentCommand } from "./ExperimentCommand";
+import { ExplainCommand } from "./ExplainCommand";
 import { getVersion } from "./getVersion";
 import { LogInspectCommand } from "./LogInspectCommand";
 import { QuarantineListCommand } from "./QuarantineListCommand";
@@ -46,6 +47,7 @@
     cli.register(CheckCommand);
     cli.register(DemoCommand);
     cli.register(ExperimentCommand);
+    cli.register(ExplainCommand);
     cli.register(LogInspectCommand);
     cli.register(RunCommand);
     cli.register(StatusCommand);
--- a/src/logging/index.ts
+++ b/src/logging/index.ts
@@ -8,4 +8,7 @@
 export * from "./createSilentLogger";
 export * from "./Logger";
 export * from "./LoggingSettings";
+export * from "./LogLine";
+export * from "./parseLogLine";
 export * from "./redactSecrets";
+export * from "./selectRequestStory";
--- a/tests/soak/createFaultInjector.ts
+++ b/tests/platform/soak/createFaultInjector.ts
@@ -4,7 +4,7 @@
 import { appendFileSync, readdirSync, rmSync, statSync } from "node:fs";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
-import { RandomSource } from "../../src/runtime";
+import { RandomSource } from "../../../src/runtime";
 import { soakBounds } from "./soakBounds";
 import { SoakDeployment } from "./SoakDeployment";
 import { SoakFault } from "./SoakFault";
--- a/tests/soak/runSoak.ts
+++ b/tests/platform/soak/runSoak.ts
@@ -5,7 +5,7 @@
 import { mkdirSync } from "node:fs";
 import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
-import { createRandomSource } from "../../src/runtime";
+import { createRandomSource } from "../../../src/runtime";
 import { createFaultInjector } from "./createFaultInjector";
 import { createRunLedger } from "./createRunLedger";
 import { soakBounds } from "./soakBounds";
--- a/tests/soak/startSoakCallers.ts
+++ b/tests/platform/soak/startSoakCallers.ts
@@ -3,7 +3,7 @@
  */
 import { Agent, request as sendRequest } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
-import { RandomSource } from "../../src/runtime";
+import { RandomSource } from "../../../src/runtime";
 import { RunLedger } from "./RunLedger";
 import { SoakCallers } from "./SoakCallers";
 import { soakModel } from "./soakModel";
--- a/tests/soak/startSoakOperator.ts
+++ b/tests/platform/soak/startSoakOperator.ts
@@ -4,7 +4,7 @@
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
-import { RandomSource } from "../../src/runtime";
+import { RandomSource } from "../../../src/runtime";
 import { RunLedger } from "./RunLedger";
 import { soakBounds } from "./soakBounds";
 import { soakModel } from "./soakModel";
