--- a/src/feed/FeedState.ts
+++ b/src/feed/FeedState.ts
@@ -12,6 +12,8 @@
     getTable(): RouteTable | undefined;
     /** Gets the fleet; undefined where none is known. */
     getFleet(): FleetView | undefined;
+    /** Gets a promise that is kept once a document and a fleet are known for the first time. */
+    getFirstKnowledge(): Promise<void>;
     /** Gets the revision of the fleet held; empty for none. */
     getFleetRevision(): string;
     /** Gets how many entries share the system's budgets; 1 at least. */
--- a/src/feed/createFeedState.ts
+++ b/src/feed/createFeedState.ts
@@ -16,10 +16,13 @@
     let fleetRevision = "";
     let fleetRead = readStopwatch(clock);
     let entryCount = 1;
+    let resolveFirstKnowledge: () => void = () => undefined;
+    const firstKnowledge = new Promise<void>(resolve => resolveFirstKnowledge = resolve);
     let proved: StopwatchReading | undefined;
     return {
         getTable: () => table,
         getFleet: () => fleet,
+        getFirstKnowledge: () => firstKnowledge,
         getFleetRevision: () => fleetRevision,
         getEntryCount: () => entryCount,
         getAgeMilliseconds: () => proved === undefined ? Infinity : getElapsedMilliseconds(clock, proved),
@@ -37,6 +40,9 @@
         if (isHeld(Number(response.documentVersion)) || replaceTable(response)) {
             proved = sent;
         }
+        if (table && fleet) {
+            resolveFirstKnowledge();
+        }
     }
 
     /** Tells whether the newest version is the one held; an older answer proves nothing. */
--- a/src/forwarding/createForwarder.ts
+++ b/src/forwarding/createForwarder.ts
@@ -5,6 +5,7 @@
 import { assertNever } from "../errors";
 import { CounterName, HistogramName } from "../metrics";
 import { RefusalReason } from "../protocol";
+import { waitAtMost } from "../runtime";
 import { admitRequest } from "./admitRequest";
 import { CallerReply } from "./CallerReply";
 import { createAnswerOpener } from "./createAnswerOpener";
@@ -17,6 +18,14 @@
 import { forwardStream } from "./forwardStream";
 import { forwardWhole } from "./forwardWhole";
 
+/**
+ * How long after its start an entry holds requests until it knows the rules and the fleet, in milliseconds: the time of an
+ * election, when all processes start at once. Later it refuses at once: what takes longer has another cause.
+ */
+const startMilliseconds = 1_500;
+/** The part of a caller's time for which a request is held at the most, so that its caller can come back. */
+const heldPart = 0.33;
+
 /**
  * Creates the forwarder of an entry.
  * @param options - What the forwarder is made of.
@@ -24,6 +33,7 @@
 export function createForwarder(options: ForwarderOptions): Forwarder {
     const { state, clock, random, logger, metrics } = options;
     const opener = createAnswerOpener(options);
+    const holdEndMilliseconds = clock.getMonotonicMilliseconds() + startMilliseconds;
     let activeCount = 0;
     return { forward, getActiveCount: () => activeCount };
 
@@ -39,6 +49,7 @@
     }
 
     async function admitAndForward(request: ForwardedRequest, reply: CallerReply): Promise<void> {
+        await waitForKnowledge(request);
         const requestLogger = logger.child({ requestId: request.requestId }, true);
         const admission = admitRequest(request, state, options.longestAgeMilliseconds, random);
         if (admission.kind === "refused") {
@@ -76,6 +87,17 @@
         logEnd(task, end);
     }
 
+    /** Holds a request that came before a starting entry knew anything. */
+    async function waitForKnowledge({ callerMilliseconds }: ForwardedRequest): Promise<void> {
+        const holdMilliseconds = Math.min(
+            holdEndMilliseconds - clock.getMonotonicMilliseconds(),
+            heldPart * (callerMilliseconds ?? Infinity),
+        );
+        if (holdMilliseconds > 0 && !(state.getTable() && state.getFleet())) {
+            await waitAtMost(clock, state.getFirstKnowledge(), holdMilliseconds);
+        }
+    }
+
     function logEnd(task: ForwardingTask, end: ForwardEnd): void {
         const { request, admission: { route, service, workspace } } = task;
         const milliseconds = clock.getMonotonicMilliseconds() - request.arrivalMilliseconds;
--- a/tests/feed/createFeedState.tests.ts
+++ b/tests/feed/createFeedState.tests.ts
@@ -3,7 +3,7 @@
 import { createFeedState } from "../../src/feed";
 import { createSilentLogger } from "../../src/logging";
 import { readStopwatch } from "../../src/membership";
-import { PollOutcome, PollResponseSchema } from "../../src/protocol";
+import { FleetViewSchema, PollOutcome, PollResponseSchema } from "../../src/protocol";
 import { createTestDocument } from "../documents/createTestDocument";
 import { createManualClock } from "../support/createManualClock";
 import { createTestFeedState, createTestInstance, decodeTestDocument } from "./createTestFeed";
@@ -27,6 +27,20 @@
             .to.deep.equal([undefined, undefined, Infinity]);
     });
 
+    it("tells once both a document and a fleet are known", async () => {
+        const clock = createManualClock();
+        const state = createFeedState({ decode: decodeTestDocument, clock, logger: createSilentLogger() });
+        let isKnown = false;
+        void state.getFirstKnowledge().then(() => isKnown = true);
+        state.update(createAnswer(1), readStopwatch(clock));
+        await clock.advance(0);
+        expect(isKnown).to.equal(false);
+        const fleet = create(FleetViewSchema);
+        state.update({ ...createAnswer(1), fleetRevision: "1.1", fleet }, readStopwatch(clock));
+        await clock.advance(0);
+        expect(isKnown).to.equal(true);
+    });
+
     it("never goes back to a lower version, nor counts an answer with one as fresh", async () => {
         const clock = createManualClock();
         const state = createTestFeedState(clock, [], { version: 5 });
--- a/tests/feed/createTestFeed.ts
+++ b/tests/feed/createTestFeed.ts
@@ -42,7 +42,24 @@
     changes: Partial<RoutingDocument> = {},
     targets: { model: string; weightsVersion: number; ageMilliseconds: number; }[] = [],
 ): FeedState {
-    const state = createFeedState({ decode: decodeTestDocument, clock, logger: createSilentLogger() });
+    const state = createEmptyTestFeedState(clock);
+    teachTestFeedState(state, clock, instances, changes, targets);
+    return state;
+}
+
+/** Creates the state of an entry that has just started. */
+export function createEmptyTestFeedState(clock: Clock): FeedState {
+    return createFeedState({ decode: decodeTestDocument, clock, logger: createSilentLogger() });
+}
+
+/** Lets an entry hear of a document and a fleet. */
+export function teachTestFeedState(
+    state: FeedState,
+    clock: Clock,
+    instances: readonly FleetInstance[],
+    changes: Partial<RoutingDocument> = {},
+    targets: { model: string; weightsVersion: number; ageMilliseconds: number; }[] = [],
+): void {
     const document = createTestDocument(changes);
     state.update(
         create(PollResponseSchema, {
@@ -55,5 +72,4 @@
         }),
         readStopwatch(clock),
     );
-    return state;
 }
--- a/tests/forwarding/createForwarder.tests.ts
+++ b/tests/forwarding/createForwarder.tests.ts
@@ -6,7 +6,7 @@
 import { createMetrics } from "../../src/metrics";
 import { FleetInstance, RefusalReason } from "../../src/protocol";
 import { createRandomSource } from "../../src/runtime";
-import { createTestFeedState, createTestInstance } from "../feed/createTestFeed";
+import { createEmptyTestFeedState, createTestInstance, teachTestFeedState } from "../feed/createTestFeed";
 import { createManualClock } from "../support/createManualClock";
 import { createTestAnswer, createTestLink, fullAnswer, lostAnswer } from "./createTestLink";
 import { createTestReply } from "./createTestReply";
@@ -24,12 +24,18 @@
         instances?: readonly FleetInstance[];
         document?: Partial<RoutingDocument>;
         retryReserve?: number;
+        isStarting?: boolean;
     }
 
     function createTrial(options: TrialOptions) {
         const clock = createManualClock();
         const link = createTestLink(options.answer, options.probe);
-        const state = createTestFeedState(clock, options.instances ?? [...services, ...engines], options.document);
+        const instances = options.instances ?? [...services, ...engines];
+        const state = createEmptyTestFeedState(clock);
+        const teach = () => teachTestFeedState(state, clock, instances, options.document);
+        if (!options.isStarting) {
+            teach();
+        }
         const forwarder = createForwarder({
             state,
             link,
@@ -45,7 +51,7 @@
             logger: createSilentLogger(),
             metrics: createMetrics(),
         });
-        return { clock, link, state, forward };
+        return { clock, link, state, forward, teach };
 
         async function forward(changes: Partial<ForwardedRequest>) {
             const reply = createTestReply();
@@ -307,6 +313,34 @@
         });
     });
 
+    describe("a starting entry", () => {
+        /** Sends a request, lets the entry learn of rules and fleet after a time, and tells what the caller got when. */
+        async function play(sentMilliseconds: number, learnedMilliseconds: number, callerMilliseconds: number) {
+            const trial = createTrial({ answer: () => createTestAnswer(["read"]), isStarting: true });
+            await trial.clock.advance(sentMilliseconds);
+            const arrivalMilliseconds = sentMilliseconds;
+            const { reply, ended } = await trial.forward({ ...read, callerMilliseconds, arrivalMilliseconds });
+            let endMilliseconds = NaN;
+            void ended.then(() => endMilliseconds = trial.clock.getMonotonicMilliseconds());
+            for (let now = sentMilliseconds; now < 4_000; now += 50) {
+                if (now === learnedMilliseconds) {
+                    trial.teach();
+                }
+                await trial.clock.advance(50);
+            }
+            return [reply.getText() || reply.getRefusal()?.kind, endMilliseconds];
+        }
+
+        it("holds requests until it knows the rules and the fleet", async () =>
+            expect(await play(100, 900, 3_000)).to.deep.equal(["200 read whole", 900]));
+        it("refuses as not run what it can't serve soon after its start", async () =>
+            expect(await play(100, 3_000, 9_000)).to.deep.equal(["notRun", 1_500]));
+        it("leaves callers time to come back", async () =>
+            expect(await play(100, 3_000, 1_500)).to.deep.equal(["notRun", 595]));
+        it("refuses at once later on", async () =>
+            expect(await play(1_600, 3_000, 9_000)).to.deep.equal(["notRun", 1_600]));
+    });
+
     describe("a dark backend server", () => {
         it("loses what may be repeated to another, soon after it is found silent", async () => {
             const trial = createTrial({
