End the read of a prompt with a whole answer, and log what attempts were placed by

The end of a request did not say what it was placed by. Change: the whole answer ends the read; the line at a request's end holds the placement and the waiting. Tested: the second of two such requests is sent at once (fails without the change: 1 attempt in place of 2).

--- a/src/forwarding/ForwardingTask.ts
+++ b/src/forwarding/ForwardingTask.ts
@@ -5,6 +5,7 @@
 import { Admission } from "./Admission";
 import { CallerReply } from "./CallerReply";
 import { ForwardedRequest } from "./ForwardedRequest";
+import { PlacementRecord } from "./PlacementRecord";
 
 /** A request, what was decided of it, and what has become of it so far. */
 export interface ForwardingTask {
@@ -24,6 +25,8 @@
     readonly triedIds: Set<string>;
     /** Whether it has waited for another request's read. */
     hasWaited: boolean;
+    /** What the last attempt was placed by. */
+    placement: PlacementRecord | undefined;
     /** How many attempts were sent, whether they ran or not. */
     sentCount: number;
     /** How many attempts ran or may have run. */
--- a/src/forwarding/createAnswerOpener.ts
+++ b/src/forwarding/createAnswerOpener.ts
@@ -119,6 +119,19 @@
         const { instanceId } = instance;
         task.triedIds.add(instanceId);
         task.sentCount += 1;
+        const terms = getAttemptTerms(task, instance, {
+            entryCount: state.getEntryCount(),
+            sources: prompts.takeSources(task, instance),
+            keptCaches: options.keptCaches,
+            ranking,
+        });
+        task.placement = {
+            instanceId,
+            requestCount: loads.getRequests(instanceId),
+            unreadTokens: loads.getUnreadTokens(instanceId),
+            fetchAddress: terms.fetchAddress,
+            saveAddress: terms.saveAddress,
+        };
         loads.noteSent(instanceId, getPromptTokens(task));
         watch.noteSent(instance, task.admission.service);
         const answer = await link.send({
@@ -129,12 +142,7 @@
             signal: task.signal,
             deadSignal: mayRepeat(task, 1) ? watch.getSignal(instanceId) : undefined,
             onHeard: () => watch.noteHeard(instanceId),
-            ...getAttemptTerms(task, instance, {
-                entryCount: state.getEntryCount(),
-                sources: prompts.takeSources(task, instance),
-                keptCaches: options.keptCaches,
-                ranking,
-            }),
+            ...terms,
         });
         if (answer.kind !== "answered") {
             noteStarted(task, instanceId);
--- a/src/forwarding/createForwarder.ts
+++ b/src/forwarding/createForwarder.ts
@@ -77,6 +77,7 @@
             logger: requestLogger,
             triedIds: new Set(),
             hasWaited: false,
+            placement: undefined,
             sentCount: 0,
             runCount: 0,
         };
@@ -107,6 +108,8 @@
             service: service.name,
             workspace: workspace?.name,
             milliseconds: Math.round(milliseconds),
+            hasWaited: task.hasWaited,
+            placement: task.placement,
             sentCount: task.sentCount,
             runCount: task.runCount,
             ...getKnowledge(),
--- a/src/forwarding/createPrefixReads.ts
+++ b/src/forwarding/createPrefixReads.ts
@@ -12,7 +12,6 @@
 
 /** A read that is under way. */
 interface Reading {
-    requestId: string;
     ended: Promise<void>;
     end(): void;
 }
@@ -36,7 +35,7 @@
     function begin(requestId: string, keys: readonly string[], instanceId: string): void {
         end(requestId);
         const newKeys = keys.filter(key => !readings.has(key) && getHolders(key, holdMilliseconds).length === 0);
-        newKeys.forEach(key => readings.set(key, createReading(requestId)));
+        newKeys.forEach(key => readings.set(key, createReading()));
         keysByRequest.set(requestId, newKeys);
         keys.forEach(key => noteTime(key, instanceId));
     }
@@ -66,8 +65,8 @@
     }
 }
 
-function createReading(requestId: string): Reading {
+function createReading(): Reading {
     let resolveEnded: () => void = () => undefined;
     const ended = new Promise<void>(resolve => resolveEnded = resolve);
-    return { requestId, ended, end: resolveEnded };
+    return { ended, end: resolveEnded };
 }
--- a/src/forwarding/forwardWhole.ts
+++ b/src/forwarding/forwardWhole.ts
@@ -22,6 +22,7 @@
         }
         const { answer, instance: { instanceId } } = outcome;
         const body = await collectBody(answer.body);
+        opener.noteStarted(task, instanceId);
         opener.noteEnded(instanceId);
         if (answer.isComplete()) {
             task.reply.send(answer.head, body);
--- a/tests/forwarding/createForwarder.tests.ts
+++ b/tests/forwarding/createForwarder.tests.ts
@@ -237,6 +237,12 @@
             const { trial } = await createPair({ ...summary, prompt: { ...prompt!, parts } });
             expect(trial.link.attempts.length).to.equal(2);
         });
+        it("are not waited for once a whole answer has ended the read", async () => {
+            const trial = createTrial({ answer: () => createTestAnswer(["read"]) });
+            await (await trial.forward({ ...read, prompt: summary.prompt })).ended;
+            await trial.forward({ ...read, prompt: summary.prompt, requestId: "request-2" });
+            expect(trial.link.attempts.length).to.equal(2);
+        });
         it("do not wait for a caller that has left", async () => {
             const left = new AbortController();
             const { trial, requests } = await createPair({ ...summary, signal: left.signal });
