Log how each response of a backend server ended

The lines don't tell the two apart: neither what marks the end of the body, nor whether bytes followed the last whole event. Change: the last line of each request has responseEnd with the framing (length, chunks or end of the connection), the completeness and the bytes after the last whole event; so has the line of a stream that continues elsewhere. No decision depends on the new field.

--- a/src/forwarding/AttemptResult.ts
+++ b/src/forwarding/AttemptResult.ts
@@ -3,6 +3,7 @@
  */
 import { HttpResponseHead } from "./HttpResponseHead";
 import { LoadReport } from "./LoadReport";
+import { ResponseFraming } from "./ResponseFraming";
 
 /** The result of an attempt. */
 export type AttemptResult =
@@ -33,6 +34,8 @@
         load: LoadReport | undefined;
         /** The body as it arrives; ends with the response, whether that is complete or not. */
         body: AsyncIterable<Uint8Array>;
+        /** What marks the end of the body. */
+        framing: ResponseFraming;
         /** Returns, after the body has ended, whether all of it was received. */
         isComplete(): boolean;
     };
--- a/src/forwarding/ForwardingTask.ts
+++ b/src/forwarding/ForwardingTask.ts
@@ -6,6 +6,7 @@
 import { CallerReply } from "./CallerReply";
 import { ForwardedRequest } from "./ForwardedRequest";
 import { PlacementRecord } from "./PlacementRecord";
+import { ResponseEnd } from "./ResponseEnd";
 
 /** A request, its admission and the state of its attempts. */
 export interface ForwardingTask {
@@ -27,6 +28,8 @@
     hasWaitedForPrefill: boolean;
     /** The last attempt's backend server and the load by which it was chosen. */
     placement: PlacementRecord | undefined;
+    /** How the last response ended; undefined before the end of the first one. */
+    responseEnd: ResponseEnd | undefined;
     /** The number of attempts that were sent, whether they ran or not. */
     sentCount: number;
     /** The number of attempts that ran or may have run. */
--- a/src/forwarding/createForwarder.ts
+++ b/src/forwarding/createForwarder.ts
@@ -79,6 +79,7 @@
             triedInstanceIds: new Set(),
             hasWaitedForPrefill: false,
             placement: undefined,
+            responseEnd: undefined,
             sentCount: 0,
             runCount: 0,
         };
@@ -111,6 +112,7 @@
             milliseconds: Math.round(milliseconds),
             hasWaited: task.hasWaitedForPrefill,
             placement: task.placement,
+            responseEnd: task.responseEnd,
             sentCount: task.sentCount,
             runCount: task.runCount,
             ...getStateFields(),
--- a/src/forwarding/forwardBuffered.ts
+++ b/src/forwarding/forwardBuffered.ts
@@ -24,6 +24,7 @@
         const body = await collectBody(response.body);
         dispatcher.recordPrefillEnd(task, instanceId);
         dispatcher.recordAttemptEnd(instanceId);
+        task.responseEnd = { framing: response.framing, isComplete: response.isComplete() };
         if (response.isComplete()) {
             task.reply.send(response.head, body);
             return { kind: "answered", status: response.head.status, instanceId };
--- a/src/forwarding/forwardStream.ts
+++ b/src/forwarding/forwardStream.ts
@@ -56,7 +56,10 @@
                 ? abortResponse("the engine broke off", instanceId)
                 : refuseTask(task, { kind: "unknown", reason });
         }
-        task.logger.info({ instanceId, lastEventId }, "stream goes on elsewhere");
+        task.logger.info(
+            { instanceId, lastEventId, responseEnd: task.responseEnd },
+            "stream goes on elsewhere",
+        );
     }
 
     /** Forwards the events of a response; returns whether the response is complete. */
@@ -75,11 +78,16 @@
         if (isFirst) {
             dispatcher.recordPrefillEnd(task, instanceId);
         }
+        const remaining = splitter.getRemainingBytes();
+        task.responseEnd = {
+            framing: response.framing,
+            isComplete: response.isComplete(),
+            bytesAfterLastEvent: remaining.length,
+        };
         if (!response.isComplete()) {
             return false;
         }
         startResponse(response);
-        const remaining = splitter.getRemainingBytes();
         if (remaining.length > 0) {
             await reply.write(remaining);
         }
--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -35,6 +35,8 @@
 export * from "./PromptDescriptor";
 export * from "./PromptPart";
 export * from "./Refusal";
+export * from "./ResponseEnd";
+export * from "./ResponseFraming";
 export * from "./RetryBudgets";
 export * from "./startKvCacheStoreView";
 export * from "./StreamEvent";
--- a/tests/forwarding/createForwarder.tests.ts
+++ b/tests/forwarding/createForwarder.tests.ts
@@ -1,8 +1,15 @@
 import { expect } from "chai";
 import * as fc from "fast-check";
 import { RoutingDocument } from "../../src/documents";
-import { AttemptResult, BackendAttempt, createForwarder, ForwardedRequest } from "../../src/forwarding";
-import { createSilentLogger } from "../../src/logging";
+import {
+    AttemptResult,
+    BackendAttempt,
+    createForwarder,
+    ForwardedRequest,
+    ResponseEnd,
+    ResponseFraming,
+} from "../../src/forwarding";
+import { createLogger, createSilentLogger, Logger } from "../../src/logging";
 import { createMetrics } from "../../src/metrics";
 import { FleetInstance, RefusalReason } from "../../src/protocol";
 import { createRandomSource } from "../../src/runtime";
@@ -25,6 +32,7 @@
         document?: Partial<RoutingDocument>;
         retryReserve?: number;
         isStarting?: boolean;
+        logger?: Logger;
     }
 
     function createTrial(options: TrialOptions) {
@@ -48,7 +56,7 @@
             retryReserve: options.retryReserve ?? 50,
             clock,
             random: createRandomSource(1),
-            logger: createSilentLogger(),
+            logger: options.logger ?? createSilentLogger(),
             metrics: createMetrics(),
         });
         return { clock, link, state, forward, receiveState };
@@ -196,6 +204,26 @@
         });
     });
 
+    describe("the log line at the end of a request", () => {
+        async function doTest(response: AttemptResult, request: Partial<ForwardedRequest>, expected: ResponseEnd) {
+            const lines: string[] = [];
+            const logger = createLogger("entry-1", { level: "info", file: undefined }, {
+                write: line => lines.push(line),
+            });
+            await getResult({ respond: () => response, logger }, request);
+            expect((JSON.parse(lines.at(-1)!) as { responseEnd: ResponseEnd; }).responseEnd).to.deep.equal(expected);
+        }
+
+        it("names the framing and the completeness of a whole response", () =>
+            doTest(createTestResponse(["done"]), release, { framing: ResponseFraming.Chunks, isComplete: true }));
+        it("names the bytes after the last whole event of a stream", () =>
+            doTest(createTestResponse(["id: 1\ndata: a\n\n", "id: 2"], false), summary, {
+                framing: ResponseFraming.Chunks,
+                isComplete: false,
+                bytesAfterLastEvent: 5,
+            }));
+    });
+
     describe("concurrent requests with a shared prefix", () => {
         const events = ["id: 1\ndata: a\n\n"];
 
--- a/tests/forwarding/createTestLink.ts
+++ b/tests/forwarding/createTestLink.ts
@@ -1,4 +1,4 @@
-import { AttemptResult, BackendAttempt, BackendLink, HttpResponseHead } from "../../src/forwarding";
+import { AttemptResult, BackendAttempt, BackendLink, HttpResponseHead, ResponseFraming } from "../../src/forwarding";
 
 /** A link whose results are provided by a test. */
 export interface TestLink extends BackendLink {
@@ -31,11 +31,17 @@
 }
 
 /** Creates a response whose body arrives in parts. */
-export function createTestResponse(parts: readonly string[], isComplete = true, status = 200): AttemptResult {
+export function createTestResponse(
+    parts: readonly string[],
+    isComplete = true,
+    status = 200,
+    framing = ResponseFraming.Chunks,
+): AttemptResult {
     return {
         kind: "answered",
         head: createTestHead(status),
         load: undefined,
+        framing,
         body: (async function*() {
             for (const part of parts) {
                 yield await Promise.resolve(Buffer.from(part));
--- a/tests/platform/backends/decodeResponseHead.tests.ts
+++ b/tests/platform/backends/decodeResponseHead.tests.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { decodeResponseHead } from "../../../platform/backends";
+import { ResponseFraming } from "../../../src/forwarding";
 
 describe("decodeResponseHead", () => {
     const sealed = ["Basilwing-Request-Id", "request-1", "Basilwing-Response-Seal", "seal"];
@@ -41,6 +42,17 @@
         });
     });
 
+    describe("the framing", () => {
+        function doTest(headers: readonly string[], expected: ResponseFraming) {
+            const outcome = decodeResponseHead(200, [...sealed, ...headers], "request-1");
+            expect(outcome.kind === "response" && outcome.framing).to.equal(expected);
+        }
+
+        it("is a content length", () => doTest(["Content-Length", "4"], ResponseFraming.ContentLength));
+        it("is chunks", () => doTest(["Transfer-Encoding", "chunked"], ResponseFraming.Chunks));
+        it("is the end of the connection otherwise", () => doTest([], ResponseFraming.ConnectionEnd));
+    });
+
     it("keeps the headers as received, except hop-by-hop headers", () => {
         const outcome = decodeResponseHead(200, [...sealed, "X-Own", "A b", "Connection", "close"], "request-1");
         expect(outcome.kind === "response" && outcome.head.headers).to.deep.equal([...sealed, "X-Own", "A b"]);
