Add failing tests for streams that their engine broke off inside an event

The tests play an engine whose response has neither a length nor chunks and whose connection is closed without a reset: inside the second event (on a route that may be resumed and on one that may not), and before the first event. All three fail on this code: the rest of the buffer is passed on and the response ends as complete.

--- a/tests/forwarding/createForwarder.tests.ts
+++ b/tests/forwarding/createForwarder.tests.ts
@@ -195,6 +195,25 @@
                 number === 0 ? createTestResponse(events.slice(0, 1), false) : overloadedResult;
             expect((await getResult({ respond }, label)).text).to.equal(`200 ${events[0]}broken off`);
         });
+        it("that ends inside an event with its connection does not reach the caller as complete", async () => {
+            const respond = () =>
+                createTestResponse([events[0]!, "id: 2\ndata:"], true, 200, ResponseFraming.ConnectionEnd);
+            expect((await getResult({ respond }, summary)).text).to.equal(`200 ${events[0]}broken off`);
+        });
+        it("that ends inside an event with its connection is resumed where the route allows it", async () => {
+            const respond = (attempt: BackendAttempt, number: number) => {
+                if (number === 0) {
+                    return createTestResponse([events[0]!, "id: 2\nda"], true, 200, ResponseFraming.ConnectionEnd);
+                }
+                expect(attempt.lastEventId).to.equal("1");
+                return createTestResponse(events.slice(1));
+            };
+            expect((await getResult({ respond }, label)).text).to.equal(`200 ${events.join("")}end`);
+        });
+        it("that ends with its connection before its first event does not reach the caller as complete", async () => {
+            const respond = () => createTestResponse([], true, 200, ResponseFraming.ConnectionEnd);
+            expect((await getResult({ respond }, summary)).refusal).to.equal("unknown");
+        });
         it("keeps the head of the first engine's response", async () => {
             const respond = (...[, number]: [BackendAttempt, number]) =>
                 number === 0
