Take a stream that ends inside an event for broken off

Cause: the completeness of a stream was judged by the framing of the engine's response alone. Where that has neither a length nor chunks, its end is the end of the connection, and an engine that crashes may close its connection without a reset. The bytes of the incomplete event were then passed on and the caller's response ended with its last chunk. Change: a response is complete only if its framing says so and it does not end inside an event; one that ends with its connection before any event is incomplete as well, unless the stream was resumed. An incomplete event is never passed on. Such a stream is resumed at another engine where the route allows it, and the caller's connection is closed without the last chunk otherwise. Events whose lines end with a single carriage return are recognised, since a stream of such events would count as broken off now.

--- a/src/forwarding/EventSplitter.ts
+++ b/src/forwarding/EventSplitter.ts
@@ -9,4 +9,6 @@
     add(bytes: Uint8Array): readonly StreamEvent[];
     /** Gets the bytes after the last whole event. */
     getRemainingBytes(): Uint8Array;
+    /** Returns whether the bytes after the last whole event belong to another one; empty lines don't. */
+    isInsideEvent(): boolean;
 }
--- a/src/forwarding/createEventSplitter.ts
+++ b/src/forwarding/createEventSplitter.ts
@@ -7,13 +7,14 @@
 
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
+const carriageReturnLine = Buffer.from("\r\r");
 const idPattern = /^id:[ ]?(\d+)\r?$/m;
 
 /** Creates a splitter for one stream. */
 export function createEventSplitter(): EventSplitter {
     let remaining: Buffer = Buffer.alloc(0);
     let scannedBytes = 0;
-    return { add, getRemainingBytes: () => remaining };
+    return { add, getRemainingBytes: () => remaining, isInsideEvent };
 
     function add(bytes: Uint8Array): readonly StreamEvent[] {
         remaining = remaining.length === 0 ? Buffer.from(bytes) : Buffer.concat([remaining, bytes]);
@@ -28,8 +29,20 @@
         return events;
     }
 
-    /** Finds the end of the first event: after two consecutive line ends. */
+    function isInsideEvent(): boolean {
+        return remaining.some(byte => byte !== lineFeed && byte !== carriageReturn);
+    }
+
+    /** Finds the end of the first event: after two consecutive line ends, each `\n`, `\r\n` or `\r`. */
     function findEnd(from: number): number | undefined {
+        const emptyLine = remaining.indexOf(carriageReturnLine, from);
+        const end = findLineFeedEnd(from);
+        return emptyLine >= 0 && (end === undefined || emptyLine + carriageReturnLine.length < end)
+            ? emptyLine + carriageReturnLine.length
+            : end;
+    }
+
+    function findLineFeedEnd(from: number): number | undefined {
         for (
             let position = remaining.indexOf(lineFeed, from);
             position >= 0;
--- a/src/forwarding/forwardStream.ts
+++ b/src/forwarding/forwardStream.ts
@@ -1,6 +1,8 @@
 /*
  * Forwards a request whose response is a stream of events. Only whole events are passed on, each once and in order, so
- * that a broken stream can be resumed at another engine after the last event that the caller has received.
+ * that a broken stream can be resumed at another engine after the last event that the caller has received. The framing
+ * of a response alone does not show that the stream is complete: an engine that crashes may close its connection
+ * normally, and where the end of the connection marks the end of the response, only an incomplete event shows the break.
  */
 import { RefusalReason } from "../protocol";
 import { AttemptDispatcher } from "./AttemptDispatcher";
@@ -10,6 +12,7 @@
 import { ForwardingTask } from "./ForwardingTask";
 import { ForwardOutcome } from "./ForwardOutcome";
 import { refuseTask } from "./refuseTask";
+import { ResponseFraming } from "./ResponseFraming";
 import { StreamEvent } from "./StreamEvent";
 
 type BackendResponse = Extract<AttemptResult, { kind: "answered"; }>;
@@ -65,6 +68,7 @@
     /** Forwards the events of a response; returns whether the response is complete. */
     async function forwardEvents(response: BackendResponse, instanceId: string): Promise<boolean> {
         const splitter = createEventSplitter();
+        const isResumed = lastEventId !== undefined;
         let isFirst = true;
         for await (const bytes of response.body) {
             for (const event of splitter.add(bytes)) {
@@ -79,12 +83,11 @@
             dispatcher.recordPrefillEnd(task, instanceId);
         }
         const remaining = splitter.getRemainingBytes();
-        task.responseEnd = {
-            framing: response.framing,
-            isComplete: response.isComplete(),
-            bytesAfterLastEvent: remaining.length,
-        };
-        if (!response.isComplete()) {
+        // An engine generates at least one event, unless the stream was resumed after its last one.
+        const endsBeforeFirstEvent = isFirst && !isResumed && response.framing === ResponseFraming.ConnectionEnd;
+        const isComplete = response.isComplete() && !splitter.isInsideEvent() && !endsBeforeFirstEvent;
+        task.responseEnd = { framing: response.framing, isComplete, bytesAfterLastEvent: remaining.length };
+        if (!isComplete) {
             return false;
         }
         startResponse(response);
--- a/tests/forwarding/createEventSplitter.tests.ts
+++ b/tests/forwarding/createEventSplitter.tests.ts
@@ -26,12 +26,28 @@
         doTest(["id: 1\ndata: a\n\nid: 2\ndata: b\n\n"], ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"], [1, 2]));
     it("accepts lines that end with a carriage return and a line feed", () =>
         doTest(["id: 7\r\ndata: a\r\n\r\n"], ["id: 7\r\ndata: a\r\n\r\n"], [7]));
+    it("accepts lines that end with a carriage return", () =>
+        doTest(["id: 7\rdata: a\r", "\rid: 8\r\r"], ["id: 7\rdata: a\r\r", "id: 8\r\r"], [7, 8]));
     it("keeps the bytes of an incomplete event", () =>
         doTest(["data: a\n\ndata: b\n"], ["data: a\n\n"], [undefined], "data: b\n"));
     it("finds the end of an event that arrives in two parts", () =>
         doTest(["data: a\n", "\n"], ["data: a\n\n"], [undefined]));
     it("keeps unknown lines", () => doTest(["other: 3\nid: 4\n\n"], ["other: 3\nid: 4\n\n"], [4]));
 
+    describe("isInsideEvent", () => {
+        function doTest(text: string, expected: boolean) {
+            const splitter = createEventSplitter();
+            splitter.add(Buffer.from(text));
+            expect(splitter.isInsideEvent()).to.equal(expected);
+        }
+
+        it("is false before the first event", () => doTest("", false));
+        it("is false after a whole event", () => doTest("data: a\n\n", false));
+        it("is false after additional empty lines", () => doTest("data: a\n\n\r\n", false));
+        it("is true in the middle of a line", () => doTest("data: a\n\nda", true));
+        it("is true after a line without the empty line that ends the event", () => doTest("data: a\n", true));
+    });
+
     it("finds the same events however the bytes are split, and loses none", () => {
         const event = fc.tuple(fc.nat(99), fc.constantFrom("\n", "\r\n")).map(([id, end]) =>
             `id: ${id}${end}data: text ${id}${end}${end}`
