Take no reset and no incomplete event for the end of a plain service's response

A response without a length or chunks whose connection was reset, and a stream of events that ended inside an event, reached the caller as complete; of a claimed call, the incomplete response was stored and given to resends as well. Change: the counter of resets that the platform's connections had moves to src/backends and serves both; the sidecar checks that a stream of events ends at the end of an event. Examined without a finding: buffered and error responses on the platform (a reset is detected, tests exist), completions (they need their end marker), sidecar links (numbered events and an end marker), exchange with the KV cache store and the platform's list (JSON, which an early end makes invalid), control and operators' API (chunks or a length), health checks (the status only).

--- a/src/backends/createServiceAdapter.ts
+++ b/src/backends/createServiceAdapter.ts
@@ -1,13 +1,17 @@
 /*
  * An HTTP adapter for a plain service, based on the undici library. A call that is not idempotent gets a dedicated
  * connection: on a pooled connection that the service is closing at the same time, it would be unknown whether the
- * service has received the call.
+ * service has received the call. A response that ends with its connection is complete only if the connection was not
+ * reset; on pooled connections, a reset of another one at the same time counts as well.
  */
+import type { Socket } from "node:net";
 import { Agent, buildConnector, Client, Dispatcher } from "undici";
 import { getErrorMessage } from "../errors";
 import { ServiceWork } from "../protocol";
+import { createResetCounter } from "./createResetCounter";
 import { FailureCause } from "./FailureCause";
 import { getFailureCause } from "./getFailureCause";
+import { ResetCounter } from "./ResetCounter";
 import { ServiceAdapter } from "./ServiceAdapter";
 import { ServiceAdapterOptions } from "./ServiceAdapterOptions";
 import { ServiceEvent } from "./ServiceEvent";
@@ -34,6 +38,8 @@
     dispatcher: Dispatcher;
     /** Returns whether any byte of the call may have been sent, given the error that it failed with. */
     hasSent(thrown: unknown): boolean;
+    /** Counts the resets of the connection. */
+    resets: ResetCounter;
     close(): Promise<void>;
 }
 
@@ -43,8 +49,9 @@
  */
 export function createServiceAdapter(options: ServiceAdapterOptions): ServiceAdapter & { stop(): Promise<void>; } {
     const { address } = options;
+    const agentResets = createResetCounter();
     const agent = new Agent({
-        connect: { timeout: connectTimeoutMilliseconds },
+        connect: buildWatchedConnector(agentResets, () => undefined),
         keepAliveTimeout: keepAliveMilliseconds,
         headersTimeout: 0,
         bodyTimeout: 0,
@@ -58,6 +65,7 @@
             return;
         }
         const connection = work.idempotent ? getPooledConnection(signal) : openDedicatedConnection(signal);
+        const formerResetCount = connection.resets.getCount();
         try {
             const response = await connection.dispatcher.request({
                 origin: address,
@@ -76,6 +84,11 @@
             for await (const data of response.body as AsyncIterable<Uint8Array>) {
                 yield { kind: "body", data };
             }
+            if (endsWithConnection(response) && connection.resets.getCount() > formerResetCount) {
+                const message = "The connection was reset before the end of the answer";
+                yield { kind: "failed", hasSent: true, message, cause: FailureCause.ConnectionLost };
+                return;
+            }
             yield { kind: "end" };
         }
         catch (error) {
@@ -110,32 +123,45 @@
         return {
             dispatcher: agent,
             hasSent: thrown => getFailureCause(thrown, signal) !== FailureCause.Unreachable,
+            resets: agentResets,
             close: () => Promise.resolve(),
         };
     }
 
     /** Opens a connection for one call and records whether it was established, so that bytes may have been sent. */
     function openDedicatedConnection(signal: AbortSignal): Connection {
-        const connect = buildConnector({ timeout: connectTimeoutMilliseconds });
+        const resets = createResetCounter();
         let isConnected = false;
         const client = new Client(address, {
             pipelining: 0,
             headersTimeout: 0,
             bodyTimeout: 0,
-            connect: (connectOptions, callback) => {
-                connect(connectOptions, (...result) => {
-                    const [, socket] = result;
-                    if (socket && !signal.aborted) {
-                        isConnected = true;
-                    }
-                    callback(...result);
-                });
-            },
+            connect: buildWatchedConnector(resets, () => isConnected ||= !signal.aborted),
         });
-        return { dispatcher: client, hasSent: () => isConnected, close: () => client.destroy() };
+        return { dispatcher: client, hasSent: () => isConnected, resets, close: () => client.destroy() };
     }
 }
 
+/** Builds undici's function that opens connections, whose resets are counted. */
+function buildWatchedConnector(resets: ResetCounter, onConnected: () => void): buildConnector.connector {
+    const connect = buildConnector({ timeout: connectTimeoutMilliseconds });
+    return (options, callback) => {
+        connect(options, (...result) => {
+            const [, socket] = result;
+            if (socket) {
+                resets.watch(socket as Socket);
+                onConnected();
+            }
+            callback(...result);
+        });
+    };
+}
+
+/** Returns whether the end of the connection marks the end of a response. */
+function endsWithConnection({ headers }: Dispatcher.ResponseData): boolean {
+    return headers["content-length"] === undefined && headers["transfer-encoding"] === undefined;
+}
+
 function createRequestIdMismatch(): ServiceEvent {
     const message = "The answer bears the id of another request";
     return { kind: "failed", hasSent: true, message, cause: FailureCause.RequestIdMismatch };
--- a/src/sidecar/runServiceAttempt.ts
+++ b/src/sidecar/runServiceAttempt.ts
@@ -4,6 +4,7 @@
 import { create } from "@bufbuild/protobuf";
 import { ServiceEvent } from "../backends";
 import { assertNever } from "../errors";
+import { createEventSplitter, EventSplitter } from "../forwarding";
 import { getRunState } from "../outcome";
 import {
     BodyChunkSchema,
@@ -39,6 +40,7 @@
         yield createRefusedEvent(RefusalReason.NOT_FOUND, runState, "No service stands here.", 0n);
         return;
     }
+    let eventSplitter: EventSplitter | undefined;
     attempt.setRunState(getRunState({ kind: "responseLost" }));
     try {
         yield {
@@ -62,13 +64,17 @@
         switch (event.kind) {
             case "head": {
                 attempt.setRunState(getRunState({ kind: "handedToBackend" }));
+                eventSplitter = isEventStream(event.headers) ? createEventSplitter() : undefined;
                 const headers = event.headers.map(header => create(HeaderSchema, header));
                 return { case: "head", value: create(ResponseHeadSchema, { status: event.status, headers }) };
             }
             case "body":
+                eventSplitter?.add(event.data);
                 return { case: "body", value: create(BodyChunkSchema, { data: event.data }) };
             case "end":
-                return { case: "end", value: create(EndSchema, {}) };
+                return eventSplitter?.isInsideEvent()
+                    ? convertFailure({ kind: "failed", hasSent: true, message: "The answer ended inside an event" })
+                    : { case: "end", value: create(EndSchema, {}) };
             case "failed":
                 return convertFailure(event);
             default:
@@ -83,3 +89,8 @@
         return createRefusedEvent(reason, runState, event.message, authority.getRevision());
     }
 }
+
+/** Returns whether a response is a stream of server-sent events. */
+function isEventStream(headers: readonly { name: string; value: string; }[]): boolean {
+    return headers.some(({ name, value }) => name === "content-type" && value.startsWith("text/event-stream"));
+}
--- a/tests/backends/createServiceAdapter.tests.ts
+++ b/tests/backends/createServiceAdapter.tests.ts
@@ -1,6 +1,6 @@
 import { create, MessageInitShape } from "@bufbuild/protobuf";
 import { expect } from "chai";
-import { AddressInfo, createServer } from "node:net";
+import { AddressInfo, createServer, Socket } from "node:net";
 import { createServiceAdapter, FailureCause, ServiceAdapter, ServiceEvent } from "../../src/backends";
 import { ServiceWork, ServiceWorkSchema } from "../../src/protocol";
 import { createRunLog, ServiceStandIn, ServiceStandInOptions, startServiceStandIn } from "../../src/standIns";
@@ -152,3 +152,33 @@
         await new Promise(resolve => server.close(resolve));
     });
 });
+
+describe("createServiceAdapter, for a response without a length or chunks", () => {
+    const head = "HTTP/1.1 200 OK\r\n\r\n";
+
+    async function doTest(end: (socket: Socket) => void, idempotent: boolean, expected: ServiceEvent["kind"]) {
+        const server = createServer(socket => {
+            socket.on("error", () => socket.destroy());
+            socket.on("data", () => {
+                // The bytes must have arrived before a reset, which discards data in transit.
+                socket.write(`${head}abcd`, () => setTimeout(() => end(socket), 20));
+            });
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        const address = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+        const adapter = createServiceAdapter({ address });
+        const events = await collect(adapter.call("request-1", createWork({ idempotent }), neverAborted));
+        await adapter.stop();
+        await new Promise(resolve => server.close(resolve));
+        expect(events.at(-1)?.kind).to.equal(expected);
+    }
+
+    for (const idempotent of [false, true]) {
+        const name = idempotent ? "on pooled connections" : "on a dedicated connection";
+
+        it(`takes the end of its connection for its end, ${name}`, () =>
+            doTest(socket => socket.end(), idempotent, "end"));
+        it(`does not take a reset of its connection for its end, ${name}`, () =>
+            doTest(socket => socket.resetAndDestroy(), idempotent, "failed"));
+    }
+});
