Teach the soak responses without a length that their engine breaks off

A normal close between events is left out: without a length or chunks it is the regular end of a response.

--- a/tests/platform/soak/RunTracker.ts
+++ b/tests/platform/soak/RunTracker.ts
@@ -20,6 +20,10 @@
      * @param fromMilliseconds - No request sent after this may run, in milliseconds since the epoch.
      */
     recordRevocation(workspace: string, fromMilliseconds: number): void;
+    /** Records that a backend server breaks off the response to a request. */
+    recordBrokenOff(requestId: string): void;
+    /** Returns whether a backend server has broken off a response to a request. */
+    wasBrokenOff(requestId: string): boolean;
     /** Gets how many times a request ran. */
     getRunCount(requestId: string): number;
     /** Records a broken guarantee. */
--- /dev/null
+++ b/tests/platform/soak/SoakBreak.ts
@@ -0,0 +1,12 @@
+/*
+ * The ways in which a backend server breaks off a response.
+ */
+
+/** Where and how a response is broken off. */
+export enum SoakBreak {
+    None = "none",
+    /** Closes the connection normally in the middle of an event. */
+    CloseInsideEvent = "closeInsideEvent",
+    ResetInsideEvent = "resetInsideEvent",
+    ResetBetweenEvents = "resetBetweenEvents",
+}
--- a/tests/platform/soak/createRunTracker.ts
+++ b/tests/platform/soak/createRunTracker.ts
@@ -8,6 +8,7 @@
     const runCounts = new Map<string, number>();
     const singleRunIds = new Set<string>();
     const reportedNotRunIds = new Set<string>();
+    const brokenOffIds = new Set<string>();
     const revocationTimes = new Map<string, number>();
     const breaches: string[] = [];
     return {
@@ -15,6 +16,8 @@
         recordSingleRunRequest: requestId => void singleRunIds.add(requestId),
         recordReportedNotRun: requestId => void reportedNotRunIds.add(requestId),
         recordRevocation: (workspace, fromMilliseconds) => void revocationTimes.set(workspace, fromMilliseconds),
+        recordBrokenOff: requestId => void brokenOffIds.add(requestId),
+        wasBrokenOff: requestId => brokenOffIds.has(requestId),
         getRunCount,
         addBreach: text => void breaches.push(text),
         getBreaches,
