Log the software version of the chosen server and what a resumed stream resumes

Evidence: at 66.476 s the entry process front-bzh-vannes-1 let a v1.1 engine continue a stream that a v1 engine had begun (one response); in the users' record a caller resumed at 69.610 s at another entry process. The logs tell neither the version of the chosen engine nor that a request resumes an earlier one. Change: the version of the software is decoded from the platform's list into the fleet view; placement logs it, and the last line of a request names the request that it resumes and the last event. No decision depends on the new fields.

--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -27,6 +27,8 @@
     prompt: PromptDescriptor | undefined;
     /** The last event that the caller has received, where it resumes a stream. */
     lastEventId: string | undefined;
+    /** The id of the caller's request that brought the first event of the stream, where it resumes one. */
+    resumedRequestId: string | undefined;
     /** When the request's head was received, on the monotonic clock, in milliseconds. */
     arrivalMilliseconds: number;
     /** Aborted once the caller has disconnected. */
--- a/src/forwarding/PlacementRecord.ts
+++ b/src/forwarding/PlacementRecord.ts
@@ -6,6 +6,8 @@
 export interface PlacementRecord {
     /** The backend server's id. */
     instanceId: string;
+    /** The version of its software; empty where it is not known. */
+    softwareVersion: string;
     /** The estimated number of requests that were there, from all entry processes. */
     requestCount: number;
     /** The prompt tokens sent by this entry process that it had not prefilled yet. */
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -131,6 +131,7 @@
         });
         task.placement = {
             instanceId,
+            softwareVersion: instance.softwareVersion,
             requestCount: loads.getRequestCount(instanceId),
             unreadTokens: loads.getPendingPrefillTokens(instanceId),
             fetchAddress: parameters.fetchAddress,
--- a/src/forwarding/createForwarder.ts
+++ b/src/forwarding/createForwarder.ts
@@ -112,6 +112,8 @@
             milliseconds: Math.round(milliseconds),
             hasWaited: task.hasWaitedForPrefill,
             placement: task.placement,
+            resumedRequestId: request.resumedRequestId,
+            lastEventId: request.lastEventId,
             responseEnd: task.responseEnd,
             sentCount: task.sentCount,
             runCount: task.runCount,
--- a/tests/forwarding/createTestRequest.ts
+++ b/tests/forwarding/createTestRequest.ts
@@ -14,6 +14,7 @@
         callerMilliseconds: 2_000,
         prompt: undefined,
         lastEventId: undefined,
+        resumedRequestId: undefined,
         arrivalMilliseconds: 0,
         signal: new AbortController().signal,
         ...changes,
--- a/tests/platform/callers/decodeRequest.tests.ts
+++ b/tests/platform/callers/decodeRequest.tests.ts
@@ -68,6 +68,8 @@
             "5c1e07a2:800,91bd3f06:410",
             "Last-Event-Id",
             "4",
+            "Resumes",
+            "request-0",
         ]);
         expect(request).to.deep.include({
             apiKey: "alpha-key",
@@ -76,6 +78,7 @@
             path: "/reads/1",
             target: "/reads/1?x=2",
             lastEventId: "4",
+            resumedRequestId: "request-0",
             prompt: {
                 model: "large",
                 parts: [{ id: "5c1e07a2", tokens: 800 }, { id: "91bd3f06", tokens: 410 }],
--- a/tests/platform/fleet/decodeListEntry.tests.ts
+++ b/tests/platform/fleet/decodeListEntry.tests.ts
@@ -22,6 +22,12 @@
         expect(decodeListEntry({ ...entry, state: "draining" })?.isLeaving).to.equal(true);
     });
 
+    it("decodes the version of the software, which may be missing", () => {
+        expect(decodeListEntry(entry)?.softwareVersion).to.equal("v1");
+        expect(decodeListEntry({ ...entry, version: undefined })?.softwareVersion).to.equal("");
+        expect(decodeListEntry({ ...entry, version: 1 })).to.equal(undefined);
+    });
+
     it("returns undefined for an invalid entry, and never throws", () => {
         const fieldName = fc.constantFrom("id", "service", "address", "zone", "state");
         const invalidValue = fc.oneof(fc.integer(), fc.constant(undefined), fc.constant(""), fc.object());
