Add failing tests for streams that continue at another software version

Both tests fail on this code: an engine of any version takes over a stream within one response, and serves a caller that resumes a stream of which nothing is known.

--- a/tests/forwarding/createForwarder.tests.ts
+++ b/tests/forwarding/createForwarder.tests.ts
@@ -223,6 +223,24 @@
         });
     });
 
+    describe("a stream while several software versions serve", () => {
+        const events = ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"];
+        const olderEngine = createTestInstance({ instanceId: "engine-1", softwareVersion: "v1" });
+        const newerEngine = createTestInstance({ instanceId: "engine-2", softwareVersion: "v2" });
+
+        it("does not go on at another software version than the one that began it", async () => {
+            const respond = () => createTestResponse(events.slice(0, 1), false);
+            const result = await getResult({ respond, instances: [olderEngine, newerEngine] }, label);
+            expect([result.text, result.sent]).to.deep.equal([`200 ${events[0]}broken off`, 1]);
+        });
+        it("is refused as not run to a caller that resumes it where the version that began it is not known", async () => {
+            const respond = () => createTestResponse(events.slice(1));
+            const resumption = { ...label, lastEventId: "1", resumedRequestId: "request-0" };
+            const result = await getResult({ respond, instances: [olderEngine, newerEngine] }, resumption);
+            expect([result.refusal, result.sent]).to.deep.equal(["notRun", 0]);
+        });
+    });
+
     describe("the log line at the end of a request", () => {
         async function doTest(response: AttemptResult, request: Partial<ForwardedRequest>, expected: ResponseEnd) {
             const lines: string[] = [];
