Continue a stream only at the software version that began it

Cause: nothing bound a stream to the version that began it. A takeover within one response chose among all engines of the service, and an entry process to which a caller came back knew nothing of the stream but the caller's last event. Change: the version of the server that sends the first event binds the stream; attempts after it go to servers of that version only. For routes that may be resumed, the version is recorded under the request's id, in memory at three control members chosen by rendezvous hashing and at the entry process itself. The record is sent along with the attempt, and the first event waits for the first member that holds it, so that the record exists wherever the caller returns to. A caller that resumes names the request in Resumes; the record gives its service and version. Where the version is not known or has no server left, the request is refused as not run. A caller that names no request is served only while its service has a single version. Streams begun at a server of unknown version are served and not resumed.

--- a/src/entry/getRefusalStatus.ts
+++ b/src/entry/getRefusalStatus.ts
@@ -50,6 +50,7 @@
         case RefusalReason.DRAINING:
         case RefusalReason.NO_REPLICA:
         case RefusalReason.STALE_SETTINGS:
+        case RefusalReason.STREAM_ORIGIN_UNKNOWN:
         case RefusalReason.OVERLOADED:
         case RefusalReason.BETTER_SIBLING:
         case RefusalReason.WRONG_INCARNATION:
--- a/src/feed/FeedState.ts
+++ b/src/feed/FeedState.ts
@@ -16,6 +16,8 @@
     waitForInitialState(): Promise<void>;
     /** Gets the revision of the fleet view; empty before the first one. */
     getFleetRevision(): string;
+    /** Gets the internal addresses of the control members; empty before the first response. */
+    getMemberAddresses(): readonly string[];
     /** Gets the number of entry processes that share the limits of the system; at least 1. */
     getEntryCount(): number;
     /** Gets the time since the document was last confirmed as the newest, in milliseconds; Infinity if it never was. */
--- a/src/feed/createFeedState.ts
+++ b/src/feed/createFeedState.ts
@@ -20,6 +20,7 @@
     let fleetRevision = "";
     let fleetReceived = readClocks(clock);
     let entryCount = 1;
+    let memberAddresses: readonly string[] = [];
     let resolveInitialState: () => void = () => undefined;
     const initialState = new Promise<void>(resolve => resolveInitialState = resolve);
     let documentConfirmed: ClockReading | undefined;
@@ -28,6 +29,7 @@
         getFleet: () => fleet,
         waitForInitialState: () => initialState,
         getFleetRevision: () => fleetRevision,
+        getMemberAddresses: () => memberAddresses,
         getEntryCount: () => entryCount,
         getDocumentAgeMilliseconds: () =>
             documentConfirmed === undefined ? Infinity : getElapsedMilliseconds(clock, documentConfirmed),
@@ -37,6 +39,7 @@
 
     function applyResponse(response: PollResponse, sendTime: ClockReading): void {
         entryCount = Math.max(1, response.entryCount);
+        memberAddresses = response.memberAddresses.length > 0 ? response.memberAddresses : memberAddresses;
         if (response.fleet) {
             fleet = response.fleet;
             fleetRevision = response.fleetRevision;
--- a/src/forwarding/Admission.ts
+++ b/src/forwarding/Admission.ts
@@ -16,5 +16,7 @@
         service: Exclude<BackendService, { kind: "keptCache"; }>;
         /** The workspace that holds the caller's key; undefined where no known key was given. */
         workspace: DocumentWorkspace | undefined;
+        /** The software version that began the stream that the request resumes; undefined for all other requests. */
+        softwareVersion: string | undefined;
     }
     | { kind: "refused"; refusal: Refusal; };
--- a/src/forwarding/ForwarderOptions.ts
+++ b/src/forwarding/ForwarderOptions.ts
@@ -5,6 +5,7 @@
 import { Logger } from "../logging";
 import { Metrics } from "../metrics";
 import { Clock, RandomSource } from "../runtime";
+import { StreamOrigins } from "../streamOrigins";
 import { BackendLink } from "./BackendLink";
 import { KvCacheStoreView } from "./KvCacheStoreView";
 
@@ -14,6 +15,8 @@
     state: FeedState;
     /** Sends attempts to backend servers. */
     link: BackendLink;
+    /** Which software versions began the streams that callers may resume. */
+    streamOrigins: StreamOrigins;
     /** The contents of the KV cache stores. */
     kvCacheStores: KvCacheStoreView;
     /** The entry process's data centre. */
--- a/src/forwarding/ForwardingTask.ts
+++ b/src/forwarding/ForwardingTask.ts
@@ -22,6 +22,13 @@
     readonly signal: AbortSignal;
     /** Logs with the request's id. */
     readonly logger: Logger;
+    /**
+     * The only software version whose backend servers may continue the stream, since they can't read each other's events;
+     * undefined before its first event.
+     */
+    softwareVersion: string | undefined;
+    /** Resolved once the origin of the stream has been recorded; undefined where it needs no record. */
+    originRecorded: Promise<boolean> | undefined;
     /** The ids of the backend servers that were tried. */
     readonly triedInstanceIds: Set<string>;
     /** Whether it has waited for the prefill of another request; a request waits once. */
--- a/src/forwarding/admitRequest.ts
+++ b/src/forwarding/admitRequest.ts
@@ -58,7 +58,7 @@
     if (!service || service.kind === "keptCache") {
         return refuseNotRun(RefusalReason.NO_REPLICA);
     }
-    return { kind: "admitted", table, route, service, workspace };
+    return { kind: "admitted", table, route, service, workspace, softwareVersion: undefined };
 }
 
 /** Chooses one of the route's services at random, in proportion to their weights. */
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -3,11 +3,12 @@
  * its route's kind. One that may have run is sent again only where the route's kind and its maximum number of attempts
  * allow it. Every attempt after one that was sent takes a retry from the budget that all entry processes share.
  */
+import { create } from "@bufbuild/protobuf";
 import { RouteKind } from "../documents";
 import { assertNever } from "../errors";
 import { getWeightsVersion } from "../fleet";
 import { HistogramName, RetryReason } from "../metrics";
-import { FleetInstance, RefusalReason } from "../protocol";
+import { FleetInstance, RefusalReason, StreamOriginSchema } from "../protocol";
 import { AttemptDispatcher } from "./AttemptDispatcher";
 import { AttemptResult } from "./AttemptResult";
 import { chooseLeastLoadedInstance } from "./chooseLeastLoadedInstance";
@@ -28,6 +29,8 @@
 const maximumTriedInstances = 4;
 /** The retry delay for callers whose request found no capacity: the time of a few requests. */
 const overloadRetryAfterMilliseconds = 1_000;
+/** How long after the deadline of its first request a caller may still return to a stream. */
+const returnMarginMilliseconds = 15_000;
 /** The minimum remaining time that is worth another attempt. */
 const minimumAttemptMilliseconds = 20;
 
@@ -108,6 +111,7 @@
         const { request: { prompt }, admission: { service }, triedInstanceIds } = task;
         const candidates = (state.getFleet()?.instances ?? []).filter(instance =>
             instance.service === service.name && !instance.isLeaving && !triedInstanceIds.has(instance.instanceId)
+            && (task.softwareVersion === undefined || instance.softwareVersion === task.softwareVersion)
         );
         if (service.kind === "engine" && prompt) {
             return scheduler.choose(task, candidates);
@@ -137,6 +141,9 @@
             fetchAddress: parameters.fetchAddress,
             saveAddress: parameters.saveAddress,
         };
+        if (lastEventId === undefined) {
+            task.originRecorded = recordOrigin(task, instance);
+        }
         loads.recordSent(instanceId, getPromptTokens(task));
         liveness.recordSent(instance, task.admission.service);
         const result = await link.send({
@@ -156,6 +163,24 @@
         return result;
     }
 
+    /** Records where a new stream begins, if callers may resume it. */
+    function recordOrigin(
+        { admission: { route, service }, request: { requestId }, deadlineMilliseconds, sentCount }: ForwardingTask,
+        { softwareVersion }: FleetInstance,
+    ): Promise<boolean> | undefined {
+        if (route.kind !== RouteKind.Stream || !route.isResumable || softwareVersion === "") {
+            return undefined;
+        }
+        const remainingMilliseconds = deadlineMilliseconds - clock.getMonotonicMilliseconds();
+        return options.streamOrigins.record(create(StreamOriginSchema, {
+            requestId,
+            service: service.name,
+            softwareVersion,
+            attemptNumber: sentCount,
+            lifetimeMilliseconds: Math.ceil(Math.max(0, remainingMilliseconds)) + returnMarginMilliseconds,
+        }));
+    }
+
     /** Records the result of an attempt; returns whether no further attempt follows. */
     function recordResult(task: ForwardingTask, instance: FleetInstance, result: AttemptResult): boolean {
         const { instanceId } = instance;
--- a/src/forwarding/createForwarder.ts
+++ b/src/forwarding/createForwarder.ts
@@ -7,6 +7,7 @@
 import { RefusalReason } from "../protocol";
 import { waitWithTimeout } from "../runtime";
 import { admitRequest } from "./admitRequest";
+import { admitResumption } from "./admitResumption";
 import { CallerReply } from "./CallerReply";
 import { createAttemptDispatcher } from "./createAttemptDispatcher";
 import { createRequestSignal } from "./createRequestSignal";
@@ -52,7 +53,12 @@
     async function admitAndForward(request: ForwardedRequest, reply: CallerReply): Promise<void> {
         await waitForFirstState(request);
         const requestLogger = logger.child({ requestId: request.requestId }, true);
-        const admission = admitRequest(request, state, options.maximumDocumentAgeMilliseconds, random);
+        const admission = await admitResumption(
+            request,
+            admitRequest(request, state, options.maximumDocumentAgeMilliseconds, random),
+            options.streamOrigins,
+            state,
+        );
         if (admission.kind === "refused") {
             reply.refuse(admission.refusal);
             metrics.countRefusal(admission.refusal.reason);
@@ -61,6 +67,7 @@
                 reason: RefusalReason[admission.refusal.reason],
                 host: request.host,
                 path: request.path,
+                resumedRequestId: request.resumedRequestId,
                 ...getStateFields(),
             }, "request refused");
             return;
@@ -76,6 +83,8 @@
             deadlineMilliseconds,
             signal: requestSignal.signal,
             logger: requestLogger,
+            softwareVersion: admission.softwareVersion,
+            originRecorded: undefined,
             triedInstanceIds: new Set(),
             hasWaitedForPrefill: false,
             placement: undefined,
@@ -112,6 +121,7 @@
             milliseconds: Math.round(milliseconds),
             hasWaited: task.hasWaitedForPrefill,
             placement: task.placement,
+            softwareVersion: task.softwareVersion,
             resumedRequestId: request.resumedRequestId,
             lastEventId: request.lastEventId,
             responseEnd: task.responseEnd,
--- a/src/forwarding/forwardStream.ts
+++ b/src/forwarding/forwardStream.ts
@@ -34,7 +34,7 @@
                 ? abortResponse("no engine took the stream over", "")
                 : refuseTask(task, outcome.refusal);
         }
-        const { response, instance: { instanceId } } = outcome;
+        const { response, instance: { instanceId, softwareVersion } } = outcome;
         const isSuccess = response.head.status >= 200 && response.head.status < 300;
         if (!isSuccess && isResponseStarted) {
             await collectBody(response.body);
@@ -44,7 +44,7 @@
         if (!isSuccess) {
             return sendErrorResponse(response, instanceId);
         }
-        const isComplete = await forwardEvents(response, instanceId);
+        const isComplete = await forwardEvents(response, instanceId, softwareVersion);
         dispatcher.recordAttemptEnd(instanceId);
         if (isComplete) {
             reply.end();
@@ -66,7 +66,11 @@
     }
 
     /** Forwards the events of a response; returns whether the response is complete. */
-    async function forwardEvents(response: BackendResponse, instanceId: string): Promise<boolean> {
+    async function forwardEvents(
+        response: BackendResponse,
+        instanceId: string,
+        softwareVersion: string,
+    ): Promise<boolean> {
         const splitter = createEventSplitter();
         const isResumed = lastEventId !== undefined;
         let isFirst = true;
@@ -75,6 +79,9 @@
                 if (isFirst) {
                     isFirst = false;
                     dispatcher.recordPrefillEnd(task, instanceId);
+                    await task.originRecorded;
+                    task.softwareVersion ??= softwareVersion;
+                    isResumable &&= task.softwareVersion !== "";
                 }
                 await forwardEvent(response, event);
             }
--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -35,6 +35,7 @@
 export * from "./PromptDescriptor";
 export * from "./PromptPart";
 export * from "./Refusal";
+export * from "./RendezvousRanking";
 export * from "./ResponseEnd";
 export * from "./ResponseFraming";
 export * from "./RetryBudgets";
--- a/src/metrics/CounterName.ts
+++ b/src/metrics/CounterName.ts
@@ -17,6 +17,12 @@
     LateResponses = "basilwing_late_answers_total",
     BrokenStreams = "basilwing_broken_streams_total",
     ResumedStreams = "basilwing_resumed_streams_total",
+    /** Streams whose origin no control member held in time. */
+    StreamOriginsUnrecorded = "basilwing_stream_origins_unrecorded_total",
+    /** Resumptions whose stream's origin was known. */
+    StreamOriginsFound = "basilwing_stream_origins_found_total",
+    /** Resumptions that were refused, since the origin of the stream was not known. */
+    StreamOriginsNotFound = "basilwing_stream_origins_not_found_total",
     SlowCallers = "basilwing_slow_callers_total",
     BackendCrashes = "basilwing_backend_crashes_total",
     CacheEvents = "basilwing_cache_events_total",
--- a/src/protocol/getCallerRoles.ts
+++ b/src/protocol/getCallerRoles.ts
@@ -7,7 +7,7 @@
 import { CompanionService } from "./generated/basilwing/v1/companion_pb";
 import { ConsensusService } from "./generated/basilwing/v1/consensus_pb";
 import { ControlService } from "./generated/basilwing/v1/control_pb";
-import { FeedService } from "./generated/basilwing/v1/forwarding_pb";
+import { FeedService, StreamOriginService } from "./generated/basilwing/v1/forwarding_pb";
 
 const allRoles = [Role.Entry, Role.Sidecar, Role.Control];
 const callerRoles: Readonly<Record<string, Readonly<Record<string, readonly Role[]>>>> = {
@@ -29,6 +29,10 @@
     [FeedService.typeName]: {
         poll: [Role.Entry],
     },
+    [StreamOriginService.typeName]: {
+        record: [Role.Entry],
+        find: [Role.Entry],
+    },
     [CompanionService.typeName]: {
         dispatch: [Role.Entry],
         resume: [Role.Entry],
--- a/src/protocol/getServerRole.ts
+++ b/src/protocol/getServerRole.ts
@@ -6,13 +6,14 @@
 import { CompanionService } from "./generated/basilwing/v1/companion_pb";
 import { ConsensusService } from "./generated/basilwing/v1/consensus_pb";
 import { ControlService } from "./generated/basilwing/v1/control_pb";
-import { FeedService } from "./generated/basilwing/v1/forwarding_pb";
+import { FeedService, StreamOriginService } from "./generated/basilwing/v1/forwarding_pb";
 
 const serverRoles: Readonly<Record<string, Role>> = {
     [CompanionService.typeName]: Role.Sidecar,
     [ConsensusService.typeName]: Role.Control,
     [ControlService.typeName]: Role.Control,
     [FeedService.typeName]: Role.Control,
+    [StreamOriginService.typeName]: Role.Control,
 };
 
 /**
--- a/src/protocol/getServiceLimits.ts
+++ b/src/protocol/getServiceLimits.ts
@@ -6,7 +6,7 @@
 import { CompanionService } from "./generated/basilwing/v1/companion_pb";
 import { ConsensusService } from "./generated/basilwing/v1/consensus_pb";
 import { ControlService } from "./generated/basilwing/v1/control_pb";
-import { FeedService } from "./generated/basilwing/v1/forwarding_pb";
+import { FeedService, StreamOriginService } from "./generated/basilwing/v1/forwarding_pb";
 import { ServiceLimits } from "./ServiceLimits";
 
 const bytesPerMebibyte = 1_048_576;
@@ -32,6 +32,11 @@
         messagesPerSecond: 200,
         messageBurst: 1_000,
     },
+    [StreamOriginService.typeName]: {
+        maximumMessageBytes: bytesPerMebibyte,
+        messagesPerSecond: 1_000,
+        messageBurst: 2_000,
+    },
 };
 
 /**
--- /dev/null
+++ b/src/streamOrigins/createStreamOrigins.ts
@@ -0,0 +1,129 @@
+/*
+ * Records the origins of an entry process's streams at several control members, chosen by rendezvous hashing, and in its
+ * own memory; so an origin survives the loss of the entry process and of any one member. Origins are sent in batches
+ * while the engine prefills the prompt, which takes longer than the call. A search asks all members, since a member may
+ * have joined or restarted after the origin was recorded.
+ */
+import { CounterName } from "../metrics";
+import { StreamOrigin } from "../protocol";
+import { waitWithTimeout } from "../runtime";
+import { createStreamOriginStore } from "./createStreamOriginStore";
+import { StreamOriginReply } from "./StreamOriginReply";
+import { StreamOrigins } from "./StreamOrigins";
+import { StreamOriginsOptions } from "./StreamOriginsOptions";
+
+/** The members that hold each origin. */
+const membersPerOrigin = 3;
+/** How long an origin waits for others that are sent with it, in milliseconds: a fraction of a prefill. */
+const batchMilliseconds = 5;
+/** The timeout of a call, in milliseconds: several round trips within a region. */
+const callTimeoutMilliseconds = 250;
+/** How long a search waits for the origin of a later attempt once it has found one, in milliseconds. */
+const laterAttemptMilliseconds = 30;
+
+/** An origin that waits to be sent. */
+interface PendingOrigin {
+    origin: StreamOrigin;
+    resolve: (isRecorded: boolean) => void;
+}
+
+/**
+ * Creates the stream origins of an entry process.
+ * @param options - The client of the control members and other dependencies.
+ */
+export function createStreamOrigins(options: StreamOriginsOptions): StreamOrigins {
+    const { client, getMemberAddresses, ranking, clock, logger, metrics } = options;
+    const ownStore = createStreamOriginStore(clock);
+    let pendingOrigins: PendingOrigin[] = [];
+    let isReachable = true;
+    return { record, find };
+
+    function record(origin: StreamOrigin): Promise<boolean> {
+        ownStore.add(origin);
+        const isFirstOfBatch = pendingOrigins.length === 0;
+        const recorded = new Promise<boolean>(resolve => pendingOrigins.push({ origin, resolve }));
+        void recorded.then(isRecorded => {
+            if (!isRecorded) {
+                metrics.addCount(CounterName.StreamOriginsUnrecorded);
+            }
+        });
+        if (isFirstOfBatch) {
+            void clock.sleep(batchMilliseconds).then(sendBatch);
+        }
+        // Where no member responds, waiting for them would delay each stream by the timeout.
+        return isReachable ? recorded : Promise.resolve(false);
+    }
+
+    async function sendBatch(): Promise<void> {
+        const batch = pendingOrigins;
+        pendingOrigins = [];
+        const batchByAddress = new Map<string, PendingOrigin[]>();
+        for (const pending of batch) {
+            for (const address of getHolders(pending.origin.requestId)) {
+                batchByAddress.set(address, [...batchByAddress.get(address) ?? [], pending]);
+            }
+        }
+        const replies = await Promise.all(
+            [...batchByAddress].map(([address, pendings]) => sendTo(address, pendings)),
+        );
+        // Only those that no member has recorded are still unresolved.
+        batch.forEach(({ resolve }) => resolve(false));
+        updateReachability(replies);
+    }
+
+    /** Sends origins to one member; each is resolved as soon as its first holder responds. */
+    async function sendTo(address: string, pendings: readonly PendingOrigin[]): Promise<StreamOriginReply> {
+        const origins = pendings.map(({ origin }) => origin);
+        const reply = await client.record(address, origins, callTimeoutMilliseconds);
+        if (reply.kind === "answered") {
+            pendings.forEach(({ resolve }) => resolve(true));
+        }
+        return reply;
+    }
+
+    function updateReachability(replies: readonly StreamOriginReply[]): void {
+        const wasReachable = isReachable;
+        isReachable = replies.some(reply => reply.kind === "answered");
+        if (isReachable === wasReachable) {
+            return;
+        }
+        if (isReachable) {
+            logger.info({}, "records stream origins again");
+            return;
+        }
+        const reasons = replies.map(reply => reply.kind === "failed" ? reply.reason : "");
+        logger.warn({ reasons }, "can't record stream origins");
+    }
+
+    function getHolders(requestId: string): readonly string[] {
+        return ranking.getHighest(requestId, getMemberAddresses(), address => address, membersPerOrigin);
+    }
+
+    async function find(requestId: string): Promise<StreamOrigin | undefined> {
+        const origin = ownStore.get(requestId) ?? await findAtMembers(requestId);
+        metrics.addCount(origin ? CounterName.StreamOriginsFound : CounterName.StreamOriginsNotFound);
+        return origin;
+    }
+
+    /** Finds the origin of the latest attempt among the replies that arrive soon after the first origin. */
+    async function findAtMembers(requestId: string): Promise<StreamOrigin | undefined> {
+        const found: StreamOrigin[] = [];
+        let resolveFirst: () => void = () => undefined;
+        const first = new Promise<void>(resolve => resolveFirst = resolve);
+        const all = Promise.all(
+            getMemberAddresses().map(async address => {
+                const reply = await client.find(address, requestId, callTimeoutMilliseconds);
+                if (reply.kind === "failed") {
+                    logger.debug({ address, reason: reply.reason }, "can't search for a stream origin");
+                }
+                else if (reply.origin) {
+                    found.push(reply.origin);
+                    resolveFirst();
+                }
+            }),
+        );
+        await Promise.race([all, first]);
+        await waitWithTimeout(clock, all, laterAttemptMilliseconds);
+        return found.sort((left, right) => right.attemptNumber - left.attemptNumber)[0];
+    }
+}
--- a/tests/feed/createTestFeed.ts
+++ b/tests/feed/createTestFeed.ts
@@ -33,6 +33,7 @@
         service: "models",
         address: "10.0.0.1:80",
         dataCentre: "west",
+        softwareVersion: "v1",
         weights: [{ model: "large", weightsVersion: 1 }],
         ...changes,
     } as MessageInitShape<typeof FleetInstanceSchema>);
--- a/tests/forwarding/createForwarder.tests.ts
+++ b/tests/forwarding/createForwarder.tests.ts
@@ -1,3 +1,4 @@
+import { create } from "@bufbuild/protobuf";
 import { expect } from "chai";
 import * as fc from "fast-check";
 import { RoutingDocument } from "../../src/documents";
@@ -11,9 +12,11 @@
 } from "../../src/forwarding";
 import { createLogger, createSilentLogger, Logger } from "../../src/logging";
 import { createMetrics } from "../../src/metrics";
-import { FleetInstance, RefusalReason } from "../../src/protocol";
+import { FleetInstance, RefusalReason, StreamOrigin, StreamOriginSchema } from "../../src/protocol";
 import { createRandomSource } from "../../src/runtime";
+import { StreamOrigins } from "../../src/streamOrigins";
 import { createEmptyTestFeedState, createTestInstance, updateTestFeedState } from "../feed/createTestFeed";
+import { createTestStreamOrigins } from "../streamOrigins/createTestStreamOrigins";
 import { createManualClock } from "../support/createManualClock";
 import { createTestLink, createTestResponse, lostResult, overloadedResult } from "./createTestLink";
 import { createTestReply } from "./createTestReply";
@@ -33,6 +36,7 @@
         retryReserve?: number;
         isStarting?: boolean;
         logger?: Logger;
+        streamOrigins?: StreamOrigins;
     }
 
     function createTrial(options: TrialOptions) {
@@ -47,6 +51,7 @@
         const forwarder = createForwarder({
             state,
             link,
+            streamOrigins: options.streamOrigins ?? createTestStreamOrigins(),
             kvCacheStores: { isReachable: () => false, hasPart: () => false },
             dataCentre: "west",
             signal: new AbortController().signal,
@@ -239,6 +244,112 @@
             const result = await getResult({ respond, instances: [olderEngine, newerEngine] }, resumption);
             expect([result.refusal, result.sent]).to.deep.equal(["notRun", 0]);
         });
+        it("is taken over by an engine of the version that began it", async () => {
+            const respond = (...[, number]: [BackendAttempt, number]) =>
+                createTestResponse(number === 0 ? events.slice(0, 1) : events.slice(1), number > 0);
+            const engines = ["v1", "v2"].flatMap(softwareVersion =>
+                ["a", "b"].map(name =>
+                    createTestInstance({ instanceId: `${name}-${softwareVersion}`, softwareVersion })
+                )
+            );
+            const trial = createTrial({ respond, instances: engines });
+            const { reply, ended } = await trial.forward(label);
+            await ended;
+            const [first, second] = trial.link.attempts.map(({ instance }) => instance);
+            expect(reply.getText()).to.equal(`200 ${events.join("")}end`);
+            expect(second?.softwareVersion).to.equal(first?.softwareVersion);
+        });
+
+        /** Resumes a stream that began at a version, and returns the refusal or the version that continues it. */
+        async function resume(softwareVersion: string, service = "models") {
+            const streamOrigins = createTestStreamOrigins();
+            await streamOrigins.record(
+                create(StreamOriginSchema, { requestId: "request-0", service, softwareVersion }),
+            );
+            const trial = createTrial({
+                respond: () => createTestResponse(events.slice(1)),
+                instances: [olderEngine, newerEngine],
+                streamOrigins,
+            });
+            const { reply, ended } = await trial.forward({
+                ...label,
+                lastEventId: "1",
+                resumedRequestId: "request-0",
+            });
+            await ended;
+            return reply.getRefusal()?.kind ?? trial.link.attempts.map(attempt => attempt.instance.softwareVersion);
+        }
+
+        it("is continued for a caller at the older version", async () => {
+            expect(await resume("v1")).to.deep.equal(["v1"]);
+        });
+        it("is continued for a caller at the newer version", async () => {
+            expect(await resume("v2")).to.deep.equal(["v2"]);
+        });
+        it("is refused as not run where no server of its version is left", async () => {
+            expect(await resume("v0")).to.equal("notRun");
+        });
+        it("is refused as not run where its route no longer leads to its service", async () => {
+            expect(await resume("v1", "actions")).to.equal("notRun");
+        });
+
+        describe("for a caller that doesn't name the request that began it", () => {
+            async function doTest(instances: readonly FleetInstance[], expected: "notRun" | undefined) {
+                const respond = () => createTestResponse(events.slice(1));
+                const result = await getResult({ respond, instances }, { ...label, lastEventId: "1" });
+                expect(result.refusal).to.equal(expected);
+            }
+
+            it("is continued while the service has a single version", () => doTest([olderEngine], undefined));
+            it("is refused as not run while it has several", () => doTest([olderEngine, newerEngine], "notRun"));
+            it("is refused as not run where the version is not known", () =>
+                doTest([createTestInstance({ softwareVersion: "" })], "notRun"));
+        });
+
+        it("is recorded with its version before its first event is passed on", async () => {
+            let confirm: (isRecorded: boolean) => void = () => undefined;
+            const recorded: StreamOrigin[] = [];
+            const trial = createTrial({
+                respond: () => createTestResponse(events),
+                instances: [newerEngine],
+                streamOrigins: {
+                    record: origin => {
+                        recorded.push(origin);
+                        return new Promise(resolve => confirm = resolve);
+                    },
+                    find: () => Promise.resolve(undefined),
+                },
+            });
+            const { reply, ended } = await trial.forward(label);
+            await trial.clock.advance(100);
+            expect(reply.getText()).to.equal("");
+            confirm(true);
+            await ended;
+            expect(reply.getText()).to.equal(`200 ${events.join("")}end`);
+            expect(recorded.map(({ requestId, softwareVersion, service }) => [requestId, softwareVersion, service]))
+                .to.deep.equal([["request-1", "v2", "models"]]);
+        });
+        it("is recorded anew for an attempt at another version before its first event", async () => {
+            const streamOrigins = createTestStreamOrigins();
+            const respond = (...[, number]: [BackendAttempt, number]) =>
+                number === 0 ? lostResult : createTestResponse(events);
+            const trial = createTrial({ respond, instances: [olderEngine, newerEngine], streamOrigins });
+            await (await trial.forward(label)).ended;
+            const lastVersion = trial.link.attempts.at(-1)!.instance.softwareVersion;
+            expect(trial.link.attempts.length).to.equal(2);
+            expect(streamOrigins.origins.get("request-1")).to.include({
+                softwareVersion: lastVersion,
+                attemptNumber: 2,
+            });
+        });
+        it("of an unknown version is served but not resumed", async () => {
+            const unknown = ["engine-1", "engine-2"].map(instanceId =>
+                createTestInstance({ instanceId, softwareVersion: "" })
+            );
+            const respond = () => createTestResponse(events.slice(0, 1), false);
+            const result = await getResult({ respond, instances: unknown }, label);
+            expect([result.text, result.sent]).to.deep.equal([`200 ${events[0]}broken off`, 1]);
+        });
     });
 
     describe("the log line at the end of a request", () => {
