Teach the soak several software versions and callers that resume streams

Backend servers of the soak belong to two software versions and may come back at the other one after a crash; their events name the version. Callers whose stream broke off resume it, up to twice and at any entry process, naming the request that began it. A stream must not hold events of two versions and must be in order over all attempts; a resumption that was refused as not run must not run. The result counts the resumptions.

--- a/tests/platform/soak/SoakCallers.ts
+++ b/tests/platform/soak/SoakCallers.ts
@@ -11,6 +11,8 @@
      * @param toMilliseconds - The end of the period, exclusive, in milliseconds since the epoch.
      */
     getServedCounts(fromMilliseconds: number, toMilliseconds: number): { served: number; sent: number; };
+    /** Gets how many attempts to resume a stream were sent, and how many of these were answered with events. */
+    getResumptionCounts(): { served: number; sent: number; };
     /** Stops sending, and waits for the pending responses. */
     stop(): Promise<void>;
 }
--- a/tests/platform/soak/runSoak.ts
+++ b/tests/platform/soak/runSoak.ts
@@ -32,6 +32,8 @@
     served: number;
     /** The number of requests that were sent. */
     sent: number;
+    /** The attempts to resume a stream. */
+    resumptions: { served: number; sent: number; };
 }
 
 /**
@@ -68,7 +70,12 @@
         if (!await operator.waitForNewestDocument(soakBounds.recovery_s * millisecondsPerSecond)) {
             runTracker.addBreach("the newest acknowledged document can't be read back");
         }
-        return { breaches: runTracker.getBreaches(), faults, ...callers.getServedCounts(0, Infinity) };
+        return {
+            breaches: runTracker.getBreaches(),
+            faults,
+            ...callers.getServedCounts(0, Infinity),
+            resumptions: callers.getResumptionCounts(),
+        };
     }
     finally {
         operator.stop();
--- a/tests/platform/soak/runSoaks.ts
+++ b/tests/platform/soak/runSoaks.ts
@@ -72,6 +72,6 @@
         return { ...result, faults: result.breaches.length === 0 ? faults.length : faults };
     }
     catch (thrown) {
-        return { breaches: [String(thrown)], served: 0, sent: 0, faults: [] };
+        return { breaches: [String(thrown)], served: 0, sent: 0, resumptions: { served: 0, sent: 0 }, faults: [] };
     }
 }
--- a/tests/platform/soak/startSoakBackend.ts
+++ b/tests/platform/soak/startSoakBackend.ts
@@ -6,11 +6,13 @@
 import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { RandomSource } from "../../../src/runtime";
+import { formatSoakEvent } from "./formatSoakEvent";
 import { resetSocket } from "./resetSocket";
 import { RunTracker } from "./RunTracker";
 import { sendSoakResponse } from "./sendSoakResponse";
 import { SoakBackend } from "./SoakBackend";
 import { soakModel } from "./soakModel";
+import { soakSoftwareVersions } from "./soakSoftwareVersions";
 
 const eventCount = 8;
 const serviceMilliseconds = 120;
@@ -26,6 +28,8 @@
     service: string;
     /** Whether it is an engine, which streams events, or a plain service. */
     isEngine: boolean;
+    /** The version of its software at first. */
+    softwareVersion: string;
     /** Records the runs of requests. */
     runTracker: RunTracker;
     /** Chooses how streams are framed and which of them are broken off. */
@@ -37,6 +41,7 @@
     const { ip, name, service, isEngine, runTracker, random } = options;
     const sockets = new Set<Socket>();
     let startCount = 1;
+    let softwareVersion = options.softwareVersion;
     let weightsVersion = 1;
     let orderCount = 0;
     let highestFencingToken = 0;
@@ -68,7 +73,7 @@
             service,
             address,
             zone: "zone-a",
-            version: "v1",
+            version: softwareVersion,
             slots: 64,
             state: "ready",
             models,
@@ -77,12 +82,18 @@
 
     function crash(): void {
         startCount += 1;
+        softwareVersion = pickVersion();
         orderCount = 0;
         highestFencingToken = 0;
         isLoading = false;
         sockets.forEach(resetSocket);
     }
 
+    /** Picks the version of the next start: a crash may be followed by a restart or overlap a release. */
+    function pickVersion(): string {
+        return soakSoftwareVersions[random.getInteger(soakSoftwareVersions.length)]!;
+    }
+
     async function handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const body = await readText(request);
         const expectedInstanceId = request.headers["basilwing-expect-instance"];
@@ -158,7 +169,7 @@
             runTracker,
             random,
             headers: { ...headers, "content-type": "text/event-stream" },
-            parts: ids.map(id => `id: ${id}\ndata: ${requestId} ${id === eventCount ? "last" : id}\n\n`),
+            parts: ids.map(id => formatSoakEvent({ id, requestId, softwareVersion, isLast: id === eventCount })),
         });
     }
 }
--- a/tests/platform/soak/startSoakCallers.ts
+++ b/tests/platform/soak/startSoakCallers.ts
@@ -5,6 +5,8 @@
 import { Agent, request as sendRequest } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { RandomSource } from "../../../src/runtime";
+import { getStreamProblem } from "./getStreamProblem";
+import { parseSoakEvents } from "./parseSoakEvents";
 import { RunTracker } from "./RunTracker";
 import { SoakCallers } from "./SoakCallers";
 import { soakModel } from "./soakModel";
@@ -12,7 +14,8 @@
 
 const sendIntervalMilliseconds = 12;
 const deadlineMilliseconds = 3_000;
-const eventCount = 8;
+/** How often a caller resumes a stream at most. */
+const maximumResumptions = 2;
 /** The statuses that guarantee that a request has not run and will not run. */
 const notRunStatuses = new Set([408, 421, 429, 503]);
 
@@ -45,6 +48,7 @@
     const agents = entryAddresses.map(() => new Agent({ keepAlive: true, maxSockets: 40 }));
     const sentRequests: { time: number; isServed: boolean; }[] = [];
     const pending = new Set<Promise<void>>();
+    const resumptions = { sent: 0, served: 0 };
     let isStopped = false;
     let count = 0;
     void sendContinuously();
@@ -53,6 +57,7 @@
             const within = sentRequests.filter(({ time }) => time >= fromMilliseconds && time < toMilliseconds);
             return { served: within.filter(({ isServed }) => isServed).length, sent: within.length };
         },
+        getResumptionCounts: () => resumptions,
         stop: async () => {
             isStopped = true;
             await Promise.all(pending);
@@ -83,7 +88,8 @@
             runTracker.recordSingleRunRequest(requestId);
         }
         const wasStable = isStable(entryIndex);
-        const outcome = await post(entryIndex, requestId, route.prefix, isRevocable ? "key-leaver" : "key-stayer");
+        const key = isRevocable ? "key-leaver" : "key-stayer";
+        const outcome = await post(entryIndex, requestId, route.prefix, key);
         if (notRunStatuses.has(outcome.status)) {
             runTracker.recordReportedNotRun(requestId);
         }
@@ -92,7 +98,10 @@
         }
         if (outcome.status === 200 && outcome.isComplete) {
             record.isServed = true;
-            checkResponse(requestId, route.isStream, outcome);
+            checkResponse(requestId, outcome);
+        }
+        if (route.isStream && outcome.status === 200) {
+            await checkStream(requestId, outcome, route.mayRepeat && !isRevocable);
         }
         const isCut = outcome.status === 0 || !outcome.isComplete;
         const isLate = Date.now() - record.time >= deadlineMilliseconds;
@@ -102,18 +111,45 @@
         }
     }
 
-    function checkResponse(requestId: string, isStream: boolean, { seal, text }: ExchangeOutcome): void {
+    function checkResponse(requestId: string, { seal, text }: ExchangeOutcome): void {
         if (seal !== `seal-${requestId}` || !text.includes(requestId)) {
             runTracker.addBreach(`${requestId} got another request's answer`);
         }
-        const ids = [...text.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]));
-        const isInOrder = ids.length === eventCount && ids.every((id, index) => id === index + 1);
-        if (isStream && (!isInOrder || !text.includes(`${requestId} last`))) {
-            runTracker.addBreach(`${requestId} got events ${ids.join(",")} as a whole answer`);
+    }
+
+    /** Checks a stream, which the caller first resumes at any entry process where it broke off and may be resumed. */
+    async function checkStream(requestId: string, outcome: ExchangeOutcome, mayResume: boolean): Promise<void> {
+        let events = parseSoakEvents(outcome.text);
+        let { isComplete } = outcome;
+        for (let count = 0; mayResume && !isComplete && events.length > 0 && count < maximumResumptions; count++) {
+            const entryIndex = random.getInteger(entryAddresses.length);
+            const resumption = await post(entryIndex, `${requestId}-${count + 1}`, "/label/", "key-stayer", {
+                "resumes": requestId,
+                "last-event-id": events.at(-1)!.id,
+            });
+            resumptions.sent += 1;
+            resumptions.served += resumption.status === 200 ? 1 : 0;
+            if (notRunStatuses.has(resumption.status)) {
+                runTracker.recordReportedNotRun(`${requestId}-${count + 1}`);
+            }
+            if (resumption.status === 200) {
+                events = [...events, ...parseSoakEvents(resumption.text)];
+                isComplete = resumption.isComplete;
+            }
+        }
+        const problem = getStreamProblem(events, isComplete);
+        if (problem !== undefined) {
+            runTracker.addBreach(`${requestId} ${problem}`);
         }
     }
 
-    function post(entryIndex: number, requestId: string, prefix: string, key: string): Promise<ExchangeOutcome> {
+    function post(
+        entryIndex: number,
+        requestId: string,
+        prefix: string,
+        key: string,
+        resumptionHeaders: Record<string, string | number> = {},
+    ): Promise<ExchangeOutcome> {
         const [host, port] = entryAddresses[entryIndex]!.split(":") as [string, string];
         return new Promise(resolve => {
             const outcome: ExchangeOutcome = { status: 0, seal: "", text: "", isComplete: false };
@@ -131,6 +167,7 @@
                     "basilwing-token-usage": "600,8",
                     "basilwing-prefix-hash": `a${count % 5}:500,${count.toString(16)}:100`,
                     "authorization": `Bearer ${key}`,
+                    ...resumptionHeaders,
                 },
             }, response => {
                 outcome.status = response.statusCode ?? 0;
--- a/tests/platform/soak/startSoakDeployment.ts
+++ b/tests/platform/soak/startSoakDeployment.ts
@@ -7,6 +7,7 @@
 import { RunTracker } from "./RunTracker";
 import { SoakDeployment } from "./SoakDeployment";
 import { soakPorts } from "./soakPorts";
+import { soakSoftwareVersions } from "./soakSoftwareVersions";
 import { startSoakBackend } from "./startSoakBackend";
 import { startSoakPlatformList } from "./startSoakPlatformList";
 import { startSoakProcess } from "./startSoakProcess";
@@ -43,6 +44,7 @@
             name: `${service}-${number}`,
             service,
             isEngine,
+            softwareVersion: soakSoftwareVersions[number % soakSoftwareVersions.length]!,
             runTracker,
             random: createRandomSource(seed + number * backendSeedDistance),
         });
