Keep stream origins when control members restart, and never pass on a contradicted one

Each response to a record now names the member's incarnation, and a member that has joined or restarted gets all origins that the entry process still holds. - An attempt that failed before its first event leaves a record of its version. If the next attempt went to another version while no member responded, the first event was passed on, and a caller that came back was sent to the version of the failed attempt: a mixed stream. Such a response is not passed on now (502, may have run). Result: one new test for each, which fail with the change taken out.

--- a/src/forwarding/ForwardingTask.ts
+++ b/src/forwarding/ForwardingTask.ts
@@ -7,6 +7,7 @@
 import { ForwardedRequest } from "./ForwardedRequest";
 import { PlacementRecord } from "./PlacementRecord";
 import { ResponseEnd } from "./ResponseEnd";
+import { StreamOriginRecord } from "./StreamOriginRecord";
 
 /** A request, its admission and the state of its attempts. */
 export interface ForwardingTask {
@@ -27,8 +28,8 @@
      * undefined before its first event.
      */
     softwareVersion: string | undefined;
-    /** Resolved once the origin of the stream has been recorded; undefined where it needs no record. */
-    originRecorded: Promise<boolean> | undefined;
+    /** The record of where the stream began; undefined where it needs none. */
+    originRecord: StreamOriginRecord | undefined;
     /** The ids of the backend servers that were tried. */
     readonly triedInstanceIds: Set<string>;
     /** Whether it has waited for the prefill of another request; a request waits once. */
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -24,6 +24,7 @@
 import { ForwardingTask } from "./ForwardingTask";
 import { getAttemptParameters } from "./getAttemptParameters";
 import { Refusal } from "./Refusal";
+import { StreamOriginRecord } from "./StreamOriginRecord";
 
 /** The maximum number of backend servers that one request is sent to: more would delay an inevitable refusal. */
 const maximumTriedInstances = 4;
@@ -142,7 +143,7 @@
             saveAddress: parameters.saveAddress,
         };
         if (lastEventId === undefined) {
-            task.originRecorded = recordOrigin(task, instance);
+            task.originRecord = recordOrigin(task, instance);
         }
         loads.recordSent(instanceId, getPromptTokens(task));
         liveness.recordSent(instance, task.admission.service);
@@ -165,20 +166,26 @@
 
     /** Records where a new stream begins, if callers may resume it. */
     function recordOrigin(
-        { admission: { route, service }, request: { requestId }, deadlineMilliseconds, sentCount }: ForwardingTask,
+        task: ForwardingTask,
         { softwareVersion }: FleetInstance,
-    ): Promise<boolean> | undefined {
+    ): StreamOriginRecord | undefined {
+        const { admission: { route, service }, request: { requestId }, originRecord: formerRecord } = task;
         if (route.kind !== RouteKind.Stream || !route.isResumable || softwareVersion === "") {
             return undefined;
         }
-        const remainingMilliseconds = deadlineMilliseconds - clock.getMonotonicMilliseconds();
-        return options.streamOrigins.record(create(StreamOriginSchema, {
+        const origin = create(StreamOriginSchema, {
             requestId,
             service: service.name,
             softwareVersion,
-            attemptNumber: sentCount,
-            lifetimeMilliseconds: Math.ceil(Math.max(0, remainingMilliseconds)) + returnMarginMilliseconds,
-        }));
+            attemptNumber: task.sentCount,
+            lifetimeMilliseconds: Math.max(0, getRemainingMilliseconds(task)) + returnMarginMilliseconds,
+        });
+        return {
+            softwareVersion,
+            replacesOtherVersion: formerRecord !== undefined
+                && (formerRecord.replacesOtherVersion || formerRecord.softwareVersion !== softwareVersion),
+            recorded: options.streamOrigins.record(origin),
+        };
     }
 
     /** Records the result of an attempt; returns whether no further attempt follows. */
--- a/src/forwarding/createForwarder.ts
+++ b/src/forwarding/createForwarder.ts
@@ -84,7 +84,7 @@
             signal: requestSignal.signal,
             logger: requestLogger,
             softwareVersion: admission.softwareVersion,
-            originRecorded: undefined,
+            originRecord: undefined,
             triedInstanceIds: new Set(),
             hasWaitedForPrefill: false,
             placement: undefined,
--- a/src/forwarding/forwardStream.ts
+++ b/src/forwarding/forwardStream.ts
@@ -44,6 +44,12 @@
         if (!isSuccess) {
             return sendErrorResponse(response, instanceId);
         }
+        if (!isResponseStarted && !await isOriginCertain(task)) {
+            void collectBody(response.body);
+            dispatcher.recordPrefillEnd(task, instanceId);
+            dispatcher.recordAttemptEnd(instanceId);
+            return refuseTask(task, { kind: "unknown", reason: RefusalReason.OUTCOME_UNKNOWN });
+        }
         const isComplete = await forwardEvents(response, instanceId, softwareVersion);
         dispatcher.recordAttemptEnd(instanceId);
         if (isComplete) {
@@ -79,7 +85,6 @@
                 if (isFirst) {
                     isFirst = false;
                     dispatcher.recordPrefillEnd(task, instanceId);
-                    await task.originRecorded;
                     task.softwareVersion ??= softwareVersion;
                     isResumable &&= task.softwareVersion !== "";
                 }
@@ -137,3 +142,11 @@
         return { kind: "answered", status: response.head.status, instanceId };
     }
 }
+
+/**
+ * Waits for the record of where a stream began; returns false where members may still hold the origin of an earlier
+ * attempt at another software version, at which a caller that comes back would be served.
+ */
+async function isOriginCertain({ originRecord }: ForwardingTask): Promise<boolean> {
+    return originRecord === undefined || await originRecord.recorded || !originRecord.replacesOtherVersion;
+}
--- a/src/streamOrigins/StreamOriginReply.ts
+++ b/src/streamOrigins/StreamOriginReply.ts
@@ -5,6 +5,8 @@
 
 /** The member's response, or the reason why there is none. */
 export type StreamOriginReply =
-    /** The origin is undefined where the member does not hold it, and for calls that record. */
-    | { kind: "answered"; origin: StreamOrigin | undefined; }
+    /** The member holds the origins. Its incarnation differs after each start, when it holds no earlier origins. */
+    | { kind: "recorded"; memberIncarnation: string; }
+    | { kind: "found"; origin: StreamOrigin; }
+    | { kind: "notFound"; }
     | { kind: "failed"; reason: string; };
--- a/src/streamOrigins/StreamOriginStore.ts
+++ b/src/streamOrigins/StreamOriginStore.ts
@@ -9,6 +9,8 @@
     add(origin: StreamOrigin): void;
     /** Gets the origin of the stream that a request began; undefined where it is not held or has expired. */
     get(requestId: string): StreamOrigin | undefined;
+    /** Gets all origins that have not expired, with what is left of their lifetimes. */
+    getAll(): readonly StreamOrigin[];
     /** Gets the number of origins that are held. */
     getCount(): number;
 }
--- a/src/streamOrigins/addStreamOriginService.ts
+++ b/src/streamOrigins/addStreamOriginService.ts
@@ -9,12 +9,17 @@
  * Adds the service to a router.
  * @param router - The router of the internal server.
  * @param store - The member's store.
+ * @param memberIncarnation - Differs after each start of the member.
  */
-export function addStreamOriginService(router: ConnectRouter, store: StreamOriginStore): void {
+export function addStreamOriginService(
+    router: ConnectRouter,
+    store: StreamOriginStore,
+    memberIncarnation: string,
+): void {
     router.service(StreamOriginService, {
         record: ({ origins }) => {
             origins.forEach(origin => store.add(origin));
-            return {};
+            return { memberIncarnation };
         },
         find: ({ requestId }) => ({ origin: store.get(requestId) }),
     });
--- a/src/streamOrigins/createStreamOriginClient.ts
+++ b/src/streamOrigins/createStreamOriginClient.ts
@@ -3,7 +3,7 @@
  */
 import { createClient } from "@connectrpc/connect";
 import { getErrorMessage } from "../errors";
-import { PeerTransports, StreamOrigin, StreamOriginService } from "../protocol";
+import { PeerTransports, StreamOriginService } from "../protocol";
 import { StreamOriginClient } from "./StreamOriginClient";
 import { StreamOriginReply } from "./StreamOriginReply";
 
@@ -15,11 +15,14 @@
     return {
         record: (address, origins, timeoutMs) =>
             call(async () => {
-                await getClient(address).record({ origins: [...origins] }, { timeoutMs });
-                return undefined;
+                const { memberIncarnation } = await getClient(address).record({ origins: [...origins] }, { timeoutMs });
+                return { kind: "recorded", memberIncarnation };
             }),
         find: (address, requestId, timeoutMs) =>
-            call(async () => (await getClient(address).find({ requestId }, { timeoutMs })).origin),
+            call(async () => {
+                const { origin } = await getClient(address).find({ requestId }, { timeoutMs });
+                return origin ? { kind: "found", origin } : { kind: "notFound" };
+            }),
     };
 
     function getClient(address: string) {
@@ -27,9 +30,9 @@
     }
 }
 
-async function call(send: () => Promise<StreamOrigin | undefined>): Promise<StreamOriginReply> {
+async function call(send: () => Promise<StreamOriginReply>): Promise<StreamOriginReply> {
     try {
-        return { kind: "answered", origin: await send() };
+        return await send();
     }
     catch (thrown) {
         return { kind: "failed", reason: getErrorMessage(thrown) };
--- a/src/streamOrigins/createStreamOriginStore.ts
+++ b/src/streamOrigins/createStreamOriginStore.ts
@@ -2,7 +2,8 @@
  * A bounded store of stream origins. Beyond the bound, the oldest origins are dropped: their streams are the first that
  * callers can't resume any longer, and until then their resumption is refused.
  */
-import { StreamOrigin } from "../protocol";
+import { create } from "@bufbuild/protobuf";
+import { StreamOrigin, StreamOriginSchema } from "../protocol";
 import { Clock } from "../runtime";
 import { StreamOriginStore } from "./StreamOriginStore";
 
@@ -17,7 +18,7 @@
 export function createStreamOriginStore(clock: Clock, maximumCount = defaultMaximumCount): StreamOriginStore {
     /** The origins in the order in which they were added. */
     const entries = new Map<string, { origin: StreamOrigin; endMilliseconds: number; }>();
-    return { add, get, getCount: () => entries.size };
+    return { add, get, getAll, getCount: () => entries.size };
 
     function add(origin: StreamOrigin): void {
         const { requestId, attemptNumber, lifetimeMilliseconds } = origin;
@@ -35,6 +36,15 @@
         return entry && entry.endMilliseconds > clock.getMonotonicMilliseconds() ? entry.origin : undefined;
     }
 
+    function getAll(): readonly StreamOrigin[] {
+        const now = clock.getMonotonicMilliseconds();
+        return [...entries.values()]
+            .filter(({ endMilliseconds }) => endMilliseconds > now)
+            .map(({ origin, endMilliseconds }) =>
+                create(StreamOriginSchema, { ...origin, lifetimeMilliseconds: Math.ceil(endMilliseconds - now) })
+            );
+    }
+
     /** Removes expired origins from the oldest on, and those beyond the bound. */
     function removeOldest(now: number): void {
         for (const [requestId, { endMilliseconds }] of entries) {
--- a/src/streamOrigins/createStreamOrigins.ts
+++ b/src/streamOrigins/createStreamOrigins.ts
@@ -1,8 +1,8 @@
 /*
  * Records the origins of an entry process's streams at several control members, chosen by rendezvous hashing, and in its
  * own memory; so an origin survives the loss of the entry process and of any one member. Origins are sent in batches
- * while the engine prefills the prompt, which takes longer than the call. A search asks all members, since a member may
- * have joined or restarted after the origin was recorded.
+ * while the engine prefills the prompt, which takes longer than the call. A member that has joined or restarted gets the
+ * origins that the entry process still holds. A search asks all members, since not every member has every origin.
  */
 import { CounterName } from "../metrics";
 import { StreamOrigin } from "../protocol";
@@ -21,6 +21,9 @@
 /** How long a search waits for the origin of a later attempt once it has found one, in milliseconds. */
 const laterAttemptMilliseconds = 30;
 
+/** The maximum number of origins in one call, far below the limit on the size of a message. */
+const maximumOriginsPerCall = 4_096;
+
 /** An origin that waits to be sent. */
 interface PendingOrigin {
     origin: StreamOrigin;
@@ -34,6 +37,7 @@
 export function createStreamOrigins(options: StreamOriginsOptions): StreamOrigins {
     const { client, getMemberAddresses, ranking, clock, logger, metrics } = options;
     const ownStore = createStreamOriginStore(clock);
+    const memberIncarnations = new Map<string, string>();
     let pendingOrigins: PendingOrigin[] = [];
     let isReachable = true;
     return { record, find };
@@ -75,15 +79,35 @@
     async function sendTo(address: string, pendings: readonly PendingOrigin[]): Promise<StreamOriginReply> {
         const origins = pendings.map(({ origin }) => origin);
         const reply = await client.record(address, origins, callTimeoutMilliseconds);
-        if (reply.kind === "answered") {
+        if (reply.kind === "recorded") {
             pendings.forEach(({ resolve }) => resolve(true));
+            void restoreMember(address, reply.memberIncarnation);
         }
         return reply;
     }
 
+    /** Records all origins that the entry process holds at a member that has joined or restarted. */
+    async function restoreMember(address: string, memberIncarnation: string): Promise<void> {
+        if (memberIncarnations.get(address) === memberIncarnation) {
+            return;
+        }
+        memberIncarnations.set(address, memberIncarnation);
+        const origins = ownStore.getAll().filter(({ requestId }) => getHolders(requestId).includes(address));
+        for (let start = 0; start < origins.length; start += maximumOriginsPerCall) {
+            const part = origins.slice(start, start + maximumOriginsPerCall);
+            const reply = await client.record(address, part, callTimeoutMilliseconds);
+            if (reply.kind === "failed") {
+                logger.debug({ address, reason: reply.reason }, "can't record stream origins at a new member");
+                memberIncarnations.delete(address);
+                return;
+            }
+        }
+        logger.info({ address, count: origins.length }, "recorded stream origins at a new member");
+    }
+
     function updateReachability(replies: readonly StreamOriginReply[]): void {
         const wasReachable = isReachable;
-        isReachable = replies.some(reply => reply.kind === "answered");
+        isReachable = replies.some(reply => reply.kind === "recorded");
         if (isReachable === wasReachable) {
             return;
         }
@@ -116,7 +140,7 @@
                 if (reply.kind === "failed") {
                     logger.debug({ address, reason: reply.reason }, "can't search for a stream origin");
                 }
-                else if (reply.origin) {
+                else if (reply.kind === "found") {
                     found.push(reply.origin);
                     resolveFirst();
                 }
--- a/tests/forwarding/createForwarder.tests.ts
+++ b/tests/forwarding/createForwarder.tests.ts
@@ -342,6 +342,26 @@
                 attemptNumber: 2,
             });
         });
+        it("is refused where the record of an attempt at another version can't be replaced", async () => {
+            let recordCount = 0;
+            const respond = (...[, number]: [BackendAttempt, number]) =>
+                number === 0 ? lostResult : createTestResponse(events);
+            const streamOrigins: StreamOrigins = {
+                record: () => Promise.resolve(recordCount++ === 0),
+                find: () => Promise.resolve(undefined),
+            };
+            const result = await getResult({ respond, instances: [olderEngine, newerEngine], streamOrigins }, label);
+            expect([result.text, result.refusal]).to.deep.equal(["", "unknown"]);
+        });
+        it("is served where its only record fails", async () => {
+            const streamOrigins: StreamOrigins = {
+                record: () => Promise.resolve(false),
+                find: () => Promise.resolve(undefined),
+            };
+            const respond = () => createTestResponse(events);
+            const result = await getResult({ respond, instances: [olderEngine, newerEngine], streamOrigins }, label);
+            expect(result.text).to.equal(`200 ${events.join("")}end`);
+        });
         it("of an unknown version is served but not resumed", async () => {
             const unknown = ["engine-1", "engine-2"].map(instanceId =>
                 createTestInstance({ instanceId, softwareVersion: "" })
--- a/tests/streamOrigins/createStreamOriginStore.tests.ts
+++ b/tests/streamOrigins/createStreamOriginStore.tests.ts
@@ -37,6 +37,15 @@
         expect([getVersion("request-1"), getVersion("request-2"), getVersion("request-3")])
             .to.deep.equal([undefined, "v1", "v1"]);
     });
+    it("gets all origins with what is left of their lifetimes", async () => {
+        const { clock, store } = createTrial();
+        store.add(createOrigin("request-1", "v1"));
+        await clock.advance(400);
+        expect(store.getAll().map(({ requestId, lifetimeMilliseconds }) => [requestId, lifetimeMilliseconds]))
+            .to.deep.equal([["request-1", 600]]);
+        await clock.advance(600);
+        expect(store.getAll()).to.deep.equal([]);
+    });
     it("removes expired origins when others are added", async () => {
         const { clock, store } = createTrial();
         store.add(createOrigin("request-1", "v1"));
--- a/tests/streamOrigins/createStreamOrigins.tests.ts
+++ b/tests/streamOrigins/createStreamOrigins.tests.ts
@@ -4,7 +4,12 @@
 import { createSilentLogger } from "../../src/logging";
 import { createMetrics } from "../../src/metrics";
 import { StreamOrigin, StreamOriginSchema } from "../../src/protocol";
-import { createStreamOrigins, createStreamOriginStore, StreamOriginClient } from "../../src/streamOrigins";
+import {
+    createStreamOrigins,
+    createStreamOriginStore,
+    StreamOriginClient,
+    StreamOriginReply,
+} from "../../src/streamOrigins";
 import { createManualClock } from "../support/createManualClock";
 
 describe("createStreamOrigins", () => {
@@ -20,21 +25,32 @@
         const stores = new Map(members.map(address => [address, createStreamOriginStore(clock)]));
         const silentMembers = new Set<string>();
         const calls: string[] = [];
-        const call = async <T>(name: string, address: string, timeoutMilliseconds: number, get: () => T) => {
+        let startCount = 1;
+        const call = async (
+            name: string,
+            address: string,
+            timeoutMilliseconds: number,
+            respond: () => StreamOriginReply,
+        ): Promise<StreamOriginReply> => {
             calls.push(`${name} ${address}`);
             await clock.sleep(silentMembers.has(address) ? timeoutMilliseconds : 1);
-            return silentMembers.has(address)
-                ? { kind: "failed" as const, reason: "timed out" }
-                : { kind: "answered" as const, origin: get() };
+            return silentMembers.has(address) ? { kind: "failed", reason: "timed out" } : respond();
+        };
+        const restartMembers = () => {
+            startCount += 1;
+            members.forEach(address => stores.set(address, createStreamOriginStore(clock)));
         };
         const client: StreamOriginClient = {
             record: (address, origins, timeoutMilliseconds) =>
                 call("record", address, timeoutMilliseconds, () => {
                     origins.forEach(origin => stores.get(address)!.add(origin));
-                    return undefined;
+                    return { kind: "recorded", memberIncarnation: String(startCount) };
                 }),
             find: (address, requestId, timeoutMilliseconds) =>
-                call("find", address, timeoutMilliseconds, () => stores.get(address)!.get(requestId)),
+                call("find", address, timeoutMilliseconds, () => {
+                    const origin = stores.get(address)!.get(requestId);
+                    return origin ? { kind: "found", origin } : { kind: "notFound" };
+                }),
         };
         const createEntry = () =>
             createStreamOrigins({
@@ -45,7 +61,7 @@
                 logger: createSilentLogger(),
                 metrics: createMetrics(),
             });
-        return { clock, stores, silentMembers, calls, createEntry };
+        return { clock, restartMembers, silentMembers, calls, createEntry };
     }
 
     type Trial = ReturnType<typeof createTrial>;
@@ -125,9 +141,20 @@
         await record(trial, entry, createOrigin("request-3"));
         expect(await record(trial, entry, createOrigin("request-4"))).to.equal("true after 6 ms");
     });
+    it("restores the origins of members that have restarted, with the next record", async () => {
+        const trial = createTrial();
+        const entry = trial.createEntry();
+        await record(trial, entry, createOrigin("request-1"));
+        trial.restartMembers();
+        expect(await find(trial, "request-1")).to.match(/^undefined/);
+        await record(trial, entry, createOrigin("request-2"));
+        expect(await find(trial, "request-1")).to.match(/^v1/);
+    });
     it("sends the origins of one moment in one call to each member", async () => {
         const trial = createTrial();
         const entry = trial.createEntry();
+        await record(trial, entry, createOrigin("request-0"));
+        trial.calls.length = 0;
         void entry.record(createOrigin("request-1"));
         await record(trial, entry, createOrigin("request-2"));
         expect(trial.calls).to.have.members(members.map(address => `record ${address}`));
