Let the soak's proxies pass on a reset that arrives together with data as a reset

Cause, shown by a test: where data and a reset arrive together, Node.js emits a regular end, and the proxy closed the connection to the entry process normally. Between events, that is the regular end of such a response. Change: the proxies detect such resets as the product's connections do. The check is unchanged.

--- a/tests/platform/soak/startSoakProxy.ts
+++ b/tests/platform/soak/startSoakProxy.ts
@@ -2,6 +2,7 @@
  * A TCP proxy on a loopback address that can delay, drop or reset the connections that pass through it.
  */
 import { createConnection, createServer, Socket } from "node:net";
+import { createResetCounter } from "../../../src/backends";
 import { resetSocket } from "./resetSocket";
 import { SoakLinkState } from "./SoakLinkState";
 
@@ -48,8 +49,17 @@
         sockets.add(from);
         from.setNoDelay(true);
         from.on("data", bytes => passOn(isFromServer, () => to.write(bytes)));
-        from.on("end", () => passOn(isFromServer, () => to.end()));
+        const resets = createResetCounter();
+        resets.watch(from);
         // A reset on one side is passed on to the other.
+        from.on("end", () => {
+            if (resets.getCount() > 0) {
+                resetSocket(to);
+            }
+            else {
+                passOn(isFromServer, () => to.end());
+            }
+        });
         from.on("error", () => resetSocket(to));
         from.on("close", () => {
             sockets.delete(from);
