Check in the soak that events belong to the stream, and judge a cut when it happens

Found by reading the diff: with resumptions, a stream's events were no longer compared with the request's id, and whether a cut came late or during a fault was judged only after the stream had been resumed. Both are as strict as before again.

--- a/tests/platform/soak/startSoakCallers.ts
+++ b/tests/platform/soak/startSoakCallers.ts
@@ -100,15 +100,15 @@
             record.isServed = true;
             checkResponse(requestId, outcome);
         }
-        if (route.isStream && outcome.status === 200) {
-            await checkStream(requestId, outcome, route.mayRepeat && !isRevocable);
-        }
         const isCut = outcome.status === 0 || !outcome.isComplete;
         const isLate = Date.now() - record.time >= deadlineMilliseconds;
         const isOwnCut = isCut && !isLate && !runTracker.wasBrokenOff(requestId);
         if (isOwnCut && wasStable && isStable(entryIndex) && runTracker.getRunCount(requestId) > 0) {
             runTracker.addBreach(`${requestId} was cut (status ${outcome.status}) though nothing unplanned happened`);
         }
+        if (route.isStream && outcome.status === 200) {
+            await checkStream(requestId, outcome, route.mayRepeat && !isRevocable);
+        }
     }
 
     function checkResponse(requestId: string, { seal, text }: ExchangeOutcome): void {
@@ -137,7 +137,7 @@
                 isComplete = resumption.isComplete;
             }
         }
-        const problem = getStreamProblem(events, isComplete);
+        const problem = getStreamProblem(requestId, events, isComplete);
         if (problem !== undefined) {
             runTracker.addBreach(`${requestId} ${problem}`);
         }
