Log the shared parts of a request's prompt with its attempts and its outcome

What callers saw: servers crashed one after the other, and their requests failed with 502 or were broken off. Change: the lines of failed attempts, of streams that go on elsewhere and of each request's end name the ids of all parts but the last, which no other request shares.

--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -23,6 +23,7 @@
 import { ForwarderOptions } from "./ForwarderOptions";
 import { ForwardingTask } from "./ForwardingTask";
 import { getAttemptParameters } from "./getAttemptParameters";
+import { getSharedPartIds } from "./getSharedPartIds";
 import { Refusal } from "./Refusal";
 import { StreamOriginRecord } from "./StreamOriginRecord";
 
@@ -258,6 +259,7 @@
             instanceId: instance.instanceId,
             reason,
             detail,
+            promptParts: getSharedPartIds(task.request.prompt),
             sentCount: task.sentCount,
             weightsVersion: task.request.prompt && getWeightsVersion(instance, task.request.prompt.model),
             fleetRevision: state.getFleetRevision(),
--- a/src/forwarding/createEnginePlacement.ts
+++ b/src/forwarding/createEnginePlacement.ts
@@ -10,6 +10,7 @@
 import { Clock } from "../runtime";
 import { createPrefillTracker } from "./createPrefillTracker";
 import { EnginePlacement } from "./EnginePlacement";
+import { getSharedPartIds } from "./getSharedPartIds";
 import { getSharedPrefixes } from "./getSharedPrefixes";
 import { LoadTracker } from "./LoadTracker";
 import { PrefixHolders } from "./PrefixHolders";
@@ -171,7 +172,7 @@
         scope: string,
         engines: readonly FleetInstance[],
     ): readonly FleetInstance[] {
-        const key = `${scope} ${getSharedPartIds(prompt)}`;
+        const key = `${scope} ${getSharedPartIds(prompt).join(",")}`;
         return ranking.getHighest(key, engines, engine => engine.instanceId, ownersPerPrefix);
     }
 
@@ -209,10 +210,6 @@
     return getSharedPrefixes(prompt, scope, getWeightsVersion(instance, prompt.model));
 }
 
-function getSharedPartIds({ parts }: PromptDescriptor): string {
-    return parts.slice(0, -1).map(part => part.id).join(",");
-}
-
 function getSharedTokens({ parts }: PromptDescriptor): number {
     return parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
 }
--- a/src/forwarding/createForwarder.ts
+++ b/src/forwarding/createForwarder.ts
@@ -18,6 +18,7 @@
 import { ForwardingTask } from "./ForwardingTask";
 import { ForwardOutcome } from "./ForwardOutcome";
 import { forwardStream } from "./forwardStream";
+import { getSharedPartIds } from "./getSharedPartIds";
 
 /**
  * How long after its start an entry process holds requests until it has the routing document and the fleet: the time of
@@ -120,6 +121,7 @@
             workspace: workspace?.name,
             milliseconds: Math.round(milliseconds),
             hasWaited: task.hasWaitedForPrefill,
+            promptParts: getSharedPartIds(request.prompt),
             placement: task.placement,
             softwareVersion: task.softwareVersion,
             resumedRequestId: request.resumedRequestId,
--- a/src/forwarding/forwardStream.ts
+++ b/src/forwarding/forwardStream.ts
@@ -11,6 +11,7 @@
 import { createEventSplitter } from "./createEventSplitter";
 import { ForwardingTask } from "./ForwardingTask";
 import { ForwardOutcome } from "./ForwardOutcome";
+import { getSharedPartIds } from "./getSharedPartIds";
 import { refuseTask } from "./refuseTask";
 import { ResponseFraming } from "./ResponseFraming";
 import { StreamEvent } from "./StreamEvent";
@@ -66,7 +67,7 @@
                 : refuseTask(task, { kind: "unknown", reason });
         }
         task.logger.info(
-            { instanceId, lastEventId, responseEnd: task.responseEnd },
+            { instanceId, promptParts: getSharedPartIds(request.prompt), lastEventId, responseEnd: task.responseEnd },
             "stream goes on elsewhere",
         );
     }
