--- a/tests/platform/soak/RunTracker.ts
+++ b/tests/platform/soak/RunTracker.ts
@@ -24,6 +24,15 @@
     recordBrokenOff(requestId: string): void;
     /** Returns whether a backend server has broken off a response to a request. */
     wasBrokenOff(requestId: string): boolean;
+    /** Records that a request with the part that crashes engines reaches an engine. */
+    recordCrashingArrival(requestId: string): void;
+    /** Records that the part has crashed an engine. */
+    recordCrash(): void;
+    /**
+     * Sets what tells whether nothing unplanned happens or happened a moment ago; arrivals count only then.
+     * @param isStable - Returns whether the deployment is stable.
+     */
+    setStabilityCheck(isStable: () => boolean): void;
     /** Gets how many times a request ran. */
     getRunCount(requestId: string): number;
     /** Records a broken guarantee. */
--- a/tests/platform/soak/runSoak.ts
+++ b/tests/platform/soak/runSoak.ts
@@ -19,6 +19,8 @@
 const pollIntervalMilliseconds = 250;
 const maximumPauseMilliseconds = 1_200;
 const millisecondsPerSecond = 1_000;
+/** Of this many neighbouring seeds, one has callers whose requests hold a part that crashes engines. */
+const seedsPerCrashingPart = 2;
 /** The share of requests that must be served again within the recovery bound. */
 const recoveredShare = 0.5;
 
@@ -52,6 +54,7 @@
     const { callerAddresses, operatorAddresses, entries, controls } = deployment;
     const operator = startSoakOperator({ addresses: operatorAddresses, runTracker, random });
     const injector = createFaultInjector(deployment, operator, random);
+    runTracker.setStabilityCheck(injector.isStable);
     const faults: string[] = [];
     const startTimeMilliseconds = Date.now();
     try {
@@ -61,6 +64,7 @@
             entryAddresses: callerAddresses,
             runTracker,
             random,
+            hasCrashingPart: seed % seedsPerCrashingPart === 0,
             isStable: injector.isStable,
         });
         await injectFaults();
--- a/tests/platform/soak/startSoakBackend.ts
+++ b/tests/platform/soak/startSoakBackend.ts
@@ -11,12 +11,17 @@
 import { RunTracker } from "./RunTracker";
 import { sendSoakResponse } from "./sendSoakResponse";
 import { SoakBackend } from "./SoakBackend";
+import { soakCrashingPart } from "./soakCrashingPart";
 import { soakModel } from "./soakModel";
 import { soakSoftwareVersions } from "./soakSoftwareVersions";
 
 const eventCount = 8;
 const serviceMilliseconds = 120;
 const weightsLoadMilliseconds = 300;
+/** How long an engine runs a request with the part that crashes it. */
+const crashDelayMilliseconds = 60;
+/** How long an engine that the part has crashed accepts no connections. */
+const crashDownMilliseconds = 500;
 
 /** The options of `startSoakBackend`. */
 interface SoakBackendOptions {
@@ -40,6 +45,8 @@
 export async function startSoakBackend(options: SoakBackendOptions): Promise<SoakBackend> {
     const { ip, name, service, isEngine, runTracker, random } = options;
     const sockets = new Set<Socket>();
+    const runningIds = new Set<string>();
+    let downUntilMilliseconds = 0;
     let startCount = 1;
     let softwareVersion = options.softwareVersion;
     let weightsVersion = 1;
@@ -50,6 +57,9 @@
     server.on("connection", socket => {
         sockets.add(socket);
         socket.on("close", () => sockets.delete(socket));
+        if (Date.now() < downUntilMilliseconds) {
+            resetSocket(socket);
+        }
     });
     await new Promise<void>(resolve => server.listen(0, ip, resolve));
     return {
@@ -161,6 +171,12 @@
             sendJson(response, 200, { answer: requestId }, headers);
             return;
         }
+        runningIds.add(requestId);
+        response.on("close", () => runningIds.delete(requestId));
+        if (String(request.headers["basilwing-prefix-hash"]).includes(`${soakCrashingPart}:`)) {
+            await crashUnder(requestId, response, headers);
+            return;
+        }
         const lastEventId = Number(request.headers["last-event-id"] ?? 0);
         const ids = Array.from({ length: eventCount - lastEventId }, (...[, index]) => lastEventId + 1 + index);
         await sendSoakResponse({
@@ -172,6 +188,20 @@
             parts: ids.map(id => formatSoakEvent({ id, requestId, softwareVersion, isLast: id === eventCount })),
         });
     }
+
+    /** Begins the response to a request with the crashing part, and crashes. */
+    async function crashUnder(requestId: string, response: ServerResponse, headers: object): Promise<void> {
+        const startAtRequest = startCount;
+        runTracker.recordCrashingArrival(requestId);
+        response.writeHead(200, { ...headers, "content-type": "text/event-stream" }).flushHeaders();
+        await sleep(crashDelayMilliseconds);
+        if (startAtRequest === startCount) {
+            runTracker.recordCrash();
+            runningIds.forEach(id => runTracker.recordBrokenOff(id));
+            downUntilMilliseconds = Date.now() + crashDownMilliseconds;
+            crash();
+        }
+    }
 }
 
 /** The body of an order to load weights. */
--- a/tests/platform/soak/startSoakCallers.ts
+++ b/tests/platform/soak/startSoakCallers.ts
@@ -9,11 +9,14 @@
 import { parseSoakEvents } from "./parseSoakEvents";
 import { RunTracker } from "./RunTracker";
 import { SoakCallers } from "./SoakCallers";
+import { soakCrashingPart } from "./soakCrashingPart";
 import { soakModel } from "./soakModel";
 import { soakRoutes } from "./soakRoutes";
 
 const sendIntervalMilliseconds = 12;
 const deadlineMilliseconds = 3_000;
+/** Of this many requests, one holds the part that crashes engines. */
+const requestsPerCrashingPart = 40;
 /** How often a caller resumes a stream at most. */
 const maximumResumptions = 2;
 /** The statuses that guarantee that a request has not run and will not run. */
@@ -27,6 +30,8 @@
     runTracker: RunTracker;
     /** Chooses the entry process, the route and the key of each request. */
     random: RandomSource;
+    /** Whether some of the requests hold a part that crashes engines. */
+    hasCrashingPart: boolean;
     /** Returns whether no unplanned fault affects an entry process or did so a moment ago. */
     isStable(entryIndex: number): boolean;
 }
@@ -44,7 +49,8 @@
 }
 
 /** Starts the traffic, which runs until it is stopped. */
-export function startSoakCallers({ entryAddresses, runTracker, random, isStable }: SoakCallersOptions): SoakCallers {
+export function startSoakCallers(options: SoakCallersOptions): SoakCallers {
+    const { entryAddresses, runTracker, random, isStable } = options;
     const agents = entryAddresses.map(() => new Agent({ keepAlive: true, maxSockets: 40 }));
     const sentRequests: { time: number; isServed: boolean; }[] = [];
     const pending = new Set<Promise<void>>();
@@ -79,9 +85,10 @@
         const route = soakRoutes[random.getInteger(soakRoutes.length)]!;
         const isRevocable = random.getInteger(8) === 0;
         count += 1;
+        const isCrashing = options.hasCrashingPart && count % requestsPerCrashingPart === 0;
         const requestId = `${Date.now()}-${count}`;
         const record = { time: Date.now(), isServed: false };
-        if (!isRevocable) {
+        if (!isRevocable && !isCrashing) {
             sentRequests.push(record);
         }
         if (!route.mayRepeat) {
@@ -89,13 +96,17 @@
         }
         const wasStable = isStable(entryIndex);
         const key = isRevocable ? "key-leaver" : "key-stayer";
-        const outcome = await post(entryIndex, requestId, route.prefix, key);
+        const promptParts = [`a${count % 5}:500`, ...isCrashing ? [`${soakCrashingPart}:80`] : []];
+        const outcome = await post(entryIndex, requestId, route.prefix, key, promptParts);
         if (notRunStatuses.has(outcome.status)) {
             runTracker.recordReportedNotRun(requestId);
         }
         if ([400, 401, 403, 404].includes(outcome.status) && !isRevocable) {
             runTracker.addBreach(`${requestId} is proper, and got ${outcome.status}`);
         }
+        if (!isCrashing && outcome.text.includes("QUARANTINED")) {
+            runTracker.addBreach(`${requestId} is sound, and was refused as quarantined`);
+        }
         if (outcome.status === 200 && outcome.isComplete) {
             record.isServed = true;
             checkResponse(requestId, outcome);
@@ -107,7 +118,7 @@
             runTracker.addBreach(`${requestId} was cut (status ${outcome.status}) though nothing unplanned happened`);
         }
         if (route.isStream && outcome.status === 200) {
-            await checkStream(requestId, outcome, route.mayRepeat && !isRevocable);
+            await checkStream(requestId, outcome, route.mayRepeat && !isRevocable, promptParts);
         }
     }
 
@@ -118,19 +129,25 @@
     }
 
     /** Checks a stream, which the caller first resumes at any entry process where it broke off and may be resumed. */
-    async function checkStream(requestId: string, outcome: ExchangeOutcome, mayResume: boolean): Promise<void> {
+    async function checkStream(
+        requestId: string,
+        outcome: ExchangeOutcome,
+        mayResume: boolean,
+        promptParts: readonly string[],
+    ): Promise<void> {
         let events = parseSoakEvents(outcome.text);
         let { isComplete } = outcome;
         for (let count = 0; mayResume && !isComplete && events.length > 0 && count < maximumResumptions; count++) {
             const entryIndex = random.getInteger(entryAddresses.length);
-            const resumption = await post(entryIndex, `${requestId}-${count + 1}`, "/label/", "key-stayer", {
+            const resumptionId = `${requestId}-${count + 1}`;
+            const resumption = await post(entryIndex, resumptionId, "/label/", "key-stayer", promptParts, {
                 "resumes": requestId,
                 "last-event-id": events.at(-1)!.id,
             });
             resumptions.sent += 1;
             resumptions.served += resumption.status === 200 ? 1 : 0;
             if (notRunStatuses.has(resumption.status)) {
-                runTracker.recordReportedNotRun(`${requestId}-${count + 1}`);
+                runTracker.recordReportedNotRun(resumptionId);
             }
             if (resumption.status === 200) {
                 events = [...events, ...parseSoakEvents(resumption.text)];
@@ -148,6 +165,7 @@
         requestId: string,
         prefix: string,
         key: string,
+        sharedParts: readonly string[],
         resumptionHeaders: Record<string, string | number> = {},
     ): Promise<ExchangeOutcome> {
         const [host, port] = entryAddresses[entryIndex]!.split(":") as [string, string];
@@ -165,7 +183,7 @@
                     "basilwing-deadline-ms": deadlineMilliseconds,
                     "basilwing-model": soakModel,
                     "basilwing-token-usage": "600,8",
-                    "basilwing-prefix-hash": `a${count % 5}:500,${count.toString(16)}:100`,
+                    "basilwing-prefix-hash": [...sharedParts, `${count.toString(16)}:100`].join(","),
                     "authorization": `Bearer ${key}`,
                     ...resumptionHeaders,
                 },
