Refuse requests whose prompt holds a part that crashes engines

Cause: nothing related a crash to what had been sent to the server. Each request with the part was new to each entry process, which sent it like any other, and sent it once more where the route allowed it. Change: entry processes confirm crashes by asking the engine, and report them with the parts in flight on each poll. The leader joins the reports, and commits a verdict to the replicated log; entry processes check it before each attempt. A lost request with a suspected part is not sent again. Operators list and release parts.

--- a/src/documents/DocumentState.ts
+++ b/src/documents/DocumentState.ts
@@ -3,8 +3,9 @@
  */
 import { StateMachine } from "../control/consensus";
 import { NamedWeightsVersion } from "./NamedWeightsVersion";
+import { QuarantinedPromptPart } from "./QuarantinedPromptPart";
 
-/** The replicated state: the newest document and the weights versions that operators have named for each model. */
+/** The replicated state: the newest document, the weights versions that operators have named, and the quarantine. */
 export interface DocumentState extends StateMachine {
     /** Gets the newest document's version; 0 if there is none. */
     getVersion(): number;
@@ -12,6 +13,8 @@
     getText(): Uint8Array;
     /** Gets the weights versions that were named most recently, in ascending order for each model. */
     getNamedWeights(): readonly NamedWeightsVersion[];
+    /** Gets the parts of prompts that are in quarantine or were released, the oldest first. */
+    getQuarantinedParts(): readonly QuarantinedPromptPart[];
     /** Gets the number of changes since the process started. */
     getChangeCount(): number;
     /**
--- a/src/feed/FeedHandlerOptions.ts
+++ b/src/feed/FeedHandlerOptions.ts
@@ -3,6 +3,7 @@
  */
 import { ReplicatedLog } from "../control/consensus";
 import { DocumentState } from "../documents";
+import { PartEvidence } from "../promptQuarantine";
 import { Clock } from "../runtime";
 import { EntryRegistry } from "./EntryRegistry";
 import { FleetSource } from "./FleetSource";
@@ -17,6 +18,8 @@
     fleet: FleetSource;
     /** Counts the entry processes that poll. */
     entryRegistry: EntryRegistry;
+    /** Receives the reports that come with the polls. */
+    evidence: PartEvidence;
     /** Measures the wait of polls. */
     clock: Clock;
 }
--- a/src/feed/FeedTaskOptions.ts
+++ b/src/feed/FeedTaskOptions.ts
@@ -2,6 +2,7 @@
  * The options of the polling task of an entry process.
  */
 import { Logger } from "../logging";
+import { CrashReport } from "../promptQuarantine";
 import { Clock, RandomSource } from "../runtime";
 import { FeedClient } from "./FeedClient";
 import { FeedState } from "./FeedState";
@@ -16,6 +17,8 @@
     client: FeedClient;
     /** The state that the responses update. */
     state: FeedState;
+    /** Gets what is reported with each poll. */
+    getCrashReport(): CrashReport;
     /** Provides the time and the delays between retries. */
     clock: Clock;
     /** Randomizes the first member and the retry delays, so that entry processes do not poll in step. */
--- a/src/feed/createFeedHandler.ts
+++ b/src/feed/createFeedHandler.ts
@@ -5,6 +5,7 @@
  */
 import { create } from "@bufbuild/protobuf";
 import { ConsensusRole, createSignal } from "../control/consensus";
+import { addCrashReport } from "../promptQuarantine";
 import { PollOutcome, PollRequest, PollResponse, PollResponseSchema } from "../protocol";
 import { FeedHandler } from "./FeedHandler";
 import { FeedHandlerOptions } from "./FeedHandlerOptions";
@@ -28,6 +29,7 @@
 
     async function poll(request: PollRequest): Promise<PollResponse> {
         entryRegistry.recordPoll(request.entryId);
+        addCrashReport(options.evidence, request);
         const endMilliseconds = clock.getMonotonicMilliseconds()
             + Math.min(request.waitMilliseconds, maximumWaitMilliseconds);
         while (isLeader() && !hasChanges(request) && clock.getMonotonicMilliseconds() < endMilliseconds) {
--- a/src/feed/runFeed.ts
+++ b/src/feed/runFeed.ts
@@ -5,6 +5,7 @@
  */
 import { create } from "@bufbuild/protobuf";
 import { readClocks } from "../membership";
+import { encodeCrashReport } from "../promptQuarantine";
 import { PollOutcome, PollRequestSchema } from "../protocol";
 import { FeedTaskOptions } from "./FeedTaskOptions";
 
@@ -32,6 +33,7 @@
             entryId,
             documentVersion: BigInt(state.getRouteTable()?.document.version ?? 0),
             fleetRevision: state.getFleetRevision(),
+            ...encodeCrashReport(options.getCrashReport()),
             waitMilliseconds: isConnected ? pollWaitMilliseconds : 0,
         });
         const timeoutMilliseconds = responseTimeoutMilliseconds + request.waitMilliseconds;
--- a/src/fleet/FleetTracker.ts
+++ b/src/fleet/FleetTracker.ts
@@ -37,4 +37,9 @@
      * @param isLoading - Whether it is loading.
      */
     setLoading(instanceId: string, isLoading: boolean): void;
+    /**
+     * Replaces the parts of prompts that may have caused several crashes.
+     * @param partIds - The ids of the parts.
+     */
+    setSuspectedParts(partIds: readonly string[]): void;
 }
--- a/src/fleet/createFleetTracker.ts
+++ b/src/fleet/createFleetTracker.ts
@@ -11,12 +11,12 @@
 
 /**
  * Creates a tracker without a list.
- * @param documents - Provides the named weights versions, which are part of the view.
+ * @param documents - Provides the named weights versions and the quarantined parts, which are part of the view.
  * @param clock - Provides the wall-clock time for the ages of named weights.
  * @param onChange - Called after each change of the view.
  */
 export function createFleetTracker(
-    documents: Pick<DocumentState, "getNamedWeights" | "addListener">,
+    documents: Pick<DocumentState, "getNamedWeights" | "getQuarantinedParts" | "addListener">,
     clock: Clock,
     onChange: () => void,
 ): FleetTracker {
@@ -27,6 +27,7 @@
     let term = 0n;
     let revisionCount = 0;
     let digest = "";
+    let suspectedParts: readonly string[] = [];
     documents.addListener(update);
     return {
         reset,
@@ -35,6 +36,7 @@
         recordWeights,
         recordTermination,
         setLoading,
+        setSuspectedParts,
         getRevision: () => instances === undefined ? "" : `${term}.${revisionCount}`,
         getView,
     };
@@ -44,6 +46,7 @@
         instances = undefined;
         loadingIds.clear();
         reportedVersions.clear();
+        suspectedParts = [];
         digest = "";
     }
 
@@ -78,6 +81,15 @@
         update();
     }
 
+    function setSuspectedParts(partIds: readonly string[]): void {
+        suspectedParts = [...partIds].sort();
+        update();
+    }
+
+    function getQuarantinedIds(): string[] {
+        return documents.getQuarantinedParts().filter(({ isReleased }) => !isReleased).map(({ partId }) => partId);
+    }
+
     /** Applies the observations to an instance of the list. */
     function applyObservations(instance: FleetInstance): FleetInstance {
         const versions = reportedVersions.get(instance.instanceId);
@@ -103,6 +115,8 @@
                     ageMilliseconds: Math.max(0, Math.round(now - timeMilliseconds)),
                 })
             ),
+            quarantinedParts: getQuarantinedIds(),
+            suspectedParts: [...suspectedParts],
         });
     }
 
@@ -112,7 +126,12 @@
             return;
         }
         const named = documents.getNamedWeights().map(({ model, weightsVersion }) => [model, weightsVersion]);
-        const newDigest = JSON.stringify([instances.map(applyObservations), named]);
+        const newDigest = JSON.stringify([
+            instances.map(applyObservations),
+            named,
+            getQuarantinedIds(),
+            suspectedParts,
+        ]);
         if (newDigest !== digest) {
             digest = newDigest;
             revisionCount += 1;
--- a/src/forwarding/AttemptDispatcher.ts
+++ b/src/forwarding/AttemptDispatcher.ts
@@ -1,6 +1,7 @@
 /*
  * Sends attempts of a request until one of them gets a response.
  */
+import { AttemptEnd } from "./AttemptEnd";
 import { DispatchOutcome } from "./DispatchOutcome";
 import { ForwardingTask } from "./ForwardingTask";
 
@@ -14,8 +15,8 @@
     dispatch(task: ForwardingTask, lastEventId: string | undefined): Promise<DispatchOutcome>;
     /** Records that the prefill of a request's prompt has ended: its first event was received, or none will be. */
     recordPrefillEnd(task: ForwardingTask, instanceId: string): void;
-    /** Records that the response to an attempt has ended. */
-    recordAttemptEnd(instanceId: string): void;
+    /** Records how the response to the last attempt has ended. */
+    recordAttemptEnd(task: ForwardingTask, instanceId: string, end: AttemptEnd): void;
     /** Returns whether a request may be sent again although it may have run. */
     canRunAgain(task: ForwardingTask): boolean;
 }
--- a/src/forwarding/BackendLink.ts
+++ b/src/forwarding/BackendLink.ts
@@ -2,6 +2,7 @@
  * The connection to the backend servers, independent of the protocol that they speak.
  */
 import { BackendService } from "../documents";
+import { InstanceState } from "../promptQuarantine";
 import { FleetInstance } from "../protocol";
 import { AttemptResult } from "./AttemptResult";
 import { BackendAttempt } from "./BackendAttempt";
@@ -18,4 +19,10 @@
      * @returns Whether the backend server responded.
      */
     probe(instance: FleetInstance, service: BackendService, signal: AbortSignal): Promise<boolean>;
+    /**
+     * Asks an engine whether it still serves at its address. The call occupies no slot.
+     * @param instance - The engine.
+     * @param signal - Ends the call.
+     */
+    checkEngine(instance: FleetInstance, signal: AbortSignal): Promise<InstanceState>;
 }
--- a/src/forwarding/ForwarderOptions.ts
+++ b/src/forwarding/ForwarderOptions.ts
@@ -4,6 +4,7 @@
 import { FeedState } from "../feed";
 import { Logger } from "../logging";
 import { Metrics } from "../metrics";
+import { PromptQuarantine } from "../promptQuarantine";
 import { Clock, RandomSource } from "../runtime";
 import { StreamOrigins } from "../streamOrigins";
 import { BackendLink } from "./BackendLink";
@@ -17,6 +18,8 @@
     link: BackendLink;
     /** Which software versions began the streams that callers may resume. */
     streamOrigins: StreamOrigins;
+    /** Which parts of prompts crash engines. */
+    promptQuarantine: PromptQuarantine;
     /** The contents of the KV cache stores. */
     kvCacheStores: KvCacheStoreView;
     /** The entry process's data centre. */
--- a/src/forwarding/ForwardingTask.ts
+++ b/src/forwarding/ForwardingTask.ts
@@ -2,6 +2,7 @@
  * An admitted request while it is being forwarded.
  */
 import { Logger } from "../logging";
+import { EngineRun } from "../promptQuarantine";
 import { Admission } from "./Admission";
 import { CallerReply } from "./CallerReply";
 import { ForwardedRequest } from "./ForwardedRequest";
@@ -36,6 +37,8 @@
     hasWaitedForPrefill: boolean;
     /** The last attempt's backend server and the load by which it was chosen. */
     placement: PlacementRecord | undefined;
+    /** The last attempt as the crash observer follows it; undefined before the first attempt. */
+    engineRun: EngineRun | undefined;
     /** How the last response ended; undefined before the end of the first one. */
     responseEnd: ResponseEnd | undefined;
     /** The number of attempts that were sent, whether they ran or not. */
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -3,13 +3,13 @@
  * its route's kind. One that may have run is sent again only where the route's kind and its maximum number of attempts
  * allow it. Every attempt after one that was sent takes a retry from the budget that all entry processes share.
  */
-import { create } from "@bufbuild/protobuf";
 import { RouteKind } from "../documents";
 import { assertNever } from "../errors";
 import { getWeightsVersion } from "../fleet";
 import { HistogramName, RetryReason } from "../metrics";
-import { FleetInstance, RefusalReason, StreamOriginSchema } from "../protocol";
+import { FleetInstance, RefusalReason } from "../protocol";
 import { AttemptDispatcher } from "./AttemptDispatcher";
+import { AttemptEnd } from "./AttemptEnd";
 import { AttemptResult } from "./AttemptResult";
 import { chooseLeastLoadedInstance } from "./chooseLeastLoadedInstance";
 import { collectBody } from "./collectBody";
@@ -20,19 +20,22 @@
 import { createRendezvousRanking } from "./createRendezvousRanking";
 import { createRetryBudgets } from "./createRetryBudgets";
 import { DispatchOutcome } from "./DispatchOutcome";
+import { endEngineRun } from "./endEngineRun";
 import { ForwarderOptions } from "./ForwarderOptions";
 import { ForwardingTask } from "./ForwardingTask";
 import { getAttemptParameters } from "./getAttemptParameters";
+import { getEnginePartIds } from "./getEnginePartIds";
 import { getSharedPartIds } from "./getSharedPartIds";
+import { getTaskRefusal } from "./getTaskRefusal";
+import { recordStreamOrigin } from "./recordStreamOrigin";
 import { Refusal } from "./Refusal";
-import { StreamOriginRecord } from "./StreamOriginRecord";
 
 /** The maximum number of backend servers that one request is sent to: more would delay an inevitable refusal. */
 const maximumTriedInstances = 4;
+/** The retry delay for callers whose prompt holds a quarantined part: only an operator ends the quarantine. */
+const quarantinedRetryAfterMilliseconds = 3_600_000;
 /** The retry delay for callers whose request found no capacity: the time of a few requests. */
 const overloadRetryAfterMilliseconds = 1_000;
-/** How long after the deadline of its first request a caller may still return to a stream. */
-const returnMarginMilliseconds = 15_000;
 /** The minimum remaining time that is worth another attempt. */
 const minimumAttemptMilliseconds = 20;
 
@@ -91,16 +94,19 @@
     }
 
     /**
-     * Gets the refusal where nothing may be sent: the caller has disconnected, the time is over, or the routing
-     * document is too old.
+     * Gets the refusal where nothing may be sent: the caller has disconnected, the time is over, the prompt holds a part
+     * that crashes engines, or the routing document is too old.
      */
     function getBlockingRefusal(task: ForwardingTask): Refusal | undefined {
         if (task.signal.aborted || getRemainingMilliseconds(task) < minimumAttemptMilliseconds) {
             return getFailureRefusal(task);
         }
+        if (options.promptQuarantine.isQuarantined(getEnginePartIds(task))) {
+            return getTaskRefusal(task, RefusalReason.QUARANTINED, quarantinedRetryAfterMilliseconds);
+        }
         const needsKey = task.admission.workspace !== undefined && !task.admission.route.isPublic;
         const isStale = needsKey && state.getDocumentAgeMilliseconds() > options.maximumDocumentAgeMilliseconds;
-        return isStale ? getRefusal(task, RefusalReason.STALE_SETTINGS, overloadRetryAfterMilliseconds) : undefined;
+        return isStale ? getTaskRefusal(task, RefusalReason.STALE_SETTINGS, overloadRetryAfterMilliseconds) : undefined;
     }
 
     /** Takes a retry from the budget; the first attempt needs none. */
@@ -144,10 +150,18 @@
             saveAddress: parameters.saveAddress,
         };
         if (lastEventId === undefined) {
-            task.originRecord = recordOrigin(task, instance);
+            task.originRecord = recordStreamOrigin(
+                task,
+                instance,
+                getRemainingMilliseconds(task),
+                options.streamOrigins,
+            );
         }
         loads.recordSent(instanceId, getPromptTokens(task));
         liveness.recordSent(instance, task.admission.service);
+        task.engineRun = task.admission.service.kind === "engine"
+            ? options.promptQuarantine.beginRun(instance, getEnginePartIds(task))
+            : undefined;
         const result = await link.send({
             request: task.request,
             instance,
@@ -160,35 +174,11 @@
         });
         if (result.kind !== "answered") {
             recordPrefillEnd(task, instanceId);
-            recordAttemptEnd(instanceId);
+            recordAttemptEnd(task, instanceId, result.kind === "lost" ? "lost" : "other");
         }
         return result;
     }
 
-    /** Records where a new stream begins, if callers may resume it. */
-    function recordOrigin(
-        task: ForwardingTask,
-        { softwareVersion }: FleetInstance,
-    ): StreamOriginRecord | undefined {
-        const { admission: { route, service }, request: { requestId }, originRecord: formerRecord } = task;
-        if (route.kind !== RouteKind.Stream || !route.isResumable || softwareVersion === "") {
-            return undefined;
-        }
-        const origin = create(StreamOriginSchema, {
-            requestId,
-            service: service.name,
-            softwareVersion,
-            attemptNumber: task.sentCount,
-            lifetimeMilliseconds: Math.max(0, getRemainingMilliseconds(task)) + returnMarginMilliseconds,
-        });
-        return {
-            softwareVersion,
-            replacesOtherVersion: formerRecord !== undefined
-                && (formerRecord.replacesOtherVersion || formerRecord.softwareVersion !== softwareVersion),
-            recorded: options.streamOrigins.record(origin),
-        };
-    }
-
     /** Records the result of an attempt; returns whether no further attempt follows. */
     function recordResult(task: ForwardingTask, instance: FleetInstance, result: AttemptResult): boolean {
         const { instanceId } = instance;
@@ -221,6 +211,7 @@
                 return !canRunAgain(task);
             case "answered":
                 task.runCount += 1;
+                task.engineRun?.recordBegin();
                 return recordResponse(task, instance, result);
             default:
                 return assertNever(result);
@@ -243,7 +234,7 @@
             return true;
         }
         recordPrefillEnd(task, instance.instanceId);
-        recordAttemptEnd(instance.instanceId);
+        recordAttemptEnd(task, instance.instanceId, "other");
         recordFailedAttempt(task, instance, RetryReason.BackendRefused, `status ${head.status}`);
         return false;
     }
@@ -272,9 +263,10 @@
         scheduler.recordPrefillEnd(task);
     }
 
-    function recordAttemptEnd(instanceId: string): void {
+    function recordAttemptEnd(task: ForwardingTask, instanceId: string, end: AttemptEnd): void {
         loads.recordAttemptEnd(instanceId);
         liveness.recordAttemptEnd(instanceId);
+        endEngineRun(task, end);
     }
 
     function canRunAgain(task: ForwardingTask): boolean {
@@ -286,7 +278,9 @@
         const { route } = task.admission;
         const isIdempotent = route.kind === RouteKind.Idempotent
             || route.kind === RouteKind.Stream && route.isResumable;
-        return isIdempotent && !task.signal.aborted && task.runCount + additionalRuns < route.maximumAttempts;
+        const isSuspected = options.promptQuarantine.isSuspected(getEnginePartIds(task));
+        return isIdempotent && !isSuspected && !task.signal.aborted
+            && task.runCount + additionalRuns < route.maximumAttempts;
     }
 
     function getRemainingMilliseconds(task: ForwardingTask): number {
@@ -302,18 +296,11 @@
 /** Gets the refusal of a request for which there is no backend server, retry or capacity left. */
 function getNoCapacityRefusal(task: ForwardingTask, retryAfterMilliseconds: number | undefined): Refusal {
     const reason = task.sentCount === 0 ? RefusalReason.NO_REPLICA : RefusalReason.OVERLOADED;
-    return getRefusal(task, reason, retryAfterMilliseconds ?? overloadRetryAfterMilliseconds);
+    return getTaskRefusal(task, reason, retryAfterMilliseconds ?? overloadRetryAfterMilliseconds);
 }
 
 /** Gets the refusal of a request whose time is over or whose attempts failed. */
 function getFailureRefusal(task: ForwardingTask): Refusal {
     const reason = task.signal.aborted ? RefusalReason.DEADLINE : RefusalReason.OUTCOME_UNKNOWN;
-    return getRefusal(task, reason, overloadRetryAfterMilliseconds);
-}
-
-/** Creates a refusal, which states "not run" only where no attempt can have run. */
-function getRefusal(task: ForwardingTask, reason: RefusalReason, retryAfterMilliseconds: number): Refusal {
-    return task.runCount > 0
-        ? { kind: "unknown", reason }
-        : { kind: "notRun", reason, retryAfterMilliseconds };
+    return getTaskRefusal(task, reason, overloadRetryAfterMilliseconds);
 }
--- a/src/forwarding/createForwarder.ts
+++ b/src/forwarding/createForwarder.ts
@@ -89,6 +89,7 @@
             triedInstanceIds: new Set(),
             hasWaitedForPrefill: false,
             placement: undefined,
+            engineRun: undefined,
             responseEnd: undefined,
             sentCount: 0,
             runCount: 0,
--- /dev/null
+++ b/src/forwarding/endEngineRun.ts
@@ -0,0 +1,22 @@
+/*
+ * Tells the crash observer how an attempt ended.
+ */
+import { AttemptEnd } from "./AttemptEnd";
+import { ForwardingTask } from "./ForwardingTask";
+
+/**
+ * Ends the engine run of the last attempt. A response that ended with its request says nothing about the engine.
+ * @param task - The request.
+ * @param end - How the attempt ended.
+ */
+export function endEngineRun({ engineRun, signal }: ForwardingTask, end: AttemptEnd): void {
+    if (end === "complete") {
+        engineRun?.complete();
+    }
+    else if (end === "lost" && !signal.aborted) {
+        engineRun?.lose();
+    }
+    else {
+        engineRun?.end();
+    }
+}
--- a/src/forwarding/forwardBuffered.ts
+++ b/src/forwarding/forwardBuffered.ts
@@ -23,7 +23,7 @@
         const { response, instance: { instanceId } } = outcome;
         const body = await collectBody(response.body);
         dispatcher.recordPrefillEnd(task, instanceId);
-        dispatcher.recordAttemptEnd(instanceId);
+        dispatcher.recordAttemptEnd(task, instanceId, response.isComplete() ? "complete" : "lost");
         task.responseEnd = { framing: response.framing, isComplete: response.isComplete() };
         if (response.isComplete()) {
             task.reply.send(response.head, body);
--- a/src/forwarding/forwardStream.ts
+++ b/src/forwarding/forwardStream.ts
@@ -39,7 +39,7 @@
         const isSuccess = response.head.status >= 200 && response.head.status < 300;
         if (!isSuccess && isResponseStarted) {
             await collectBody(response.body);
-            dispatcher.recordAttemptEnd(instanceId);
+            dispatcher.recordAttemptEnd(task, instanceId, "other");
             return abortResponse(`status ${response.head.status} instead of the remaining events`, instanceId);
         }
         if (!isSuccess) {
@@ -48,11 +48,11 @@
         if (!isResponseStarted && !await isOriginCertain(task)) {
             void collectBody(response.body);
             dispatcher.recordPrefillEnd(task, instanceId);
-            dispatcher.recordAttemptEnd(instanceId);
+            dispatcher.recordAttemptEnd(task, instanceId, "other");
             return refuseTask(task, { kind: "unknown", reason: RefusalReason.OUTCOME_UNKNOWN });
         }
         const isComplete = await forwardEvents(response, instanceId, softwareVersion);
-        dispatcher.recordAttemptEnd(instanceId);
+        dispatcher.recordAttemptEnd(task, instanceId, isComplete ? "complete" : "lost");
         if (isComplete) {
             reply.end();
             return { kind: "answered", status: response.head.status, instanceId };
@@ -135,7 +135,7 @@
     async function sendErrorResponse(response: BackendResponse, instanceId: string): Promise<ForwardOutcome> {
         const body = await collectBody(response.body);
         dispatcher.recordPrefillEnd(task, instanceId);
-        dispatcher.recordAttemptEnd(instanceId);
+        dispatcher.recordAttemptEnd(task, instanceId, "other");
         if (!response.isComplete()) {
             return refuseTask(task, { kind: "unknown", reason: RefusalReason.OUTCOME_UNKNOWN });
         }
--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -2,6 +2,7 @@
  * Forwards opaque requests to backend servers: admission, placement, attempts and the response, independent of the
  * protocol that carries them.
  */
+export * from "./AttemptEnd";
 export * from "./AttemptResult";
 export * from "./BackendAttempt";
 export * from "./BackendLink";
--- /dev/null
+++ b/src/promptQuarantine/CrashObserverOptions.ts
@@ -0,0 +1,28 @@
+/*
+ * The options of a crash observer.
+ */
+import { Logger } from "../logging";
+import { Metrics } from "../metrics";
+import { FleetInstance } from "../protocol";
+import { Clock } from "../runtime";
+import { InstanceState } from "./InstanceState";
+
+/** The options of the crash observer of an entry process. */
+export interface CrashObserverOptions {
+    /** Differs after each start of the entry process; part of the ids of its reports. */
+    incarnation: string;
+    /**
+     * Asks whether an instance still serves at its address.
+     * @param instance - The instance.
+     * @param signal - Ends the call.
+     */
+    checkInstance(instance: FleetInstance, signal: AbortSignal): Promise<InstanceState>;
+    /** The clock. */
+    clock: Clock;
+    /** Logs crashes with the parts that may have caused them. */
+    logger: Logger;
+    /** Counts crashes. */
+    metrics: Metrics;
+    /** Ends the background checks. */
+    signal: AbortSignal;
+}
--- /dev/null
+++ b/src/promptQuarantine/GuiltyPart.ts
@@ -0,0 +1,11 @@
+/*
+ * A part of prompts that crashes engines.
+ */
+
+/** A part with the crashes that it explains. */
+export interface GuiltyPart {
+    /** The part's id. */
+    partId: string;
+    /** The ids of the engines that crashed under it. */
+    instanceIds: readonly string[];
+}
--- /dev/null
+++ b/src/promptQuarantine/PartEvidence.ts
@@ -0,0 +1,26 @@
+/*
+ * The evidence of which parts of prompts crash engines.
+ */
+import { CrashObservation } from "./CrashObservation";
+import { GuiltyPart } from "./GuiltyPart";
+
+/** Joins what entry processes have seen of crashes. */
+export interface PartEvidence {
+    /** Adds an observation; one that was added before changes nothing. */
+    addObservation(observation: CrashObservation): void;
+    /**
+     * Replaces what a reporter has seen of requests that ran to their end.
+     * @param reporter - The id of the entry process.
+     * @param completions - How long ago requests with a part completed, in milliseconds.
+     */
+    setCompletions(reporter: string, completions: ReadonlyMap<string, readonly number[]>): void;
+    /** Gets the parts that may have caused several crashes, those of most crashes first. */
+    getSuspects(): readonly string[];
+    /** Gets the parts that crash engines, by the crashes so far. */
+    getGuiltyParts(): readonly GuiltyPart[];
+    /**
+     * Takes the crashes at which a part was in flight for explained, so that they accuse no part any longer.
+     * @param partId - The part, which was quarantined or released.
+     */
+    explainCrashes(partId: string): void;
+}
--- a/tests/documents/createDocumentState.tests.ts
+++ b/tests/documents/createDocumentState.tests.ts
@@ -20,6 +20,13 @@
         state.apply(toBinary(DocumentCommandSchema, create(DocumentCommandSchema, { command })), context);
     }
 
+    function changeQuarantine(state: DocumentState, change: "quarantinePart" | "releasePart", partId: string) {
+        const command = change === "quarantinePart"
+            ? { case: change, value: { partId, instanceIds: ["engine-1"] } }
+            : { case: change, value: { partId } };
+        state.apply(toBinary(DocumentCommandSchema, create(DocumentCommandSchema, { command })), context);
+    }
+
     const getText = (state: DocumentState) => Buffer.from(state.getText()).toString();
 
     it("keeps the highest version, regardless of the order", () => {
@@ -59,11 +66,40 @@
         const state = createDocumentState();
         putDocument(state, 9, "nine");
         nameWeights(state, "large", 4);
+        changeQuarantine(state, "quarantinePart", "bad");
+        changeQuarantine(state, "quarantinePart", "good");
+        changeQuarantine(state, "releasePart", "good");
         const restored = createDocumentState();
         putDocument(restored, 12, "gone");
+        changeQuarantine(restored, "quarantinePart", "gone");
         restored.restoreSnapshot(state.takeSnapshot());
         expect([restored.getVersion(), getText(restored), restored.getNamedWeights()])
             .to.deep.equal([9, "nine", state.getNamedWeights()]);
+        expect(restored.getQuarantinedParts()).to.deep.equal([
+            { partId: "bad", instanceIds: ["engine-1"], timeMilliseconds: 500, isReleased: false },
+            { partId: "good", instanceIds: ["engine-1"], timeMilliseconds: 500, isReleased: true },
+        ]);
+    });
+
+    it("keeps a part in quarantine until it is released, and takes it in again", () => {
+        const state = createDocumentState();
+        const getReleased = () => state.getQuarantinedParts().map(({ isReleased }) => isReleased);
+        changeQuarantine(state, "releasePart", "bad");
+        expect(getReleased()).to.deep.equal([]);
+        changeQuarantine(state, "quarantinePart", "bad");
+        changeQuarantine(state, "releasePart", "bad");
+        expect(getReleased()).to.deep.equal([true]);
+        changeQuarantine(state, "quarantinePart", "bad");
+        expect(getReleased()).to.deep.equal([false]);
+    });
+
+    it("drops the oldest quarantined part beyond the bound", () => {
+        const state = createDocumentState();
+        for (let count = 0; count <= 1_024; count++) {
+            changeQuarantine(state, "quarantinePart", `part-${count}`);
+        }
+        expect([state.getQuarantinedParts().length, state.getQuarantinedParts()[0]!.partId])
+            .to.deep.equal([1_024, "part-1"]);
     });
 
     it("calls listeners only for changes", () => {
--- a/tests/feed/createFeedHandler.tests.ts
+++ b/tests/feed/createFeedHandler.tests.ts
@@ -3,6 +3,7 @@
 import { ConsensusRole, LogStatus, ReadBarrierOutcome } from "../../src/control/consensus";
 import { createDocumentState } from "../../src/documents";
 import { createEntryRegistry, createFeedHandler } from "../../src/feed";
+import { createPartEvidence } from "../../src/promptQuarantine";
 import { DocumentCommandSchema, FleetViewSchema, PollOutcome, PollRequestSchema } from "../../src/protocol";
 import { createManualClock } from "../support/createManualClock";
 
@@ -31,6 +32,7 @@
             documents,
             fleet: { getRevision: () => fixture.fleetRevision, getView: () => create(FleetViewSchema) },
             entryRegistry: createEntryRegistry(clock),
+            evidence: createPartEvidence(clock),
             clock,
         });
         return fixture;
--- a/tests/feed/runFeed.tests.ts
+++ b/tests/feed/runFeed.tests.ts
@@ -33,6 +33,7 @@
                 },
             },
             state,
+            getCrashReport: () => ({ observations: [], completions: new Map() }),
             clock,
             random: createRandomSource(3),
             logger: createSilentLogger(),
--- a/tests/fleet/createFleetTracker.tests.ts
+++ b/tests/fleet/createFleetTracker.tests.ts
@@ -9,7 +9,7 @@
     function createFixture(term = 1n) {
         let changeCount = 0;
         const tracker = createFleetTracker(
-            { getNamedWeights: () => [], addListener: () => () => undefined },
+            { getNamedWeights: () => [], getQuarantinedParts: () => [], addListener: () => () => undefined },
             createManualClock(),
             () => changeCount += 1,
         );
@@ -36,6 +36,15 @@
         expect(tracker.getRevision()).to.not.equal(revision);
     });
 
+    it("starts a new revision if the suspected parts of prompts change", () => {
+        const { tracker } = createFixture();
+        tracker.setInstances([createTestInstance()]);
+        const revision = tracker.getRevision();
+        tracker.setSuspectedParts(["b", "a"]);
+        expect([tracker.getView().suspectedParts, tracker.getRevision() === revision])
+            .to.deep.equal([["a", "b"], false]);
+    });
+
     it("creates different revisions under different terms", () => {
         const first = createFixture(1n).tracker;
         const second = createFixture(2n).tracker;
--- a/tests/fleet/runWeightsLoad.tests.ts
+++ b/tests/fleet/runWeightsLoad.tests.ts
@@ -21,7 +21,7 @@
     function createFixture(responses: (WeightsOrderOutcome | "lostButAccepted")[]) {
         const clock = createManualClock();
         const fleetTracker = createFleetTracker(
-            { getNamedWeights: () => [], addListener: () => () => undefined },
+            { getNamedWeights: () => [], getQuarantinedParts: () => [], addListener: () => () => undefined },
             clock,
             () => undefined,
         );
--- a/tests/forwarding/crashingParts.tests.ts
+++ b/tests/forwarding/crashingParts.tests.ts
@@ -1,9 +1,11 @@
 import { expect } from "chai";
-import { createForwarder } from "../../src/forwarding";
+import { BackendLink, createForwarder } from "../../src/forwarding";
 import { createSilentLogger } from "../../src/logging";
 import { createMetrics } from "../../src/metrics";
+import { InstanceState } from "../../src/promptQuarantine";
 import { createRandomSource } from "../../src/runtime";
 import { createTestFeedState, createTestInstance } from "../feed/createTestFeed";
+import { createTestPromptQuarantine } from "../promptQuarantine/createTestPromptQuarantine";
 import { createTestStreamOrigins } from "../streamOrigins/createTestStreamOrigins";
 import { createManualClock } from "../support/createManualClock";
 import { createTestLink, createTestResponse } from "./createTestLink";
@@ -43,10 +45,16 @@
                 clock.getMonotonicMilliseconds() + 500;
             return createTestResponse([], false);
         });
-        const link = { ...testLink, hasEnded: ({ instanceId }: { instanceId: string; }) => isDown(instanceId) };
+        const link: BackendLink = {
+            ...testLink,
+            checkEngine: ({ instanceId }) =>
+                Promise.resolve(isDown(instanceId) ? InstanceState.Ended : InstanceState.Serving),
+        };
+        const state = createTestFeedState(clock, instances, { workspaces: undefined });
         const forwarder = createForwarder({
-            state: createTestFeedState(clock, instances, { workspaces: undefined }),
+            state,
             link,
+            promptQuarantine: createTestPromptQuarantine({ state, link, clock }),
             streamOrigins: createTestStreamOrigins(),
             kvCacheStores: { isReachable: () => false, hasPart: () => false },
             dataCentre: "west",
--- a/tests/forwarding/createForwarder.tests.ts
+++ b/tests/forwarding/createForwarder.tests.ts
@@ -16,6 +16,7 @@
 import { createRandomSource } from "../../src/runtime";
 import { StreamOrigins } from "../../src/streamOrigins";
 import { createEmptyTestFeedState, createTestInstance, updateTestFeedState } from "../feed/createTestFeed";
+import { createTestPromptQuarantine } from "../promptQuarantine/createTestPromptQuarantine";
 import { createTestStreamOrigins } from "../streamOrigins/createTestStreamOrigins";
 import { createManualClock } from "../support/createManualClock";
 import { createTestLink, createTestResponse, lostResult, overloadedResult } from "./createTestLink";
@@ -52,6 +53,7 @@
             state,
             link,
             streamOrigins: options.streamOrigins ?? createTestStreamOrigins(),
+            promptQuarantine: createTestPromptQuarantine({ state, link, clock }),
             kvCacheStores: { isReachable: () => false, hasPart: () => false },
             dataCentre: "west",
             signal: new AbortController().signal,
--- a/tests/forwarding/createTestLink.ts
+++ b/tests/forwarding/createTestLink.ts
@@ -1,4 +1,5 @@
 import { AttemptResult, BackendAttempt, BackendLink, HttpResponseHead, ResponseFraming } from "../../src/forwarding";
+import { InstanceState } from "../../src/promptQuarantine";
 
 /** A link whose results are provided by a test. */
 export interface TestLink extends BackendLink {
@@ -22,6 +23,7 @@
             const outcome = probe(instance.instanceId);
             return outcome === "never" ? new Promise(() => undefined) : Promise.resolve(outcome);
         },
+        checkEngine: () => Promise.resolve(InstanceState.Serving),
     };
 }
 
--- /dev/null
+++ b/tests/platform/operators/startOperatorServer.tests.ts
@@ -0,0 +1,48 @@
+import { create, toBinary } from "@bufbuild/protobuf";
+import { expect } from "chai";
+import type { Server } from "node:http";
+import { request } from "undici";
+import { startOperatorServer } from "../../../platform/operators";
+import { getFreeAddress } from "../../../scripts/measure/getFreeAddress";
+import { ReplicatedLog } from "../../../src/control/consensus";
+import { createDocumentState } from "../../../src/documents";
+import { createSilentLogger } from "../../../src/logging";
+import { DocumentCommandSchema } from "../../../src/protocol";
+
+describe("startOperatorServer", () => {
+    let server: Server | undefined;
+    afterEach(() => server?.close());
+
+    async function createFixture() {
+        const documents = createDocumentState();
+        const apply = (bytes: Uint8Array) => documents.apply(bytes, { term: 1n, index: 1n, timeMilliseconds: 500 });
+        const log = {
+            readBarrier: () => Promise.resolve({ kind: "passed", index: 1n }),
+            propose: (bytes: Uint8Array) => {
+                apply(bytes);
+                return Promise.resolve({ kind: "committed", index: 1n, result: new Uint8Array() });
+            },
+        } as unknown as ReplicatedLog;
+        const value = { partId: "bad", instanceIds: ["engine-1"] };
+        apply(toBinary(
+            DocumentCommandSchema,
+            create(DocumentCommandSchema, { command: { case: "quarantinePart", value } }),
+        ));
+        const address = await getFreeAddress();
+        server = await startOperatorServer({ address, log, documents, logger: createSilentLogger() });
+        return async (method: "GET" | "DELETE", path: string) => {
+            const { statusCode, body } = await request(`http://${address}${path}`, { method });
+            return [statusCode, await body.json()];
+        };
+    }
+
+    it("shows the quarantined parts of prompts, and releases one", async () => {
+        const call = await createFixture();
+        const path = "/basilwing/prompt-quarantine";
+        const part = { part: "bad", crashed_instances: ["engine-1"], since_ms: 500, released: false };
+        expect(await call("GET", path)).to.deep.equal([200, { parts: [part] }]);
+        expect(await call("DELETE", `${path}/bad`)).to.deep.equal([200, {}]);
+        expect(await call("GET", path)).to.deep.equal([200, { parts: [{ ...part, released: true }] }]);
+        expect((await call("DELETE", `${path}/bad`))[0]).to.equal(404);
+    });
+});
--- a/tests/platform/soak/startSoakCallers.ts
+++ b/tests/platform/soak/startSoakCallers.ts
@@ -85,7 +85,7 @@
         const route = soakRoutes[random.getInteger(soakRoutes.length)]!;
         const isRevocable = random.getInteger(8) === 0;
         count += 1;
-        const isCrashing = options.hasCrashingPart && count % requestsPerCrashingPart === 0;
+        const isCrashing = options.hasCrashingPart && random.getInteger(requestsPerCrashingPart) === 0;
         const requestId = `${Date.now()}-${count}`;
         const record = { time: Date.now(), isServed: false };
         if (!isRevocable && !isCrashing) {
--- /dev/null
+++ b/tests/promptQuarantine/createPromptQuarantine.tests.ts
@@ -0,0 +1,77 @@
+import { create } from "@bufbuild/protobuf";
+import { expect } from "chai";
+import { createFeedState } from "../../src/feed";
+import { createSilentLogger } from "../../src/logging";
+import { readClocks } from "../../src/membership";
+import { InstanceState } from "../../src/promptQuarantine";
+import { FleetViewSchema, PollResponseSchema } from "../../src/protocol";
+import { createTestDocument } from "../documents/createTestDocument";
+import { createTestInstance, decodeTestDocument } from "../feed/createTestFeed";
+import { createManualClock } from "../support/createManualClock";
+import { createTestPromptQuarantine } from "./createTestPromptQuarantine";
+
+describe("createPromptQuarantine", () => {
+    function createFixture() {
+        const clock = createManualClock();
+        const state = createFeedState({ decode: decodeTestDocument, clock, logger: createSilentLogger() });
+        const link = { checkEngine: () => Promise.resolve(InstanceState.Ended) };
+        const quarantine = createTestPromptQuarantine({ state, link, clock });
+        return { clock, quarantine, receive, crash };
+
+        function receive(quarantinedParts: string[], suspectedParts: string[] = []) {
+            const fleet = create(FleetViewSchema, { quarantinedParts, suspectedParts });
+            const document = createTestDocument();
+            const response = create(PollResponseSchema, {
+                documentVersion: BigInt(document.version),
+                document: Buffer.from(JSON.stringify(document)),
+                fleetRevision: "1.1",
+                fleet,
+            });
+            state.applyResponse(response, readClocks(clock));
+        }
+
+        /** Crashes engines under a part, one each 500 ms. */
+        async function crash(count: number) {
+            for (let index = 0; index < count; index++) {
+                const run = quarantine.beginRun(createTestInstance({ instanceId: `engine-${index}` }), [
+                    "first",
+                    "bad",
+                ]);
+                run.recordBegin();
+                run.lose();
+                quarantine.beginRun(createTestInstance({ instanceId: "engine-x" }), ["first"]).complete();
+                await clock.advance(500);
+            }
+        }
+    }
+
+    it("applies the decisions of the control members", () => {
+        const { quarantine, receive } = createFixture();
+        receive(["bad"], ["maybe"]);
+        expect(["bad", "maybe", "good"].map(id => [quarantine.isQuarantined([id, "x"]), quarantine.isSuspected([id])]))
+            .to.deep.equal([[true, false], [false, true], [false, false]]);
+        receive([]);
+        expect([quarantine.isQuarantined(["bad"]), quarantine.isSuspected(["maybe"])]).to.deep.equal([false, false]);
+    });
+
+    it("decides by its own observations only without contact to the control members", async () => {
+        const { clock, quarantine, receive, crash } = createFixture();
+        await crash(5);
+        receive([]);
+        expect(quarantine.isQuarantined(["first", "bad"])).to.equal(false);
+        await clock.advance(2_001);
+        expect([quarantine.isQuarantined(["first", "bad"]), quarantine.isQuarantined(["first", "good"])])
+            .to.deep.equal([true, false]);
+        receive([]);
+        expect(quarantine.isQuarantined(["first", "bad"])).to.equal(false);
+    });
+
+    it("reports crashes, and completions of the parts in them and of suspects", async () => {
+        const { quarantine, receive, crash } = createFixture();
+        receive([], ["maybe"]);
+        quarantine.beginRun(createTestInstance(), ["maybe", "other"]).complete();
+        await crash(1);
+        const { observations, completions } = quarantine.getReport();
+        expect([observations.length, [...completions.keys()].sort()]).to.deep.equal([1, ["first", "maybe"]]);
+    });
+});
--- /dev/null
+++ b/tests/promptQuarantine/runPartQuarantine.tests.ts
@@ -0,0 +1,88 @@
+import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { expect } from "chai";
+import { ConsensusRole, LogStatus } from "../../src/control/consensus";
+import { createDocumentState } from "../../src/documents";
+import { createSilentLogger } from "../../src/logging";
+import { createPartEvidence, runPartQuarantine } from "../../src/promptQuarantine";
+import { DocumentCommandSchema } from "../../src/protocol";
+import { createManualClock } from "../support/createManualClock";
+
+describe("runPartQuarantine", () => {
+    function createFixture(role = ConsensusRole.Leader) {
+        const clock = createManualClock();
+        const documents = createDocumentState();
+        const evidence = createPartEvidence(clock);
+        const commands: (string | undefined)[] = [];
+        let suspects: readonly string[] = [];
+        void runPartQuarantine({
+            log: {
+                getStatus: () => ({ role }) as LogStatus,
+                propose: bytes => {
+                    commands.push(fromBinary(DocumentCommandSchema, bytes).command.case);
+                    const timeMilliseconds = clock.getWallMilliseconds();
+                    documents.apply(bytes, { term: 1n, index: 1n, timeMilliseconds });
+                    return Promise.resolve({ kind: "committed", term: 1n, index: 1n, result: new Uint8Array() });
+                },
+            },
+            documents,
+            evidence,
+            fleetTracker: { setSuspectedParts: partIds => suspects = partIds },
+            clock,
+            logger: createSilentLogger(),
+            signal: new AbortController().signal,
+        });
+        return { clock, commands, getSuspects: () => suspects, release, reportCrashes };
+
+        function release() {
+            const context = { term: 1n, index: 1n, timeMilliseconds: clock.getWallMilliseconds() };
+            const changes = [
+                { case: "quarantinePart" as const, value: { partId: "bad", instanceIds: [] } },
+                { case: "releasePart" as const, value: { partId: "bad" } },
+            ];
+            for (const command of changes) {
+                documents.apply(
+                    toBinary(DocumentCommandSchema, create(DocumentCommandSchema, { command })),
+                    context,
+                );
+            }
+        }
+
+        /** Reports crashes under a part, one each second. */
+        async function reportCrashes(first: number, last: number) {
+            for (let count = first; count <= last; count++) {
+                evidence.addObservation({
+                    reportId: `1.${count}`,
+                    instanceId: `engine-${count}`,
+                    ageMilliseconds: 0,
+                    begunPartIds: ["bad"],
+                    waitingPartIds: [],
+                });
+                await clock.advance(1_000);
+            }
+        }
+    }
+
+    it("suspects a part first, and quarantines it once", async () => {
+        const { commands, getSuspects, reportCrashes } = createFixture();
+        await reportCrashes(1, 3);
+        expect([getSuspects(), commands]).to.deep.equal([["bad"], []]);
+        await reportCrashes(4, 6);
+        expect([getSuspects(), commands]).to.deep.equal([[], ["quarantinePart"]]);
+    });
+
+    it("decides nothing at a member that is not the leader", async () => {
+        const { commands, reportCrashes } = createFixture(ConsensusRole.Follower);
+        await reportCrashes(1, 6);
+        expect(commands).to.deep.equal([]);
+    });
+
+    it("does not quarantine a released part again by the crashes before", async () => {
+        const { clock, commands, release, reportCrashes } = createFixture();
+        release();
+        await reportCrashes(1, 5);
+        expect(commands).to.deep.equal([]);
+        await clock.advance(60_000);
+        await reportCrashes(6, 10);
+        expect(commands).to.deep.equal(["quarantinePart"]);
+    });
+});
--- /dev/null
+++ b/tests/promptQuarantine/simulateCrashes.ts
@@ -0,0 +1,197 @@
+import { createSilentLogger } from "../../src/logging";
+import { createMetrics } from "../../src/metrics";
+import { createCrashObserver, createPartEvidence, EngineRun, InstanceState } from "../../src/promptQuarantine";
+import { createRandomSource } from "../../src/runtime";
+import { createTestInstance } from "../feed/createTestFeed";
+import { createManualClock } from "../support/createManualClock";
+
+/** The load and the faults of a simulation. */
+export interface CrashSimulationOptions {
+    seed: number;
+    /** The number of parts that crash engines. */
+    guiltyParts?: number;
+    /** The share of the runs with such a part that crash their engine. */
+    crashShare?: number;
+    /** The times at which half of the engines crash for another reason, in milliseconds. */
+    stormMilliseconds?: readonly number[];
+    /** Engines that crash for another reason each second, one at a time. */
+    otherCrashesPerSecond?: number;
+    /** The share of the sound responses that break off without a crash. */
+    brokenShare?: number;
+    /** The number of subjects, each a part that few sound requests share. */
+    subjects?: number;
+}
+
+/** What a simulation has shown. */
+export interface CrashSimulationResult {
+    /** The number of crashes under a guilty part until its verdict, for each guilty part that was found. */
+    crashesUntilVerdict: readonly number[];
+    /** Requests with guilty parts that reached engines later than 3 s after the fifth crash under the part. */
+    lateArrivals: number;
+    /** Sound parts that were quarantined. */
+    falseVerdicts: readonly string[];
+}
+
+interface Engine {
+    id: string;
+    downUntilMilliseconds: number;
+    runs: Set<{ run: EngineRun; retry: () => void; }>;
+}
+
+const engineCount = 8;
+const entryCount = 5;
+const stepMilliseconds = 10;
+const endMilliseconds = 40_000;
+const guiltyFromMilliseconds = 10_000;
+const soundIntervalMilliseconds = 30;
+const guiltyIntervalMilliseconds = 350;
+const pollMilliseconds = 200;
+const restartMilliseconds = 2_000;
+const crashDelayMilliseconds = 90;
+const decisionMilliseconds = 3_000;
+const crashesUntilDecided = 5;
+
+/**
+ * Plays sound requests, requests with guilty parts and other crashes at eight engines behind five entry processes, in
+ * virtual time. Lost requests are sent once more, as long as no part of them is a suspect.
+ */
+export async function simulateCrashes(options: CrashSimulationOptions): Promise<CrashSimulationResult> {
+    const { guiltyParts = 1, crashShare = 1, stormMilliseconds = [], subjects = 60 } = options;
+    const clock = createManualClock();
+    const random = createRandomSource(options.seed);
+    const signal = new AbortController().signal;
+    const engines: Engine[] = [];
+    let startCount = 0;
+    for (let count = 0; count < engineCount; count++) {
+        engines.push({ id: `engine-${++startCount}`, downUntilMilliseconds: 0, runs: new Set() });
+    }
+    const observers = Array.from({ length: entryCount }, (...[, index]) =>
+        createCrashObserver({
+            incarnation: String(index),
+            checkInstance: ({ instanceId }) => {
+                const isServing = engines.some(engine => engine.id === instanceId && !isDown(engine));
+                return Promise.resolve(isServing ? InstanceState.Serving : InstanceState.Ended);
+            },
+            clock,
+            logger: createSilentLogger(),
+            metrics: createMetrics(),
+            signal,
+        }));
+    const evidence = createPartEvidence(clock);
+    const quarantined = new Set<string>();
+    const crashTimes = new Map<string, number[]>();
+    const crashesUntilVerdict: number[] = [];
+    let suspects: readonly string[] = [];
+    let lateArrivals = 0;
+    let count = 0;
+    for (let now = 0; now < endMilliseconds; now += stepMilliseconds) {
+        if (now % soundIntervalMilliseconds === 0) {
+            const subject = Math.floor(subjects * random.getFraction() ** 2);
+            send([`first-${count % 3}`, `subject-${subject}`], undefined, true);
+        }
+        if (guiltyParts > 0 && now >= guiltyFromMilliseconds && now % guiltyIntervalMilliseconds === 0) {
+            const guilty = `guilty-${random.getInteger(guiltyParts)}`;
+            send([`first-${count % 3}`, guilty], guilty, true);
+        }
+        if (stormMilliseconds.includes(now)) {
+            engines.filter((...[, index]) => index % 2 === 0).forEach(crash);
+        }
+        if (random.getFraction() < (options.otherCrashesPerSecond ?? 0) * stepMilliseconds / 1_000) {
+            crash(pickEngine());
+        }
+        if (now % pollMilliseconds === 0) {
+            poll();
+        }
+        await clock.advance(stepMilliseconds);
+    }
+    const falseVerdicts = [...quarantined].filter(partId => !partId.startsWith("guilty"));
+    return { crashesUntilVerdict, lateArrivals, falseVerdicts };
+
+    function isDown(engine: Engine): boolean {
+        return engine.downUntilMilliseconds > clock.getMonotonicMilliseconds();
+    }
+
+    function pickEngine(): Engine {
+        const serving = engines.filter(engine => !isDown(engine));
+        return serving[random.getInteger(serving.length)] ?? engines[0]!;
+    }
+
+    function send(partIds: readonly string[], guilty: string | undefined, mayRetry: boolean): void {
+        count += 1;
+        const engine = pickEngine();
+        if (isDown(engine) || partIds.some(partId => quarantined.has(partId))) {
+            return;
+        }
+        const now = clock.getMonotonicMilliseconds();
+        if (guilty !== undefined && now > getDecidedTime(guilty) + decisionMilliseconds) {
+            lateArrivals += 1;
+        }
+        const run = observers[random.getInteger(entryCount)]!.beginRun(
+            createTestInstance({ instanceId: engine.id }),
+            partIds,
+        );
+        const retry = () => {
+            if (mayRetry && !partIds.some(partId => suspects.includes(partId))) {
+                send(partIds, guilty, false);
+            }
+        };
+        const entry = { run, retry };
+        engine.runs.add(entry);
+        void play();
+
+        async function play(): Promise<void> {
+            await clock.sleep(30 + random.getInteger(400));
+            run.recordBegin();
+            if (guilty !== undefined && random.getFraction() < crashShare) {
+                await clock.sleep(crashDelayMilliseconds);
+                if (engine.runs.has(entry)) {
+                    crashTimes.set(guilty, [...crashTimes.get(guilty) ?? [], clock.getMonotonicMilliseconds()]);
+                    crash(engine);
+                }
+                return;
+            }
+            await clock.sleep(50 + random.getInteger(2_500));
+            if (engine.runs.delete(entry)) {
+                if (random.getFraction() < (options.brokenShare ?? 0)) {
+                    run.lose();
+                }
+                else {
+                    run.complete();
+                }
+            }
+        }
+    }
+
+    function crash(engine: Engine): void {
+        const lost = [...engine.runs];
+        engine.id = `engine-${++startCount}`;
+        engine.downUntilMilliseconds = clock.getMonotonicMilliseconds() + restartMilliseconds;
+        engine.runs = new Set();
+        lost.forEach(({ run }) => run.lose());
+        lost.forEach(({ retry }) => retry());
+    }
+
+    function poll(): void {
+        const entries = observers.map((observer, index) => ({ observer, index, crashes: observer.getObservations() }));
+        entries.forEach(({ crashes }) => crashes.forEach(evidence.addObservation));
+        for (const { observer, index, crashes } of entries) {
+            const accused = new Set([
+                ...suspects,
+                ...crashes.flatMap(({ begunPartIds, waitingPartIds }) => [...begunPartIds, ...waitingPartIds]),
+            ]);
+            evidence.setCompletions(String(index), observer.getCompletions(accused));
+        }
+        for (const { partId } of evidence.getGuiltyParts()) {
+            quarantined.add(partId);
+            if (partId.startsWith("guilty")) {
+                crashesUntilVerdict.push(crashTimes.get(partId)?.length ?? 0);
+            }
+        }
+        quarantined.forEach(evidence.explainCrashes);
+        suspects = evidence.getSuspects();
+    }
+
+    function getDecidedTime(guilty: string): number {
+        return crashTimes.get(guilty)?.[crashesUntilDecided - 1] ?? Infinity;
+    }
+}
