Decode the limit that a backend server names, and log its changes

Change: the platform's adapter decodes Server-Limit into the attempt's result, with bounds and an outcome for malformed values; entry processes log each change. Nothing is limited yet.

--- a/src/forwarding/AttemptResult.ts
+++ b/src/forwarding/AttemptResult.ts
@@ -1,6 +1,7 @@
 /*
  * The result of one attempt at a backend server.
  */
+import { RequestLimit } from "../serverLimits";
 import { HttpResponseHead } from "./HttpResponseHead";
 import { LoadReport } from "./LoadReport";
 import { ResponseFraming } from "./ResponseFraming";
@@ -22,6 +23,8 @@
         retryAfterMilliseconds: number | undefined;
         /** The load that the instance reported with the response. */
         load: LoadReport | undefined;
+        /** The limit that the instance named with the response. */
+        requestLimit: RequestLimit;
     }
     /** The request was sent but no response was received: it may have run. */
     | { kind: "lost"; reason: string; }
@@ -32,6 +35,8 @@
         head: HttpResponseHead;
         /** The load that the instance reported with the response. */
         load: LoadReport | undefined;
+        /** The limit that the instance named with the response. */
+        requestLimit: RequestLimit;
         /** The body as it arrives; ends with the response, whether that is complete or not. */
         body: AsyncIterable<Uint8Array>;
         /** What marks the end of the body. */
--- a/src/forwarding/ForwarderOptions.ts
+++ b/src/forwarding/ForwarderOptions.ts
@@ -6,6 +6,7 @@
 import { Metrics } from "../metrics";
 import { PromptQuarantine } from "../promptQuarantine";
 import { Clock, RandomSource } from "../runtime";
+import { ServerLimits } from "../serverLimits";
 import { StreamOrigins } from "../streamOrigins";
 import { BackendLink } from "./BackendLink";
 import { KvCacheStoreView } from "./KvCacheStoreView";
@@ -20,6 +21,8 @@
     streamOrigins: StreamOrigins;
     /** Which parts of prompts crash engines. */
     promptQuarantine: PromptQuarantine;
+    /** The limits that backend servers name. */
+    serverLimits: ServerLimits;
     /** The contents of the KV cache stores. */
     kvCacheStores: KvCacheStoreView;
     /** The entry process's data centre. */
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -44,7 +44,7 @@
  * @param options - The options of the forwarder.
  */
 export function createAttemptDispatcher(options: ForwarderOptions): AttemptDispatcher {
-    const { state, link, dataCentre, clock, random, metrics } = options;
+    const { state, link, serverLimits, dataCentre, clock, random, metrics } = options;
     const liveness = createLivenessMonitor({ link, clock, logger: options.logger, signal: options.signal });
     const loads = createLoadTracker(clock, liveness.isUnresponsive);
     const ranking = createRendezvousRanking();
@@ -192,6 +192,9 @@
                 if (result.isMisdirected && result.answeredBy !== undefined && result.answeredBy !== instanceId) {
                     loads.recordReplaced(instanceId);
                 }
+                if (!result.isMisdirected) {
+                    serverLimits.recordLimit(instanceId, result.requestLimit);
+                }
                 if (result.load) {
                     loads.recordReport(instanceId, result.load);
                 }
@@ -221,8 +224,9 @@
     function recordResponse(
         task: ForwardingTask,
         instance: FleetInstance,
-        { head, load }: Extract<AttemptResult, { kind: "answered"; }>,
+        { head, load, requestLimit }: Extract<AttemptResult, { kind: "answered"; }>,
     ): boolean {
+        serverLimits.recordLimit(instance.instanceId, requestLimit);
         if (load) {
             loads.recordReport(instance.instanceId, load);
         }
--- a/tests/forwarding/crashingParts.tests.ts
+++ b/tests/forwarding/crashingParts.tests.ts
@@ -4,6 +4,7 @@
 import { createMetrics } from "../../src/metrics";
 import { InstanceState } from "../../src/promptQuarantine";
 import { createRandomSource } from "../../src/runtime";
+import { createServerLimits } from "../../src/serverLimits";
 import { createTestFeedState, createTestInstance } from "../feed/createTestFeed";
 import { createTestPromptQuarantine } from "../promptQuarantine/createTestPromptQuarantine";
 import { createTestStreamOrigins } from "../streamOrigins/createTestStreamOrigins";
@@ -55,6 +56,7 @@
             state,
             link,
             promptQuarantine: createTestPromptQuarantine({ state, link, clock }),
+            serverLimits: createServerLimits({ logger: createSilentLogger() }),
             streamOrigins: createTestStreamOrigins(),
             kvCacheStores: { isReachable: () => false, hasPart: () => false },
             dataCentre: "west",
--- a/tests/forwarding/createTestLink.ts
+++ b/tests/forwarding/createTestLink.ts
@@ -43,6 +43,7 @@
         kind: "answered",
         head: createTestHead(status),
         load: undefined,
+        requestLimit: { kind: "none" },
         framing,
         body: (async function*() {
             for (const part of parts) {
@@ -61,6 +62,7 @@
     status: 503,
     retryAfterMilliseconds: undefined,
     load: undefined,
+    requestLimit: { kind: "none" },
 };
 
 /** The result of an attempt whose response was never received. */
