Add failing tests for backend servers that name a limit

Reproduced: five forwarders with 20 requests a second send 35 requests in 4 s to an engine that names 1.1 a second.

--- a/tests/platform/soak/RunTracker.ts
+++ b/tests/platform/soak/RunTracker.ts
@@ -33,6 +33,8 @@
      * @param isStable - Returns whether the deployment is stable.
      */
     setStabilityCheck(isStable: () => boolean): void;
+    /** Returns whether nothing unplanned happens or happened a moment ago. */
+    isStable(): boolean;
     /** Gets how many times a request ran. */
     getRunCount(requestId: string): number;
     /** Records a broken guarantee. */
--- a/tests/platform/soak/createRunTracker.ts
+++ b/tests/platform/soak/createRunTracker.ts
@@ -30,6 +30,7 @@
         wasBrokenOff: requestId => brokenOffIds.has(requestId),
         recordCrashingArrival,
         recordCrash,
+        isStable: () => isStable(),
         setStabilityCheck: newCheck => isStable = newCheck,
         getRunCount,
         addBreach: text => void breaches.push(text),
--- a/tests/platform/soak/startSoakBackend.ts
+++ b/tests/platform/soak/startSoakBackend.ts
@@ -6,6 +6,7 @@
 import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { RandomSource } from "../../../src/runtime";
+import { SoakRequestLimit } from "./createSoakRequestLimit";
 import { formatSoakEvent } from "./formatSoakEvent";
 import { resetSocket } from "./resetSocket";
 import { RunTracker } from "./RunTracker";
@@ -35,6 +36,8 @@
     isEngine: boolean;
     /** The version of its software at first. */
     softwareVersion: string;
+    /** The limit that it names; undefined for none. */
+    requestLimit?: SoakRequestLimit;
     /** Records the runs of requests. */
     runTracker: RunTracker;
     /** Chooses how streams are framed and which of them are broken off. */
@@ -43,7 +46,7 @@
 
 /** Starts a backend server on a port that the operating system chooses. */
 export async function startSoakBackend(options: SoakBackendOptions): Promise<SoakBackend> {
-    const { ip, name, service, isEngine, runTracker, random } = options;
+    const { ip, name, service, isEngine, requestLimit, runTracker, random } = options;
     const sockets = new Set<Socket>();
     const runningIds = new Set<string>();
     let downUntilMilliseconds = 0;
@@ -96,6 +99,7 @@
         orderCount = 0;
         highestFencingToken = 0;
         isLoading = false;
+        requestLimit?.restart();
         sockets.forEach(resetSocket);
     }
 
@@ -165,7 +169,12 @@
             runTracker.addBreach(`${requestId} came with a key or with a foreign body`);
         }
         runTracker.recordRun(requestId, String(request.headers["basilwing-tenant"]));
-        const headers = { "basilwing-request-id": requestId, "basilwing-response-seal": `seal-${requestId}` };
+        requestLimit?.recordArrival();
+        const headers = {
+            "basilwing-request-id": requestId,
+            "basilwing-response-seal": `seal-${requestId}`,
+            ...requestLimit?.getHeaders(),
+        };
         if (!isEngine) {
             await sleep(serviceMilliseconds);
             sendJson(response, 200, { answer: requestId }, headers);
--- a/tests/platform/soak/startSoakDeployment.ts
+++ b/tests/platform/soak/startSoakDeployment.ts
@@ -4,6 +4,7 @@
  */
 import { join } from "node:path";
 import { createRandomSource } from "../../../src/runtime";
+import { createSoakRequestLimit } from "./createSoakRequestLimit";
 import { RunTracker } from "./RunTracker";
 import { SoakDeployment } from "./SoakDeployment";
 import { soakPorts } from "./soakPorts";
@@ -18,6 +19,9 @@
 const engineNumbers = [21, 22, 23];
 const plainServiceNumbers = [31, 32];
 const platformListNumber = 41;
+/** The engine that names a limit for some time, in all but one of this many neighbouring seeds. */
+const limitedNumber = 22;
+const seedsPerLimit = 2;
 /** Keeps the seeds of backend servers apart in runs with neighbouring seeds. */
 const backendSeedDistance = 1_000_003;
 
@@ -39,14 +43,18 @@
     const backends = await Promise.all([...engineNumbers, ...plainServiceNumbers].map(number => {
         const isEngine = engineNumbers.includes(number);
         const service = isEngine ? "engines" : "actions";
+        const random = createRandomSource(seed + number * backendSeedDistance);
         return startSoakBackend({
             ip: getIp(number),
             name: `${service}-${number}`,
             service,
             isEngine,
             softwareVersion: soakSoftwareVersions[number % soakSoftwareVersions.length]!,
+            requestLimit: number === limitedNumber && seed % seedsPerLimit !== 0
+                ? createSoakRequestLimit(random, runTracker)
+                : undefined,
             runTracker,
-            random: createRandomSource(seed + number * backendSeedDistance),
+            random,
         });
     }));
     const backendProxies = await Promise.all(
