Keep the limits that backend servers name, by all entry processes together

What the users saw: a server that had named 1.1 requests a second got 20 in 4 s from entry processes that it had told (LIMIT, second1). Cause: the header was passed on to callers and otherwise ignored; placement had no notion of a rate. Change: entry processes report what they hear with each poll, the leader joins the statements and divides each limit among a few entry processes in the fleet view, and each holder has a token bucket for one request. Servers without a token are left out of placement; where all are, the caller is refused at once, with the time until a token is there.

--- a/src/feed/EntryRegistry.ts
+++ b/src/feed/EntryRegistry.ts
@@ -11,4 +11,6 @@
     recordPoll(entryId: string): void;
     /** Gets the number of entry processes that have polled recently. */
     getCount(): number;
+    /** Gets the ids of the entry processes that have polled recently, in order. */
+    getIds(): readonly string[];
 }
--- a/src/feed/FeedHandlerOptions.ts
+++ b/src/feed/FeedHandlerOptions.ts
@@ -5,6 +5,7 @@
 import { DocumentState } from "../documents";
 import { PartEvidence } from "../promptQuarantine";
 import { Clock } from "../runtime";
+import { LimitLedger } from "../serverLimits";
 import { EntryRegistry } from "./EntryRegistry";
 import { FleetSource } from "./FleetSource";
 
@@ -18,8 +19,10 @@
     fleet: FleetSource;
     /** Counts the entry processes that poll. */
     entryRegistry: EntryRegistry;
-    /** Receives the reports that come with the polls. */
+    /** Receives the reports of crashes that come with the polls. */
     evidence: PartEvidence;
+    /** Receives the statements on limits that come with the polls. */
+    limitLedger: LimitLedger;
     /** Measures the wait of polls. */
     clock: Clock;
 }
--- a/src/feed/FeedState.ts
+++ b/src/feed/FeedState.ts
@@ -14,6 +14,8 @@
     getFleet(): FleetView | undefined;
     /** Returns a promise that resolves once both a document and a fleet view have been received. */
     waitForInitialState(): Promise<void>;
+    /** Gets the time since the fleet view was received, in milliseconds. */
+    getFleetAgeMilliseconds(): number;
     /** Gets the revision of the fleet view; empty before the first one. */
     getFleetRevision(): string;
     /** Gets the internal addresses of the control members; empty before the first response. */
--- a/src/feed/FeedTaskOptions.ts
+++ b/src/feed/FeedTaskOptions.ts
@@ -4,6 +4,7 @@
 import { Logger } from "../logging";
 import { CrashReport } from "../promptQuarantine";
 import { Clock, RandomSource } from "../runtime";
+import { LimitStatement } from "../serverLimits";
 import { FeedClient } from "./FeedClient";
 import { FeedState } from "./FeedState";
 
@@ -17,8 +18,10 @@
     client: FeedClient;
     /** The state that the responses update. */
     state: FeedState;
-    /** Gets what is reported with each poll. */
+    /** Gets the crashes that are reported with each poll. */
     getCrashReport(): CrashReport;
+    /** Gets the statements on limits that are reported with each poll. */
+    getLimitStatements(): readonly LimitStatement[];
     /** Provides the time and the delays between retries. */
     clock: Clock;
     /** Randomizes the first member and the retry delays, so that entry processes do not poll in step. */
--- a/src/feed/createEntryRegistry.ts
+++ b/src/feed/createEntryRegistry.ts
@@ -16,19 +16,19 @@
  */
 export function createEntryRegistry(clock: Clock): EntryRegistry {
     const pollTimes = new Map<string, number>();
-    return { recordPoll, getCount };
+    return { recordPoll, getCount: () => getIds().length, getIds };
 
     function recordPoll(entryId: string): void {
         pollTimes.set(entryId, clock.getMonotonicMilliseconds());
     }
 
-    function getCount(): number {
+    function getIds(): readonly string[] {
         const oldestActive = clock.getMonotonicMilliseconds() - activeMilliseconds;
         for (const [entryId, time] of pollTimes) {
             if (time < oldestActive) {
                 pollTimes.delete(entryId);
             }
         }
-        return pollTimes.size;
+        return [...pollTimes.keys()].sort();
     }
 }
--- a/src/feed/createFeedHandler.ts
+++ b/src/feed/createFeedHandler.ts
@@ -30,6 +30,7 @@
     async function poll(request: PollRequest): Promise<PollResponse> {
         entryRegistry.recordPoll(request.entryId);
         addCrashReport(options.evidence, request);
+        request.limitStatements.forEach(options.limitLedger.addStatement);
         const endMilliseconds = clock.getMonotonicMilliseconds()
             + Math.min(request.waitMilliseconds, maximumWaitMilliseconds);
         while (isLeader() && !hasChanges(request) && clock.getMonotonicMilliseconds() < endMilliseconds) {
--- a/src/feed/createFeedState.ts
+++ b/src/feed/createFeedState.ts
@@ -28,6 +28,7 @@
         getRouteTable: () => table,
         getFleet: () => fleet,
         waitForInitialState: () => initialState,
+        getFleetAgeMilliseconds: () => getElapsedMilliseconds(clock, fleetReceived),
         getFleetRevision: () => fleetRevision,
         getMemberAddresses: () => memberAddresses,
         getEntryCount: () => entryCount,
--- a/src/feed/runFeed.ts
+++ b/src/feed/runFeed.ts
@@ -6,7 +6,7 @@
 import { create } from "@bufbuild/protobuf";
 import { readClocks } from "../membership";
 import { encodeCrashReport } from "../promptQuarantine";
-import { PollOutcome, PollRequestSchema } from "../protocol";
+import { LimitStatementSchema, PollOutcome, PollRequestSchema } from "../protocol";
 import { FeedTaskOptions } from "./FeedTaskOptions";
 
 /** How long a poll waits for changes, in milliseconds; without faults, the document's age also grows to this. */
@@ -34,6 +34,7 @@
             documentVersion: BigInt(state.getRouteTable()?.document.version ?? 0),
             fleetRevision: state.getFleetRevision(),
             ...encodeCrashReport(options.getCrashReport()),
+            limitStatements: options.getLimitStatements().map(fields => create(LimitStatementSchema, fields)),
             waitMilliseconds: isConnected ? pollWaitMilliseconds : 0,
         });
         const timeoutMilliseconds = responseTimeoutMilliseconds + request.waitMilliseconds;
--- a/src/fleet/FleetTracker.ts
+++ b/src/fleet/FleetTracker.ts
@@ -3,6 +3,7 @@
  */
 import { FleetSource } from "../feed";
 import { FleetInstance, LoadedWeights } from "../protocol";
+import { SharedLimit } from "../serverLimits";
 
 /** Tracks the backend servers of the fleet. */
 export interface FleetTracker extends FleetSource {
@@ -42,4 +43,9 @@
      * @param partIds - The ids of the parts.
      */
     setSuspectedParts(partIds: readonly string[]): void;
+    /**
+     * Replaces the limits of backend servers.
+     * @param limits - The limits, by instance id in order.
+     */
+    setServerLimits(limits: readonly SharedLimit[]): void;
 }
--- a/src/fleet/createFleetTracker.ts
+++ b/src/fleet/createFleetTracker.ts
@@ -5,8 +5,16 @@
  */
 import { create } from "@bufbuild/protobuf";
 import { DocumentState } from "../documents";
-import { FleetInstance, FleetInstanceSchema, FleetViewSchema, LoadedWeights, WeightsTargetSchema } from "../protocol";
+import {
+    FleetInstance,
+    FleetInstanceSchema,
+    FleetViewSchema,
+    LoadedWeights,
+    ServerLimitSchema,
+    WeightsTargetSchema,
+} from "../protocol";
 import { Clock } from "../runtime";
+import { SharedLimit } from "../serverLimits";
 import { FleetTracker } from "./FleetTracker";
 
 /**
@@ -28,6 +36,7 @@
     let revisionCount = 0;
     let digest = "";
     let suspectedParts: readonly string[] = [];
+    let serverLimits: readonly SharedLimit[] = [];
     documents.addListener(update);
     return {
         reset,
@@ -37,6 +46,7 @@
         recordTermination,
         setLoading,
         setSuspectedParts,
+        setServerLimits,
         getRevision: () => instances === undefined ? "" : `${term}.${revisionCount}`,
         getView,
     };
@@ -47,6 +57,7 @@
         loadingIds.clear();
         reportedVersions.clear();
         suspectedParts = [];
+        serverLimits = [];
         digest = "";
     }
 
@@ -86,6 +97,11 @@
         update();
     }
 
+    function setServerLimits(limits: readonly SharedLimit[]): void {
+        serverLimits = limits;
+        update();
+    }
+
     function getQuarantinedIds(): string[] {
         return documents.getQuarantinedParts().filter(({ isReleased }) => !isReleased).map(({ partId }) => partId);
     }
@@ -117,6 +133,16 @@
             ),
             quarantinedParts: getQuarantinedIds(),
             suspectedParts: [...suspectedParts],
+            limits: serverLimits.map(limit =>
+                create(ServerLimitSchema, {
+                    ...limit,
+                    ageMilliseconds: Math.max(
+                        0,
+                        Math.round(clock.getMonotonicMilliseconds() - limit.timeMilliseconds),
+                    ),
+                    holderIds: [...limit.holderIds],
+                })
+            ),
         });
     }
 
@@ -131,6 +157,7 @@
             named,
             getQuarantinedIds(),
             suspectedParts,
+            serverLimits.map(limit => ({ ...limit, timeMilliseconds: undefined })),
         ]);
         if (newDigest !== digest) {
             digest = newDigest;
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -69,11 +69,15 @@
             if (refusal) {
                 return { kind: "givenUp", refusal };
             }
-            const instance = chooseInstance(task);
+            const candidates = getCandidates(task);
+            const instance = chooseInstance(task, candidates);
+            if (!instance && candidates.length > 0) {
+                return { kind: "givenUp", refusal: getLimitRefusal(task, candidates) };
+            }
             if (!instance || task.triedInstanceIds.size >= maximumTriedInstances || !tryTakeAttempt(task)) {
                 return { kind: "givenUp", refusal: getNoCapacityRefusal(task, retryAfterMilliseconds) };
             }
-            if (await scheduler.waitForPrefill(task, instance)) {
+            if (await scheduler.waitForPrefill(task, instance) || !serverLimits.tryTake(instance.instanceId)) {
                 continue;
             }
             const result = await send(task, instance, lastEventId ?? request.lastEventId);
@@ -114,17 +118,28 @@
         return task.sentCount === 0 || retryBudgets.tryTakeRetry(task.admission.service.name);
     }
 
-    /** Chooses a backend server that has not been tried yet. */
-    function chooseInstance(task: ForwardingTask): FleetInstance | undefined {
-        const { request: { prompt }, admission: { service }, triedInstanceIds } = task;
-        const candidates = (state.getFleet()?.instances ?? []).filter(instance =>
+    /** Gets the backend servers that have not been tried yet. */
+    function getCandidates(task: ForwardingTask): readonly FleetInstance[] {
+        const { admission: { service }, triedInstanceIds } = task;
+        return (state.getFleet()?.instances ?? []).filter(instance =>
             instance.service === service.name && !instance.isLeaving && !triedInstanceIds.has(instance.instanceId)
             && (task.softwareVersion === undefined || instance.softwareVersion === task.softwareVersion)
         );
-        if (service.kind === "engine" && prompt) {
-            return scheduler.choose(task, candidates);
-        }
-        return chooseLeastLoadedInstance(candidates, loads, dataCentre, random);
+    }
+
+    /** Chooses one of the candidates whose limit allows a request now. */
+    function chooseInstance(task: ForwardingTask, candidates: readonly FleetInstance[]): FleetInstance | undefined {
+        const { request: { prompt }, admission: { service } } = task;
+        const allowed = candidates.filter(({ instanceId }) => serverLimits.getWaitMilliseconds(instanceId) === 0);
+        return service.kind === "engine" && prompt
+            ? scheduler.choose(task, allowed)
+            : chooseLeastLoadedInstance(allowed, loads, dataCentre, random);
+    }
+
+    /** Gets the refusal where the limits of all candidates are used up; its delay is random, to spread the callers. */
+    function getLimitRefusal(task: ForwardingTask, candidates: readonly FleetInstance[]): Refusal {
+        const waits = candidates.map(({ instanceId }) => serverLimits.getWaitMilliseconds(instanceId));
+        return getTaskRefusal(task, RefusalReason.OVERLOADED, Math.min(...waits) * (1 + random.getFraction()));
     }
 
     async function send(
@@ -185,6 +200,7 @@
         switch (result.kind) {
             case "notSent":
                 task.sentCount -= 1;
+                serverLimits.giveBack(instanceId);
                 loads.recordFailure(instanceId);
                 recordFailedAttempt(task, instance, RetryReason.Unreachable, result.reason);
                 return false;
--- a/tests/feed/createFeedHandler.tests.ts
+++ b/tests/feed/createFeedHandler.tests.ts
@@ -3,8 +3,10 @@
 import { ConsensusRole, LogStatus, ReadBarrierOutcome } from "../../src/control/consensus";
 import { createDocumentState } from "../../src/documents";
 import { createEntryRegistry, createFeedHandler } from "../../src/feed";
+import { createRendezvousRanking } from "../../src/forwarding";
 import { createPartEvidence } from "../../src/promptQuarantine";
 import { DocumentCommandSchema, FleetViewSchema, PollOutcome, PollRequestSchema } from "../../src/protocol";
+import { createLimitLedger } from "../../src/serverLimits";
 import { createManualClock } from "../support/createManualClock";
 
 describe("createFeedHandler", () => {
@@ -33,6 +35,7 @@
             fleet: { getRevision: () => fixture.fleetRevision, getView: () => create(FleetViewSchema) },
             entryRegistry: createEntryRegistry(clock),
             evidence: createPartEvidence(clock),
+            limitLedger: createLimitLedger(clock, createRendezvousRanking()),
             clock,
         });
         return fixture;
--- a/tests/feed/runFeed.tests.ts
+++ b/tests/feed/runFeed.tests.ts
@@ -34,6 +34,7 @@
             },
             state,
             getCrashReport: () => ({ observations: [], completions: new Map() }),
+            getLimitStatements: () => [],
             clock,
             random: createRandomSource(3),
             logger: createSilentLogger(),
--- a/tests/forwarding/crashingParts.tests.ts
+++ b/tests/forwarding/crashingParts.tests.ts
@@ -4,9 +4,9 @@
 import { createMetrics } from "../../src/metrics";
 import { InstanceState } from "../../src/promptQuarantine";
 import { createRandomSource } from "../../src/runtime";
-import { createServerLimits } from "../../src/serverLimits";
 import { createTestFeedState, createTestInstance } from "../feed/createTestFeed";
 import { createTestPromptQuarantine } from "../promptQuarantine/createTestPromptQuarantine";
+import { createTestServerLimits } from "../serverLimits/createTestServerLimits";
 import { createTestStreamOrigins } from "../streamOrigins/createTestStreamOrigins";
 import { createManualClock } from "../support/createManualClock";
 import { createTestLink, createTestResponse } from "./createTestLink";
@@ -56,7 +56,7 @@
             state,
             link,
             promptQuarantine: createTestPromptQuarantine({ state, link, clock }),
-            serverLimits: createServerLimits({ logger: createSilentLogger() }),
+            serverLimits: createTestServerLimits(state, clock),
             streamOrigins: createTestStreamOrigins(),
             kvCacheStores: { isReachable: () => false, hasPart: () => false },
             dataCentre: "west",
--- a/tests/forwarding/createForwarder.tests.ts
+++ b/tests/forwarding/createForwarder.tests.ts
@@ -14,10 +14,10 @@
 import { createMetrics } from "../../src/metrics";
 import { FleetInstance, RefusalReason, StreamOrigin, StreamOriginSchema } from "../../src/protocol";
 import { createRandomSource } from "../../src/runtime";
-import { createServerLimits } from "../../src/serverLimits";
 import { StreamOrigins } from "../../src/streamOrigins";
 import { createEmptyTestFeedState, createTestInstance, updateTestFeedState } from "../feed/createTestFeed";
 import { createTestPromptQuarantine } from "../promptQuarantine/createTestPromptQuarantine";
+import { createTestServerLimits } from "../serverLimits/createTestServerLimits";
 import { createTestStreamOrigins } from "../streamOrigins/createTestStreamOrigins";
 import { createManualClock } from "../support/createManualClock";
 import { createTestLink, createTestResponse, lostResult, overloadedResult } from "./createTestLink";
@@ -55,7 +55,7 @@
             link,
             streamOrigins: options.streamOrigins ?? createTestStreamOrigins(),
             promptQuarantine: createTestPromptQuarantine({ state, link, clock }),
-            serverLimits: createServerLimits({ logger: createSilentLogger() }),
+            serverLimits: createTestServerLimits(state, clock),
             kvCacheStores: { isReachable: () => false, hasPart: () => false },
             dataCentre: "west",
             signal: new AbortController().signal,
--- a/tests/forwarding/requestLimits.tests.ts
+++ b/tests/forwarding/requestLimits.tests.ts
@@ -1,11 +1,17 @@
+import { create } from "@bufbuild/protobuf";
 import { expect } from "chai";
-import { AttemptResult, createForwarder } from "../../src/forwarding";
+import { createDocumentState } from "../../src/documents";
+import { createFleetTracker } from "../../src/fleet";
+import { AttemptResult, createForwarder, createRendezvousRanking, Refusal } from "../../src/forwarding";
 import { createSilentLogger } from "../../src/logging";
+import { readClocks } from "../../src/membership";
 import { createMetrics } from "../../src/metrics";
+import { PollOutcome, PollResponseSchema, RefusalReason } from "../../src/protocol";
 import { createRandomSource } from "../../src/runtime";
-import { createServerLimits } from "../../src/serverLimits";
+import { createLimitLedger } from "../../src/serverLimits";
 import { createTestFeedState, createTestInstance } from "../feed/createTestFeed";
 import { createTestPromptQuarantine } from "../promptQuarantine/createTestPromptQuarantine";
+import { createTestServerLimits } from "../serverLimits/createTestServerLimits";
 import { createTestStreamOrigins } from "../streamOrigins/createTestStreamOrigins";
 import { createManualClock } from "../support/createManualClock";
 import { createTestLink, createTestResponse } from "./createTestLink";
@@ -21,10 +27,17 @@
     interface TrafficOptions {
         requestsPerSecond: number;
         entryCount: number;
+        /** Whether the entry processes have contact to control. */
+        hasControl?: boolean;
+        /** When the engine names no limit any more. */
+        limitedUntilMilliseconds?: number;
+        /** Whether all engines name the limit. */
+        areAllLimited?: boolean;
     }
 
     /** Sends 20 requests a second to three engines, of which the first names a limit from the first second on. */
-    async function runTraffic({ requestsPerSecond, entryCount }: TrafficOptions) {
+    async function runTraffic(options: TrafficOptions) {
+        const { requestsPerSecond, entryCount, limitedUntilMilliseconds = Infinity } = options;
         const clock = createManualClock();
         const instances = ["engine-1", "engine-2", "engine-3"].map(instanceId => createTestInstance({ instanceId }));
         const arrivalTimes: number[] = [];
@@ -33,22 +46,23 @@
                 AttemptResult,
                 { kind: "answered"; }
             >;
-            const isLimited = attempt.instance.instanceId === "engine-1"
-                && clock.getMonotonicMilliseconds() >= limitedFromMilliseconds;
-            if (!isLimited) {
-                return response;
+            if (attempt.instance.instanceId === "engine-1") {
+                arrivalTimes.push(clock.getMonotonicMilliseconds());
             }
-            arrivalTimes.push(clock.getMonotonicMilliseconds());
-            return { ...response, requestLimit: { kind: "limited", requestsPerSecond } };
+            const isLimited = (options.areAllLimited || attempt.instance.instanceId === "engine-1")
+                && clock.getMonotonicMilliseconds() >= limitedFromMilliseconds
+                && clock.getMonotonicMilliseconds() < limitedUntilMilliseconds;
+            return isLimited ? { ...response, requestLimit: { kind: "limited", requestsPerSecond } } : response;
         });
-        const state = createTestFeedState(clock, instances, { workspaces: undefined });
-        state.getEntryCount = () => entryCount;
-        const forwarders = Array.from({ length: entryCount }, (...[, index]) =>
-            createForwarder({
+        const entries = Array.from({ length: entryCount }, (...[, index]) => {
+            const state = createTestFeedState(clock, instances, { workspaces: undefined });
+            state.getEntryCount = () => entryCount;
+            const serverLimits = createTestServerLimits(state, clock, `entry-${index}`);
+            const forwarder = createForwarder({
                 state,
                 link,
                 promptQuarantine: createTestPromptQuarantine({ state, link, clock }),
-                serverLimits: createServerLimits({ logger: createSilentLogger() }),
+                serverLimits,
                 streamOrigins: createTestStreamOrigins(),
                 kvCacheStores: { isReachable: () => false, hasPart: () => false },
                 dataCentre: "west",
@@ -61,14 +75,23 @@
                 random: createRandomSource(index),
                 logger: createSilentLogger(),
                 metrics: createMetrics(),
-            }));
+            });
+            return { state, serverLimits, forwarder, entryId: `entry-${index}` };
+        });
+        const ledger = createLimitLedger(clock, createRendezvousRanking());
+        const tracker = createFleetTracker(createDocumentState(), clock, () => undefined);
+        tracker.setInstances(instances);
+        const refusals: Refusal[] = [];
         let served = 0;
         let sent = 0;
         for (let count = 0; count < 400; count++) {
+            if (options.hasControl && count % 8 === 0) {
+                pollControl();
+            }
             const reply = createTestReply();
             const { prompt, ...request } = createTestRequest.createPrompt("/labels/1");
             const parts = [`a${count % 7}`, `d${count}`].map(id => ({ id, tokens: 100 }));
-            void forwarders[count % entryCount]!.forward(
+            void entries[count % entryCount]!.forwarder.forward(
                 createTestRequest({
                     ...request,
                     requestId: `request-${count}`,
@@ -80,8 +103,21 @@
             await clock.advance(intervalMilliseconds);
             sent += 1;
             served += reply.getText().startsWith("200") ? 1 : 0;
+            refusals.push(...[reply.getRefusal()].filter(refusal => refusal !== undefined));
+        }
+        const limitedTimes = arrivalTimes.filter(time => time < limitedUntilMilliseconds);
+        const laterCount = arrivalTimes.length - limitedTimes.length;
+        return { served, sent, refusals, laterCount, mostInWindow: getMostInWindow(limitedTimes) };
+
+        function pollControl(): void {
+            entries.forEach(({ serverLimits }) => serverLimits.getStatements().forEach(ledger.addStatement));
+            tracker.setServerLimits(ledger.getSharedLimits(entries.map(({ entryId }) => entryId)));
+            const fleet = tracker.getView();
+            for (const { state } of entries) {
+                const response = { outcome: PollOutcome.CURRENT, fleet, fleetRevision: tracker.getRevision() };
+                state.applyResponse(create(PollResponseSchema, response), readClocks(clock));
+            }
         }
-        return { served, sent, mostInWindow: getMostInWindow(arrivalTimes) };
     }
 
     function getMostInWindow(times: readonly number[]): number {
@@ -97,4 +133,41 @@
         expect(mostInWindow).to.be.at.most(1.5 * 4 * 1.1 + 5);
         expect(served).to.equal(sent);
     });
+
+    async function doTest(options: TrafficOptions, minimumInWindow: number) {
+        const { mostInWindow, served, sent } = await runTraffic({ ...options, hasControl: true });
+        expect(mostInWindow).to.be.within(minimumInWindow, 1.5 * 4 * options.requestsPerSecond + 5);
+        expect(served).to.equal(sent);
+    }
+
+    it("shares the limit among entry processes that follow control", () =>
+        doTest({ requestsPerSecond: 1.1, entryCount: 5 }, 4));
+    it("lets a few of many entry processes share a small limit", () =>
+        doTest({ requestsPerSecond: 1.1, entryCount: 40 }, 2));
+    it("lets one entry process use a whole limit", () => doTest({ requestsPerSecond: 3, entryCount: 1 }, 10));
+
+    it("sends without a limit again once it names none", async () => {
+        const { laterCount } = await runTraffic({
+            requestsPerSecond: 1,
+            entryCount: 5,
+            hasControl: true,
+            limitedUntilMilliseconds: 8_000,
+        });
+        expect(laterCount).to.be.at.least(40);
+    });
+
+    it("refuses at once, with the time until a request is possible, where all backend servers are limited", async () => {
+        const { served, sent, refusals } = await runTraffic({
+            requestsPerSecond: 1,
+            entryCount: 5,
+            hasControl: true,
+            areAllLimited: true,
+        });
+        expect(refusals.length + served).to.equal(sent);
+        expect(refusals.every(refusal => refusal.kind === "notRun" && refusal.reason === RefusalReason.OVERLOADED))
+            .to.equal(true);
+        const delays = refusals.map(refusal => refusal.kind === "notRun" ? refusal.retryAfterMilliseconds : 0);
+        expect(Math.min(...delays)).to.be.greaterThan(0);
+        expect(Math.max(...delays)).to.be.at.most(2 * 5_000);
+    });
 });
