Add failing tests for responses whose bytes have no end

What callers would see: entry processes run out of memory or connections while a server in trouble sends bytes that are no answer without end, in a body. Reproduced over real connections: of a buffered body more than 32 MiB are received until the deadline; a response that was not run and has no end occupies its connection after its request has ended, at full speed as well as at 50 bytes a second. Heads without end, informational responses and bytes that are no response are bounded already, as is an event without end.

--- a/tests/platform/soak/SoakBreak.ts
+++ b/tests/platform/soak/SoakBreak.ts
@@ -9,4 +9,6 @@
     CloseInsideEvent = "closeInsideEvent",
     ResetInsideEvent = "resetInsideEvent",
     ResetBetweenEvents = "resetBetweenEvents",
+    /** Bytes that are no event follow without end, until the connection is closed. */
+    BytesWithoutEnd = "bytesWithoutEnd",
 }
--- a/tests/platform/soak/sendSoakResponse.ts
+++ b/tests/platform/soak/sendSoakResponse.ts
@@ -7,6 +7,7 @@
 import { resetSocket } from "./resetSocket";
 import { RunTracker } from "./RunTracker";
 import { SoakBreak } from "./SoakBreak";
+import { writeWithoutEnd } from "./writeWithoutEnd";
 
 const eventIntervalMilliseconds = 40;
 const unframedShare = 0.3;
@@ -54,7 +55,7 @@
     response.end();
 
     function pickBreak(): SoakBreak {
-        const kinds = [SoakBreak.CloseInsideEvent, SoakBreak.ResetInsideEvent, SoakBreak.ResetBetweenEvents];
+        const kinds = Object.values(SoakBreak).filter(kind => kind !== SoakBreak.None);
         return kinds[random.getInteger(kinds.length)]!;
     }
 
@@ -68,7 +69,10 @@
         if (!socket || socket.destroyed) {
             return;
         }
-        if (breakKind === SoakBreak.CloseInsideEvent) {
+        if (breakKind === SoakBreak.BytesWithoutEnd) {
+            await writeWithoutEnd(socket, requestId, runTracker);
+        }
+        else if (breakKind === SoakBreak.CloseInsideEvent) {
             socket.end();
         }
         else {
--- a/tests/platform/soak/startSoakBackend.ts
+++ b/tests/platform/soak/startSoakBackend.ts
@@ -15,10 +15,13 @@
 import { soakCrashingPart } from "./soakCrashingPart";
 import { soakModel } from "./soakModel";
 import { soakSoftwareVersions } from "./soakSoftwareVersions";
+import { writeWithoutEnd } from "./writeWithoutEnd";
 
 const eventCount = 8;
 const serviceMilliseconds = 120;
 const weightsLoadMilliseconds = 300;
+/** The share of requests that are refused with a response without end. */
+const endlessRefusalShare = 0.005;
 /** How long an engine runs a request with the part that crashes it. */
 const crashDelayMilliseconds = 60;
 /** How long an engine that the part has crashed accepts no connections. */
@@ -168,6 +171,13 @@
         if (request.headers.authorization !== undefined || !body.includes(requestId)) {
             runTracker.addBreach(`${requestId} came with a key or with a foreign body`);
         }
+        if (random.getFraction() < endlessRefusalShare) {
+            response.useChunkedEncodingByDefault = false;
+            response.removeHeader("transfer-encoding");
+            response.writeHead(503, { "basilwing-not-executed": "1" }).flushHeaders();
+            await writeWithoutEnd(response.socket!, requestId, runTracker);
+            return;
+        }
         runTracker.recordRun(requestId, String(request.headers["basilwing-tenant"]));
         requestLimit?.recordArrival();
         const headers = {
