Give up responses whose bytes have no end

Cause: buffered bodies had no bound; the body of a refusal was ignored for as long as it lasted, also after its request had ended; reading paused by the number of chunks, not by their size; an event could grow without end.

--- a/src/forwarding/AttemptResult.ts
+++ b/src/forwarding/AttemptResult.ts
@@ -43,4 +43,6 @@
         framing: ResponseFraming;
         /** Returns, after the body has ended, whether all of it was received. */
         isComplete(): boolean;
+        /** Gives the rest of the response up, and closes its connection; no effect once the response has ended. */
+        cancel(): void;
     };
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -12,13 +12,13 @@
 import { AttemptEnd } from "./AttemptEnd";
 import { AttemptResult } from "./AttemptResult";
 import { chooseLeastLoadedInstance } from "./chooseLeastLoadedInstance";
-import { collectBody } from "./collectBody";
 import { createEnginePlacement } from "./createEnginePlacement";
 import { createLivenessMonitor } from "./createLivenessMonitor";
 import { createLoadTracker } from "./createLoadTracker";
 import { createPromptScheduler } from "./createPromptScheduler";
 import { createRendezvousRanking } from "./createRendezvousRanking";
 import { createRetryBudgets } from "./createRetryBudgets";
+import { discardBody } from "./discardBody";
 import { DispatchOutcome } from "./DispatchOutcome";
 import { endEngineRun } from "./endEngineRun";
 import { ForwarderOptions } from "./ForwarderOptions";
@@ -86,7 +86,7 @@
                 return { kind: "opened", instance, response: result };
             }
             if (result.kind === "answered") {
-                void collectBody(result.body);
+                void discardBody(result, clock);
             }
             if (isFinal) {
                 return { kind: "givenUp", refusal: getFailureRefusal(task) };
--- a/src/forwarding/forwardBuffered.ts
+++ b/src/forwarding/forwardBuffered.ts
@@ -21,11 +21,11 @@
             return refuseTask(task, outcome.refusal);
         }
         const { response, instance: { instanceId } } = outcome;
-        const body = await collectBody(response.body);
+        const body = await collectBody(response);
         dispatcher.recordPrefillEnd(task, instanceId);
-        dispatcher.recordAttemptEnd(task, instanceId, response.isComplete() ? "complete" : "lost");
-        task.responseEnd = { framing: response.framing, isComplete: response.isComplete() };
-        if (response.isComplete()) {
+        dispatcher.recordAttemptEnd(task, instanceId, body ? "complete" : "lost");
+        task.responseEnd = { framing: response.framing, isComplete: body !== undefined };
+        if (body) {
             task.reply.send(response.head, body);
             return { kind: "answered", status: response.head.status, instanceId };
         }
--- a/src/forwarding/forwardStream.ts
+++ b/src/forwarding/forwardStream.ts
@@ -16,6 +16,9 @@
 import { ResponseFraming } from "./ResponseFraming";
 import { StreamEvent } from "./StreamEvent";
 
+/** The maximum size of an event: a backend server in trouble may send bytes without end. */
+const maximumEventBytes = 262_144;
+
 type BackendResponse = Extract<AttemptResult, { kind: "answered"; }>;
 
 /**
@@ -38,7 +41,7 @@
         const { response, instance: { instanceId, softwareVersion } } = outcome;
         const isSuccess = response.head.status >= 200 && response.head.status < 300;
         if (!isSuccess && isResponseStarted) {
-            await collectBody(response.body);
+            await collectBody(response);
             dispatcher.recordAttemptEnd(task, instanceId, "other");
             return abortResponse(`status ${response.head.status} instead of the remaining events`, instanceId);
         }
@@ -46,7 +49,7 @@
             return sendErrorResponse(response, instanceId);
         }
         if (!isResponseStarted && !await isOriginCertain(task)) {
-            void collectBody(response.body);
+            response.cancel();
             dispatcher.recordPrefillEnd(task, instanceId);
             dispatcher.recordAttemptEnd(task, instanceId, "other");
             return refuseTask(task, { kind: "unknown", reason: RefusalReason.OUTCOME_UNKNOWN });
@@ -91,6 +94,10 @@
                 }
                 await forwardEvent(response, event);
             }
+            if (splitter.getRemainingBytes().length > maximumEventBytes) {
+                response.cancel();
+                break;
+            }
         }
         if (isFirst) {
             dispatcher.recordPrefillEnd(task, instanceId);
@@ -98,7 +105,8 @@
         const remaining = splitter.getRemainingBytes();
         // An engine generates at least one event, unless the stream was resumed after its last one.
         const endsBeforeFirstEvent = isFirst && !isResumed && response.framing === ResponseFraming.ConnectionEnd;
-        const isComplete = response.isComplete() && !splitter.isInsideEvent() && !endsBeforeFirstEvent;
+        const isComplete = response.isComplete() && remaining.length <= maximumEventBytes && !splitter.isInsideEvent()
+            && !endsBeforeFirstEvent;
         task.responseEnd = { framing: response.framing, isComplete, bytesAfterLastEvent: remaining.length };
         if (!isComplete) {
             return false;
@@ -133,10 +141,10 @@
     }
 
     async function sendErrorResponse(response: BackendResponse, instanceId: string): Promise<ForwardOutcome> {
-        const body = await collectBody(response.body);
+        const body = await collectBody(response);
         dispatcher.recordPrefillEnd(task, instanceId);
         dispatcher.recordAttemptEnd(task, instanceId, "other");
-        if (!response.isComplete()) {
+        if (!body) {
             return refuseTask(task, { kind: "unknown", reason: RefusalReason.OUTCOME_UNKNOWN });
         }
         reply.send(response.head, body);
--- a/tests/forwarding/createTestLink.ts
+++ b/tests/forwarding/createTestLink.ts
@@ -51,6 +51,7 @@
             }
         })(),
         isComplete: () => isComplete,
+        cancel: () => undefined,
     };
 }
 
