Take a stream from a silent server only if another one can continue it

Cause: an attempt was ended as soon as its server was recorded as unresponsive, whether or not another server of the stream's software version could continue it. A server's silence alone is no reason to end a response. The new test of createForwarder failed before ("broken off") and passes now. Change: an unresponsive server's attempts end only if another server is a candidate and responds. The selection of servers moves from createAttemptDispatcher to createInstanceSelector.

--- a/src/forwarding/ForwardingTask.ts
+++ b/src/forwarding/ForwardingTask.ts
@@ -39,6 +39,8 @@
     placement: PlacementRecord | undefined;
     /** The last attempt as the crash observer follows it; undefined before the first attempt. */
     engineRun: EngineRun | undefined;
+    /** Aborted once the last attempt has ended; undefined where the attempt is not replaced. */
+    attemptEnded: AbortController | undefined;
     /** How the last response ended; undefined before the end of the first one. */
     responseEnd: ResponseEnd | undefined;
     /** The number of attempts that were sent, whether they ran or not. */
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -11,8 +11,8 @@
 import { AttemptDispatcher } from "./AttemptDispatcher";
 import { AttemptEnd } from "./AttemptEnd";
 import { AttemptResult } from "./AttemptResult";
-import { chooseLeastLoadedInstance } from "./chooseLeastLoadedInstance";
 import { createEnginePlacement } from "./createEnginePlacement";
+import { createInstanceSelector } from "./createInstanceSelector";
 import { createLivenessMonitor } from "./createLivenessMonitor";
 import { createLoadTracker } from "./createLoadTracker";
 import { createPromptScheduler } from "./createPromptScheduler";
@@ -50,6 +50,7 @@
     const ranking = createRendezvousRanking();
     const placement = createEnginePlacement(loads, ranking, clock, options.supersededWeightsGraceMilliseconds);
     const scheduler = createPromptScheduler(placement, state, clock);
+    const selector = createInstanceSelector({ state, scheduler, loads, serverLimits, dataCentre, random });
     const retryBudgets = createRetryBudgets(options.retryShare, options.retryReserve, state.getEntryCount);
     return {
         dispatch,
@@ -69,10 +70,10 @@
             if (refusal) {
                 return { kind: "givenUp", refusal };
             }
-            const candidates = getCandidates(task);
-            const instance = chooseInstance(task, candidates);
+            const candidates = selector.getCandidates(task);
+            const instance = selector.choose(task, candidates);
             if (!instance && candidates.length > 0) {
-                return { kind: "givenUp", refusal: getLimitRefusal(task, candidates) };
+                return { kind: "givenUp", refusal: selector.getLimitRefusal(task, candidates) };
             }
             if (!instance || task.triedInstanceIds.size >= maximumTriedInstances || !tryTakeAttempt(task)) {
                 return { kind: "givenUp", refusal: getNoCapacityRefusal(task, retryAfterMilliseconds) };
@@ -118,30 +119,6 @@
         return task.sentCount === 0 || retryBudgets.tryTakeRetry(task.admission.service.name);
     }
 
-    /** Gets the backend servers that have not been tried yet. */
-    function getCandidates(task: ForwardingTask): readonly FleetInstance[] {
-        const { admission: { service }, triedInstanceIds } = task;
-        return (state.getFleet()?.instances ?? []).filter(instance =>
-            instance.service === service.name && !instance.isLeaving && !triedInstanceIds.has(instance.instanceId)
-            && (task.softwareVersion === undefined || instance.softwareVersion === task.softwareVersion)
-        );
-    }
-
-    /** Chooses one of the candidates whose limit allows a request now. */
-    function chooseInstance(task: ForwardingTask, candidates: readonly FleetInstance[]): FleetInstance | undefined {
-        const { request: { prompt }, admission: { service } } = task;
-        const allowed = candidates.filter(({ instanceId }) => serverLimits.getWaitMilliseconds(instanceId) === 0);
-        return service.kind === "engine" && prompt
-            ? scheduler.choose(task, allowed)
-            : chooseLeastLoadedInstance(allowed, loads, dataCentre, random);
-    }
-
-    /** Gets the refusal where the limits of all candidates are used up; its delay is random, to spread the callers. */
-    function getLimitRefusal(task: ForwardingTask, candidates: readonly FleetInstance[]): Refusal {
-        const waits = candidates.map(({ instanceId }) => serverLimits.getWaitMilliseconds(instanceId));
-        return getTaskRefusal(task, RefusalReason.OVERLOADED, Math.min(...waits) * (1 + random.getFraction()));
-    }
-
     async function send(
         task: ForwardingTask,
         instance: FleetInstance,
@@ -183,7 +160,7 @@
             remainingMilliseconds: getRemainingMilliseconds(task),
             lastEventId,
             signal: task.signal,
-            unresponsiveSignal: allowsAnotherRun(task, 1) ? liveness.getUnresponsiveSignal(instanceId) : undefined,
+            unresponsiveSignal: allowsAnotherRun(task, 1) ? createTakeoverSignal(task, instanceId) : undefined,
             onActivity: () => liveness.recordActivity(instanceId),
             ...parameters,
         });
@@ -194,6 +171,18 @@
         return result;
     }
 
+    /** Creates the signal that is aborted once the backend server is unresponsive and another one can take over. */
+    function createTakeoverSignal(task: ForwardingTask, instanceId: string): AbortSignal {
+        const takeover = new AbortController();
+        task.attemptEnded = new AbortController();
+        liveness.getUnresponsiveSignal(instanceId).addEventListener("abort", () => {
+            if (selector.canTakeOver(task)) {
+                takeover.abort();
+            }
+        }, { signal: task.attemptEnded.signal });
+        return takeover.signal;
+    }
+
     /** Records the result of an attempt; returns whether no further attempt follows. */
     function recordResult(task: ForwardingTask, instance: FleetInstance, result: AttemptResult): boolean {
         const { instanceId } = instance;
@@ -286,6 +275,7 @@
     function recordAttemptEnd(task: ForwardingTask, instanceId: string, end: AttemptEnd): void {
         loads.recordAttemptEnd(instanceId);
         liveness.recordAttemptEnd(instanceId);
+        task.attemptEnded?.abort();
         endEngineRun(task, end);
     }
 
--- a/src/forwarding/createForwarder.ts
+++ b/src/forwarding/createForwarder.ts
@@ -90,6 +90,7 @@
             hasWaitedForPrefill: false,
             placement: undefined,
             engineRun: undefined,
+            attemptEnded: undefined,
             responseEnd: undefined,
             sentCount: 0,
             runCount: 0,
--- a/tests/forwarding/createForwarder.tests.ts
+++ b/tests/forwarding/createForwarder.tests.ts
@@ -606,6 +606,38 @@
             // Inactivity of 350, 700 and 1,400 ms precedes the probes: the third does not end within the route's 2 s.
             expect(probeTimes.length).to.equal(2);
         });
+        it("keeps a stream that no other backend server of its software version can continue", async () => {
+            const events = ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"];
+            const trial = createTrial({
+                instances: [engines[0]!, createTestInstance({ instanceId: "engine-new", softwareVersion: "v2" })],
+                respond: attempt => respondAfterPause(attempt, events),
+                probe: () => false,
+            });
+            const { reply, ended } = await trial.forward(label);
+            await trial.clock.advance(1_500);
+            await ended;
+            expect([reply.getText(), trial.link.attempts.length]).to.deep.equal([`200 ${events.join("")}end`, 1]);
+
+            /** Sends an event, and another one after a pause unless the attempt is ended before. */
+            function respondAfterPause(
+                { unresponsiveSignal }: BackendAttempt,
+                [first, second]: string[],
+            ): AttemptResult {
+                let isComplete = true;
+                return {
+                    ...createTestResponse([]) as Extract<AttemptResult, { kind: "answered"; }>,
+                    body: (async function*() {
+                        yield Buffer.from(first!);
+                        await trial.clock.sleep(1_200, unresponsiveSignal);
+                        isComplete = !unresponsiveSignal?.aborted;
+                        if (isComplete) {
+                            yield Buffer.from(second!);
+                        }
+                    })(),
+                    isComplete: () => isComplete,
+                };
+            }
+        });
         it("is sent no more requests until it responds again", async () => {
             let isUnresponsive = true;
             const instances = services.slice(0, 2);
