Divide limits at most five times a second

Callers would see slower entry processes: a backend server may name another limit with each response, and each change sends the whole fleet view to all entry processes; at 50 ms that is up to 20 views a second.

--- a/src/serverLimits/runServerLimits.ts
+++ b/src/serverLimits/runServerLimits.ts
@@ -7,8 +7,11 @@
 import { Clock } from "../runtime";
 import { LimitLedger } from "./LimitLedger";
 
-/** The interval between two divisions, in milliseconds. */
-const divisionIntervalMilliseconds = 50;
+/**
+ * The interval between two divisions, in milliseconds. Each change sends the fleet view to all entry processes, and a
+ * backend server may name another limit with each response.
+ */
+const divisionIntervalMilliseconds = 200;
 
 interface ServerLimitsTaskOptions {
     /** The replicated log, whose leader divides the limits. */
