--- a/scripts/measure/measurePromptQuarantine.ts
+++ b/scripts/measure/measurePromptQuarantine.ts
@@ -21,6 +21,11 @@
         subjects: 600,
         otherCrashesPerSecond: 1,
     }],
+    ["one guilty part, control can't be reached from 9 s to 25 s", { controlCutMilliseconds: [9_000, 25_000] }],
+    ["one guilty part, three changes of the leader", { leaderChangeMilliseconds: [11_000, 12_000, 13_000] }],
+    ["one guilty part, an entry process restarted each second", {
+        entryRestartMilliseconds: [10_000, 11_000, 12_000, 13_000, 14_000, 15_000],
+    }],
     ["no guilty part, a tenth of the responses broken off", { guiltyParts: 0, brokenShare: 0.1 }],
 ];
 
@@ -28,7 +33,7 @@
 
 async function measure(): Promise<void> {
     process.stdout.write("| Load | Verdicts | Crashes until the verdict (mean, most) | Late arrivals (most) | ");
-    process.stdout.write("Sound parts accused |\n|---|---|---|---|---|\n");
+    process.stdout.write("Sound parts accused | Sound requests that begin later |\n|---|---|---|---|---|---|\n");
     for (const [name, options] of loads) {
         const results = [];
         for (let seed = 1; seed <= seedCount; seed++) {
@@ -39,6 +44,8 @@
         const mostLate = Math.max(...results.map(result => result.lateArrivals));
         const accused = results.reduce((sum, result) => sum + result.falseVerdicts.length, 0);
         const crashText = crashes.length === 0 ? "" : `${mean.toFixed(1)}, ${Math.max(...crashes)}`;
-        process.stdout.write(`| ${name} | ${crashes.length} | ${crashText} | ${mostLate} | ${accused} |\n`);
+        const begun = results.reduce((sum, result) => sum + result.lateSoundShare, 0) / results.length;
+        const fields = [name, crashes.length, crashText, mostLate, accused, begun.toFixed(2)];
+        process.stdout.write(`| ${fields.join(" | ")} |\n`);
     }
 }
--- a/tests/promptQuarantine/createPartEvidence.tests.ts
+++ b/tests/promptQuarantine/createPartEvidence.tests.ts
@@ -119,6 +119,22 @@
             doTest({ crashShare: 0.6 }, { verdicts: 1, maximumLate: 3, maximumFalse: 0 }));
         it("finds a part beside crash storms", () =>
             doTest({ stormMilliseconds: storms }, { verdicts: 1, maximumLate: 3, maximumFalse: 0 }));
+        it("finds a part in time when the leader changes meanwhile", () =>
+            doTest({ leaderChangeMilliseconds: [11_000, 12_000, 13_000] }, {
+                verdicts: 1,
+                maximumLate: 3,
+                maximumFalse: 0,
+            }));
+        it("finds a part in time when entry processes are restarted meanwhile", () =>
+            doTest({ entryRestartMilliseconds: [10_000, 11_000, 12_000, 13_000, 14_000, 15_000] }, {
+                verdicts: 1,
+                maximumLate: 3,
+                maximumFalse: 0,
+            }));
+        it("goes on serving sound requests with the same first part", async () => {
+            const { lateSoundShare } = await simulateCrashes({ seed: 1 });
+            expect(lateSoundShare).to.be.at.least(0.9);
+        });
         it("accuses no part in crash storms", () =>
             doTest({ guiltyParts: 0, stormMilliseconds: storms }, { verdicts: 0, maximumLate: 0, maximumFalse: 0 }));
         it("accuses no part where responses break off without crashes", () =>
--- a/tests/promptQuarantine/simulateCrashes.ts
+++ b/tests/promptQuarantine/simulateCrashes.ts
@@ -18,6 +18,12 @@
     otherCrashesPerSecond?: number;
     /** The share of the sound responses that break off without a crash. */
     brokenShare?: number;
+    /** When no entry process has contact to control; each then decides by its own observations. */
+    controlCutMilliseconds?: readonly [from: number, to: number];
+    /** The times at which another member becomes the leader, which has no evidence yet. */
+    leaderChangeMilliseconds?: readonly number[];
+    /** The times at which an entry process is restarted and forgets what it has observed. */
+    entryRestartMilliseconds?: readonly number[];
     /** The number of subjects, each a part that few sound requests share. */
     subjects?: number;
 }
@@ -30,6 +36,8 @@
     lateArrivals: number;
     /** Sound parts that were quarantined. */
     falseVerdicts: readonly string[];
+    /** The share of the sound requests that began at their first attempt, later than 6 s after the fifth crash. */
+    lateSoundShare: number;
 }
 
 interface Engine {
@@ -65,9 +73,10 @@
     for (let count = 0; count < engineCount; count++) {
         engines.push({ id: `engine-${++startCount}`, downUntilMilliseconds: 0, runs: new Set() });
     }
-    const observers = Array.from({ length: entryCount }, (...[, index]) =>
+    let observerCount = 0;
+    const createObserver = () =>
         createCrashObserver({
-            incarnation: String(index),
+            incarnation: String(observerCount++),
             checkInstance: ({ instanceId }) => {
                 const isServing = engines.some(engine => engine.id === instanceId && !isDown(engine));
                 return Promise.resolve(isServing ? InstanceState.Serving : InstanceState.Ended);
@@ -76,8 +85,13 @@
             logger: createSilentLogger(),
             metrics: createMetrics(),
             signal,
-        }));
-    const evidence = createPartEvidence(clock);
+        });
+    const observers = Array.from({ length: entryCount }, createObserver);
+    const ownEvidences = observers.map(() => createPartEvidence(clock));
+    const ownGuilty = observers.map(() => new Set<string>());
+    const lateSound = { sent: 0, begun: 0 };
+    let evidence = createPartEvidence(clock);
+    let lastContactMilliseconds = 0;
     const quarantined = new Set<string>();
     const crashTimes = new Map<string, number[]>();
     const crashesUntilVerdict: number[] = [];
@@ -99,13 +113,20 @@
         if (random.getFraction() < (options.otherCrashesPerSecond ?? 0) * stepMilliseconds / 1_000) {
             crash(pickEngine());
         }
+        if (options.leaderChangeMilliseconds?.includes(now)) {
+            evidence = createPartEvidence(clock);
+        }
+        if (options.entryRestartMilliseconds?.includes(now)) {
+            restartEntry(random.getInteger(entryCount));
+        }
         if (now % pollMilliseconds === 0) {
-            poll();
+            exchangeState(now);
         }
         await clock.advance(stepMilliseconds);
     }
     const falseVerdicts = [...quarantined].filter(partId => !partId.startsWith("guilty"));
-    return { crashesUntilVerdict, lateArrivals, falseVerdicts };
+    const lateSoundShare = lateSound.sent === 0 ? 1 : lateSound.begun / lateSound.sent;
+    return { crashesUntilVerdict, lateArrivals, falseVerdicts, lateSoundShare };
 
     function isDown(engine: Engine): boolean {
         return engine.downUntilMilliseconds > clock.getMonotonicMilliseconds();
@@ -119,14 +140,18 @@
     function send(partIds: readonly string[], guilty: string | undefined, mayRetry: boolean): void {
         count += 1;
         const engine = pickEngine();
-        if (isDown(engine) || partIds.some(partId => quarantined.has(partId))) {
+        const now = clock.getMonotonicMilliseconds();
+        const index = random.getInteger(entryCount);
+        const isLateSound = guilty === undefined && mayRetry && now > getDecidedTime("guilty-0") + 6_000;
+        lateSound.sent += isLateSound ? 1 : 0;
+        if (isDown(engine) || partIds.some(partId => quarantined.has(partId) || ownGuilty[index]!.has(partId))) {
             return;
         }
-        const now = clock.getMonotonicMilliseconds();
+        lateSound.begun += isLateSound ? 1 : 0;
         if (guilty !== undefined && now > getDecidedTime(guilty) + decisionMilliseconds) {
             lateArrivals += 1;
         }
-        const run = observers[random.getInteger(entryCount)]!.beginRun(
+        const run = observers[index]!.beginRun(
             createTestInstance({ instanceId: engine.id }),
             partIds,
         );
@@ -171,6 +196,35 @@
         lost.forEach(({ retry }) => retry());
     }
 
+    function restartEntry(index: number): void {
+        observers[index] = createObserver();
+        ownEvidences[index] = createPartEvidence(clock);
+        ownGuilty[index]!.clear();
+    }
+
+    /** Polls control, or decides at each entry process where there is no contact. */
+    function exchangeState(now: number): void {
+        const [cutFrom, cutTo] = options.controlCutMilliseconds ?? [Infinity, Infinity];
+        if (now < cutFrom || now >= cutTo) {
+            lastContactMilliseconds = now;
+            ownGuilty.forEach(guilty => guilty.clear());
+            poll();
+        }
+        else if (now - lastContactMilliseconds > 2_000) {
+            observers.forEach((observer, index) => {
+                const ownEvidence = ownEvidences[index]!;
+                const crashes = observer.getObservations();
+                const accused = crashes.flatMap(({ begunPartIds, waitingPartIds }) => [
+                    ...begunPartIds,
+                    ...waitingPartIds,
+                ]);
+                crashes.forEach(ownEvidence.addObservation);
+                ownEvidence.setCompletions("self", observer.getCompletions(accused));
+                ownEvidence.getGuiltyParts().forEach(({ partId }) => ownGuilty[index]!.add(partId));
+            });
+        }
+    }
+
     function poll(): void {
         const entries = observers.map((observer, index) => ({ observer, index, crashes: observer.getObservations() }));
         entries.forEach(({ crashes }) => crashes.forEach(evidence.addObservation));
@@ -181,6 +235,7 @@
             ]);
             evidence.setCompletions(String(index), observer.getCompletions(accused));
         }
+        quarantined.forEach(evidence.explainCrashes);
         for (const { partId } of evidence.getGuiltyParts()) {
             quarantined.add(partId);
             if (partId.startsWith("guilty")) {
