Take a stream from a silent server only with a retry that is left

Cause: an attempt at a silent server was ended before it was known whether the retry budget allowed another one; without a retry the response was broken off. Evidence: the new test of createForwarder, with a budget that is used up, failed before ("broken off") and passes now. Change: the retry is taken from the budget before the attempt is ended, and the next attempt uses it. Neither is an attempt ended where another one would be refused for other reasons.

--- a/src/forwarding/ForwardingTask.ts
+++ b/src/forwarding/ForwardingTask.ts
@@ -41,6 +41,8 @@
     engineRun: EngineRun | undefined;
     /** Aborted once the last attempt has ended; undefined where the attempt is not replaced. */
     attemptEnded: AbortController | undefined;
+    /** Whether the next attempt's retry was already taken from the budget. */
+    hasReservedRetry: boolean;
     /** How the last response ended; undefined before the end of the first one. */
     responseEnd: ResponseEnd | undefined;
     /** The number of attempts that were sent, whether they ran or not. */
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -114,8 +114,12 @@
         return isStale ? getTaskRefusal(task, RefusalReason.STALE_SETTINGS, overloadRetryAfterMilliseconds) : undefined;
     }
 
-    /** Takes a retry from the budget; the first attempt needs none. */
+    /** Takes a retry from the budget; the first attempt needs none, and one that replaces a silent server's has it. */
     function tryTakeAttempt(task: ForwardingTask): boolean {
+        if (task.hasReservedRetry) {
+            task.hasReservedRetry = false;
+            return true;
+        }
         return task.sentCount === 0 || retryBudgets.tryTakeRetry(task.admission.service.name);
     }
 
@@ -176,7 +180,8 @@
         const takeover = new AbortController();
         task.attemptEnded = new AbortController();
         liveness.getUnresponsiveSignal(instanceId).addEventListener("abort", () => {
-            if (selector.canTakeOver(task)) {
+            if (!getBlockingRefusal(task) && selector.canTakeOver(task) && tryTakeAttempt(task)) {
+                task.hasReservedRetry = true;
                 takeover.abort();
             }
         }, { signal: task.attemptEnded.signal });
--- a/src/forwarding/createForwarder.ts
+++ b/src/forwarding/createForwarder.ts
@@ -91,6 +91,7 @@
             placement: undefined,
             engineRun: undefined,
             attemptEnded: undefined,
+            hasReservedRetry: false,
             responseEnd: undefined,
             sentCount: 0,
             runCount: 0,
--- a/tests/forwarding/createForwarder.tests.ts
+++ b/tests/forwarding/createForwarder.tests.ts
@@ -606,12 +606,19 @@
             // Inactivity of 350, 700 and 1,400 ms precedes the probes: the third does not end within the route's 2 s.
             expect(probeTimes.length).to.equal(2);
         });
-        it("keeps a stream that no other backend server of its software version can continue", async () => {
+        it("keeps a stream that no other backend server of its software version can continue", () =>
+            doStreamTest({
+                instances: [engines[0]!, createTestInstance({ instanceId: "engine-new", softwareVersion: "v2" })],
+            }));
+        it("keeps a stream where the retry budget is used up", () => doStreamTest({ retryReserve: 0 }));
+
+        /** Forwards a stream whose server is silent for some time, and expects that it is not ended. */
+        async function doStreamTest(options: Partial<TrialOptions>): Promise<void> {
             const events = ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"];
             const trial = createTrial({
-                instances: [engines[0]!, createTestInstance({ instanceId: "engine-new", softwareVersion: "v2" })],
                 respond: attempt => respondAfterPause(attempt, events),
                 probe: () => false,
+                ...options,
             });
             const { reply, ended } = await trial.forward(label);
             await trial.clock.advance(1_500);
@@ -637,7 +644,7 @@
                     isComplete: () => isComplete,
                 };
             }
-        });
+        }
         it("is sent no more requests until it responds again", async () => {
             let isUnresponsive = true;
             const instances = services.slice(0, 2);
