Keep what restarted entry processes have reported of completed requests

Cause: the leader replaced an entry process's completions by those of its next report. A restarted entry process has forgotten them, and one that had not seen the crashes itself stopped reporting a part once it was no suspect. Change: completions are kept for each start of an entry process, named in the poll, and for each part until they are too old.

--- a/src/promptQuarantine/CrashReport.ts
+++ b/src/promptQuarantine/CrashReport.ts
@@ -3,8 +3,10 @@
  */
 import { CrashObservation } from "./CrashObservation";
 
-/** A report, which replaces the entry process's former one. */
+/** What the entry process knows; control members also keep what it has forgotten since. */
 export interface CrashReport {
+    /** Differs after each start of the entry process. */
+    incarnation: string;
     /** The recent crashes. */
     observations: readonly CrashObservation[];
     /**
--- a/src/promptQuarantine/PartEvidence.ts
+++ b/src/promptQuarantine/PartEvidence.ts
@@ -9,8 +9,8 @@
     /** Adds an observation; one that was added before changes nothing. */
     addObservation(observation: CrashObservation): void;
     /**
-     * Replaces what a reporter has seen of requests that ran to their end.
-     * @param reporter - The id of the entry process.
+     * Replaces what a reporter has seen of requests that ran to their end, for the parts that it names.
+     * @param reporter - Identifies the entry process and its start.
      * @param completions - How long ago requests with a part completed, in milliseconds.
      */
     setCompletions(reporter: string, completions: ReadonlyMap<string, readonly number[]>): void;
--- a/src/promptQuarantine/addCrashReport.ts
+++ b/src/promptQuarantine/addCrashReport.ts
@@ -9,10 +9,11 @@
  * @param evidence - The evidence.
  * @param request - The poll of an entry process.
  */
-export function addCrashReport(evidence: PartEvidence, { entryId, crashes, partCompletions }: PollRequest): void {
+export function addCrashReport(evidence: PartEvidence, request: PollRequest): void {
+    const { entryId, entryIncarnation, crashes, partCompletions } = request;
     crashes.forEach(evidence.addObservation);
     evidence.setCompletions(
-        entryId,
+        `${entryId} ${entryIncarnation}`,
         new Map(partCompletions.map(({ partId, agesMilliseconds }) => [partId, agesMilliseconds])),
     );
 }
--- a/src/promptQuarantine/createPartEvidence.ts
+++ b/src/promptQuarantine/createPartEvidence.ts
@@ -5,6 +5,7 @@
  * crashes happen without it. Crashes at nearly the same moment count once, since they have a common cause, such as the
  * loss of a rack.
  */
+import { LRUCache } from "lru-cache";
 import { Clock } from "../runtime";
 import { CrashObservation } from "./CrashObservation";
 import { GuiltyPart } from "./GuiltyPart";
@@ -33,6 +34,8 @@
 const maximumCrashes = 512;
 /** The maximum number of suspects, which all entry processes receive. */
 const maximumSuspects = 64;
+/** The number of parts whose completions are kept for each reporter; those named least recently are dropped. */
+const maximumPartsPerReporter = 4_096;
 /** The maximum number of reporters; beyond it, the completions of the one that has reported least recently are dropped. */
 const maximumReporters = 2_048;
 
@@ -59,7 +62,7 @@
  * @param clock - Measures the age of crashes.
  */
 export function createPartEvidence(clock: Clock): PartEvidence {
-    const completionsByReporter = new Map<string, ReadonlyMap<string, readonly number[]>>();
+    const completionsByReporter = new Map<string, LRUCache<string, readonly number[]>>();
     let crashes: Crash[] = [];
     return { addObservation, setCompletions, getSuspects, getGuiltyParts, explainCrashes };
 
@@ -91,14 +94,17 @@
     }
 
     function setCompletions(reporter: string, completions: ReadonlyMap<string, readonly number[]>): void {
+        const now = clock.getMonotonicMilliseconds();
+        const times = new LRUCache<string, readonly number[]>({ max: maximumPartsPerReporter });
+        for (const [partId, former] of completionsByReporter.get(reporter)?.entries() ?? []) {
+            if (former.some(time => now - time < evidenceLifetimeMilliseconds)) {
+                times.set(partId, former);
+            }
+        }
+        completions.forEach((ages, partId) => times.set(partId, ages.map(age => now - age)));
         completionsByReporter.delete(reporter);
-        if (completions.size > 0) {
-            const now = clock.getMonotonicMilliseconds();
-            const times = [...completions].map(([partId, ages]): [string, readonly number[]] => [
-                partId,
-                ages.map(age => now - age),
-            ]);
-            completionsByReporter.set(reporter, new Map(times));
+        if (times.size > 0) {
+            completionsByReporter.set(reporter, times);
         }
         if (completionsByReporter.size > maximumReporters) {
             const [oldest] = completionsByReporter.keys();
--- a/src/promptQuarantine/createPromptQuarantine.ts
+++ b/src/promptQuarantine/createPromptQuarantine.ts
@@ -24,7 +24,7 @@
  * @param options - The options of the crash observer, and the state that was received from control.
  */
 export function createPromptQuarantine(options: PromptQuarantineOptions): PromptQuarantine {
-    const { state, clock } = options;
+    const { incarnation, state, clock } = options;
     const observer = createCrashObserver(options);
     const ownEvidence = createPartEvidence(clock);
     let view: FleetView | undefined;
@@ -73,6 +73,6 @@
             ...suspectedIds,
             ...observations.flatMap(({ begunPartIds, waitingPartIds }) => [...begunPartIds, ...waitingPartIds]),
         ]);
-        return { observations, completions: observer.getCompletions(accusedIds) };
+        return { incarnation, observations, completions: observer.getCompletions(accusedIds) };
     }
 }
--- a/src/promptQuarantine/encodeCrashReport.ts
+++ b/src/promptQuarantine/encodeCrashReport.ts
@@ -10,9 +10,10 @@
  * @param report - The report.
  */
 export function encodeCrashReport(
-    { observations, completions }: CrashReport,
-): { crashes: EngineCrash[]; partCompletions: PartCompletions[]; } {
+    { incarnation, observations, completions }: CrashReport,
+): { entryIncarnation: string; crashes: EngineCrash[]; partCompletions: PartCompletions[]; } {
     return {
+        entryIncarnation: incarnation,
         crashes: observations.map(crash =>
             create(EngineCrashSchema, {
                 ...crash,
--- a/tests/platform/soak/soakRegressions.ts
+++ b/tests/platform/soak/soakRegressions.ts
@@ -4,10 +4,13 @@
 
 const readAfterLastResponse =
     "a stopping entry process read a request after its last response, and exited with that request in flight";
+const forgottenCompletions =
+    "a sound part of prompts was quarantined, as restarted entry processes had forgotten which requests with it completed";
 
 /** The seeds, each with the cause of the failure at the time. */
 export const soakRegressions: readonly { seed: number; cause: string; }[] = [
     { seed: 217, cause: readAfterLastResponse },
     { seed: 223, cause: readAfterLastResponse },
     { seed: 226, cause: readAfterLastResponse },
+    { seed: 6028, cause: forgottenCompletions },
 ];
