Give calls with a timeout a signal that is not collected as garbage

Cause: AbortSignal.any([signal, AbortSignal.timeout(n)]). In Node 20.20 nothing refers to the timeout but the combined signal, weakly; it is collected as garbage and never aborts. A call whose response never arrived then never ended: a load of weights kept its engine out of placement and its place among the loads until the leader changed, and the tasks that follow the platform's list and the KV cache stores could stop for good.

Change: runWithTimeout aborts a controller of its own by the injected clock, for all seven uses, among them those of the product's own adapters; a lint rule refuses AbortSignal.timeout. A process that becomes the leader reads the platform's list at once instead of after up to 300 ms.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -30,6 +30,9 @@
             "no-restricted-syntax": ["error", {
                 selector: "Literal[raw='null']",
                 message: "Use undefined, not null.",
+            }, {
+                selector: "MemberExpression[object.name='AbortSignal'][property.name='timeout']",
+                message: "Use runWithTimeout: Node collects timeout signals as garbage once they are combined.",
             }],
             "no-var": "error",
             "one-var": ["error", "never"],
--- a/src/backends/createEngineAdapter.ts
+++ b/src/backends/createEngineAdapter.ts
@@ -4,6 +4,7 @@
 import { Agent, Dispatcher } from "undici";
 import { getErrorMessage } from "../errors";
 import { Order, OrderKind } from "../protocol";
+import { createSystemClock, runWithTimeout } from "../runtime";
 import { CacheEvent } from "./CacheEvent";
 import { EngineAdapter } from "./EngineAdapter";
 import { EngineAdapterOptions } from "./EngineAdapterOptions";
@@ -24,6 +25,7 @@
  */
 export function createEngineAdapter(options: EngineAdapterOptions): EngineAdapter & { stop(): Promise<void>; } {
     const { address } = options;
+    const clock = createSystemClock();
     const agent = new Agent({
         connect: { timeout: connectTimeoutMilliseconds },
         keepAliveTimeout: keepAliveMilliseconds,
@@ -56,8 +58,10 @@
 
     async function getLoad(signal?: AbortSignal): Promise<EngineLoad | undefined> {
         try {
-            const response = await send("GET", "/load", undefined, withTimeout(signal, loadTimeoutMilliseconds));
-            return await response.body.json() as EngineLoad;
+            return await runWithTimeout(clock, loadTimeoutMilliseconds, signal, async limit => {
+                const response = await send("GET", "/load", undefined, limit);
+                return await response.body.json() as EngineLoad;
+            });
         }
         catch {
             return undefined;
@@ -67,11 +71,13 @@
     async function execute(order: Order, signal?: AbortSignal): Promise<OrderOutcome> {
         try {
             const body = JSON.stringify(getOrderBody(order));
-            const response = await send("POST", "/orders", body, withTimeout(signal, orderTimeoutMilliseconds));
-            const result = await response.body.json() as { reason?: string; };
-            return response.statusCode === 200
-                ? { kind: "done" }
-                : { kind: "refused", reason: result.reason ?? `status ${response.statusCode}` };
+            return await runWithTimeout(clock, orderTimeoutMilliseconds, signal, async limit => {
+                const response = await send("POST", "/orders", body, limit);
+                const result = await response.body.json() as { reason?: string; };
+                return response.statusCode === 200
+                    ? { kind: "done" }
+                    : { kind: "refused", reason: result.reason ?? `status ${response.statusCode}` };
+            });
         }
         catch (error) {
             return { kind: "unknown", reason: getErrorMessage(error) };
@@ -80,14 +86,11 @@
 
     async function exportCache(hash: string, signal?: AbortSignal): Promise<Uint8Array | undefined> {
         try {
-            const response = await send(
-                "GET",
-                `/cache/${hash}`,
-                undefined,
-                withTimeout(signal, cacheTransferTimeoutMilliseconds),
-            );
-            const data = await response.body.bytes();
-            return response.statusCode === 200 ? data : undefined;
+            return await runWithTimeout(clock, cacheTransferTimeoutMilliseconds, signal, async limit => {
+                const response = await send("GET", `/cache/${hash}`, undefined, limit);
+                const data = await response.body.bytes();
+                return response.statusCode === 200 ? data : undefined;
+            });
         }
         catch {
             return undefined;
@@ -100,14 +103,11 @@
             return false;
         }
         try {
-            const response = await send(
-                "PUT",
-                `/cache/${hash}`,
-                data,
-                withTimeout(signal, cacheTransferTimeoutMilliseconds),
-            );
-            await response.body.dump();
-            return response.statusCode === 200;
+            return await runWithTimeout(clock, cacheTransferTimeoutMilliseconds, signal, async limit => {
+                const response = await send("PUT", `/cache/${hash}`, data, limit);
+                await response.body.dump();
+                return response.statusCode === 200;
+            });
         }
         catch {
             return false;
@@ -124,12 +124,6 @@
     }
 }
 
-/** Returns a signal that aborts with the given signal or after a timeout. */
-function withTimeout(signal: AbortSignal | undefined, milliseconds: number): AbortSignal {
-    const timeout = AbortSignal.timeout(milliseconds);
-    return signal === undefined ? timeout : AbortSignal.any([signal, timeout]);
-}
-
 /** Gets an order in the engine's wire format. */
 function getOrderBody(order: Order): Record<string, unknown> {
     return {
--- a/src/backends/createKvCacheStoreClient.ts
+++ b/src/backends/createKvCacheStoreClient.ts
@@ -5,6 +5,7 @@
 import { createHash } from "node:crypto";
 import { Agent, Dispatcher } from "undici";
 import { PrefixScope } from "../routing";
+import { createSystemClock, runWithTimeout } from "../runtime";
 import { KvCacheStore } from "./KvCacheStore";
 import { KvCacheStoreClientOptions } from "./KvCacheStoreClientOptions";
 
@@ -20,6 +21,7 @@
     options: KvCacheStoreClientOptions,
 ): KvCacheStore & { stop(): Promise<void>; } {
     const agent = new Agent({ connect: { timeout: requestTimeoutMilliseconds } });
+    const clock = createSystemClock();
     return { countStoredBlocks, read, write, stop: () => agent.destroy() };
 
     async function countStoredBlocks(
@@ -43,22 +45,24 @@
         return 0;
     }
 
-    async function isStored(scope: PrefixScope, hash: string, signal?: AbortSignal): Promise<boolean> {
-        const response = await send("HEAD", scope, hash, undefined, signal);
-        await response.body.dump();
-        return response.statusCode === 200;
+    function isStored(scope: PrefixScope, hash: string, signal?: AbortSignal): Promise<boolean> {
+        return send("HEAD", scope, hash, undefined, signal, async response => {
+            await response.body.dump();
+            return response.statusCode === 200;
+        });
     }
 
     async function read(scope: PrefixScope, hash: string, signal?: AbortSignal): Promise<Uint8Array | undefined> {
         try {
-            const response = await send("GET", scope, hash, undefined, signal);
-            const data = await response.body.bytes();
-            const isIntact = response.statusCode === 200
-                && response.headers[digestHeader] === getDigest(scope, hash, data);
-            if (!isIntact && response.statusCode !== 404) {
-                reportFailure(signal);
-            }
-            return isIntact ? data : undefined;
+            return await send("GET", scope, hash, undefined, signal, async response => {
+                const data = await response.body.bytes();
+                const isIntact = response.statusCode === 200
+                    && response.headers[digestHeader] === getDigest(scope, hash, data);
+                if (!isIntact && response.statusCode !== 404) {
+                    reportFailure(signal);
+                }
+                return isIntact ? data : undefined;
+            });
         }
         catch {
             reportFailure(signal);
@@ -68,12 +72,13 @@
 
     async function write(scope: PrefixScope, hash: string, data: Uint8Array, signal?: AbortSignal): Promise<boolean> {
         try {
-            const response = await send("PUT", scope, hash, data, signal);
-            await response.body.dump();
-            if (response.statusCode !== 200) {
-                reportFailure(signal);
-            }
-            return response.statusCode === 200;
+            return await send("PUT", scope, hash, data, signal, async response => {
+                await response.body.dump();
+                if (response.statusCode !== 200) {
+                    reportFailure(signal);
+                }
+                return response.statusCode === 200;
+            });
         }
         catch {
             reportFailure(signal);
@@ -87,22 +92,26 @@
         }
     }
 
-    function send(
+    /** Sends a request; its timeout includes the time until the response has been read. */
+    function send<T>(
         method: Dispatcher.HttpMethod,
         scope: PrefixScope,
         hash: string,
         data: Uint8Array | undefined,
         signal: AbortSignal | undefined,
-    ): Promise<Dispatcher.ResponseData> {
-        const timeout = AbortSignal.timeout(requestTimeoutMilliseconds);
-        return agent.request({
-            origin: options.address,
-            method,
-            path: getPath(scope, hash),
-            headers: data === undefined ? {} : { [digestHeader]: getDigest(scope, hash, data) },
-            body: data,
-            signal: signal === undefined ? timeout : AbortSignal.any([signal, timeout]),
-        });
+        readResponse: (response: Dispatcher.ResponseData) => Promise<T>,
+    ): Promise<T> {
+        return runWithTimeout(clock, requestTimeoutMilliseconds, signal, async limit =>
+            readResponse(
+                await agent.request({
+                    origin: options.address,
+                    method,
+                    path: getPath(scope, hash),
+                    headers: data === undefined ? {} : { [digestHeader]: getDigest(scope, hash, data) },
+                    body: data,
+                    signal: limit,
+                }),
+            ));
     }
 }
 
--- a/src/backends/createPlatformListClient.ts
+++ b/src/backends/createPlatformListClient.ts
@@ -3,7 +3,7 @@
  */
 import { Agent } from "undici";
 import { PlatformInstance, PlatformList } from "../membership";
-import { Stoppable } from "../runtime";
+import { createSystemClock, runWithTimeout, Stoppable } from "../runtime";
 import { ServiceAdapterOptions } from "./ServiceAdapterOptions";
 
 const timeoutMilliseconds = 2_000;
@@ -14,21 +14,21 @@
  */
 export function createPlatformListClient(options: ServiceAdapterOptions): PlatformList & Stoppable {
     const agent = new Agent({ connect: { timeout: timeoutMilliseconds } });
+    const clock = createSystemClock();
     return { getInstances, stop: () => agent.destroy() };
 
     async function getInstances(signal: AbortSignal): Promise<readonly PlatformInstance[] | undefined> {
         try {
-            const response = await agent.request({
-                origin: options.address,
-                method: "GET",
-                path: "/instances",
-                signal: AbortSignal.any([signal, AbortSignal.timeout(timeoutMilliseconds)]),
-            });
-            const list = await response.body.json() as { instances?: readonly PlatformInstance[]; };
-            return response.statusCode === 200 ? list.instances : undefined;
+            return await runWithTimeout(clock, timeoutMilliseconds, signal, readInstances);
         }
         catch {
             return undefined;
         }
     }
+
+    async function readInstances(signal: AbortSignal): Promise<readonly PlatformInstance[] | undefined> {
+        const response = await agent.request({ origin: options.address, method: "GET", path: "/instances", signal });
+        const list = await response.body.json() as { instances?: readonly PlatformInstance[]; };
+        return response.statusCode === 200 ? list.instances : undefined;
+    }
 }
--- a/src/backends/createServiceAdapter.ts
+++ b/src/backends/createServiceAdapter.ts
@@ -8,6 +8,7 @@
 import { Agent, buildConnector, Client, Dispatcher } from "undici";
 import { getErrorMessage } from "../errors";
 import { ServiceWork } from "../protocol";
+import { createSystemClock, runWithTimeout } from "../runtime";
 import { createResetCounter } from "./createResetCounter";
 import { FailureCause } from "./FailureCause";
 import { getFailureCause } from "./getFailureCause";
@@ -49,6 +50,7 @@
  */
 export function createServiceAdapter(options: ServiceAdapterOptions): ServiceAdapter & { stop(): Promise<void>; } {
     const { address } = options;
+    const clock = createSystemClock();
     const agentResets = createResetCounter();
     const agent = new Agent({
         connect: buildWatchedConnector(agentResets, () => undefined),
@@ -101,23 +103,20 @@
     }
 
     async function getIncarnation(signal?: AbortSignal): Promise<string | undefined> {
-        const timeout = AbortSignal.timeout(incarnationTimeoutMilliseconds);
-        const limitedSignal = signal === undefined ? timeout : AbortSignal.any([signal, timeout]);
         try {
-            const response = await agent.request({
-                origin: address,
-                method: "GET",
-                path: "/health",
-                signal: limitedSignal,
-            });
-            const health = await response.body.json() as { incarnation?: string; };
-            return response.statusCode === 200 ? health.incarnation : undefined;
+            return await runWithTimeout(clock, incarnationTimeoutMilliseconds, signal, readIncarnation);
         }
         catch {
             return undefined;
         }
     }
 
+    async function readIncarnation(signal: AbortSignal): Promise<string | undefined> {
+        const response = await agent.request({ origin: address, method: "GET", path: "/health", signal });
+        const health = await response.body.json() as { incarnation?: string; };
+        return response.statusCode === 200 ? health.incarnation : undefined;
+    }
+
     /** Gets the connection pool, for an idempotent call. */
     function getPooledConnection(signal: AbortSignal): Connection {
         return {
--- a/src/fleet/runFleetListPolling.ts
+++ b/src/fleet/runFleetListPolling.ts
@@ -1,10 +1,13 @@
 /*
  * The leader's task that polls the platform's list. While the list is unavailable, the last one stays in use.
  */
+import { runWithTimeout } from "../runtime";
 import { FleetListPollingOptions } from "./FleetListPollingOptions";
 
 /** The timeout of one reading of the list, in milliseconds; without faults, the list responds within a few. */
 const readTimeoutMilliseconds = 2_000;
+/** How often a process that does not lead checks whether it does: entry processes wait for a new leader's first list. */
+const leadershipCheckMilliseconds = 20;
 
 /**
  * Polls the list until the signal stops the task.
@@ -14,14 +17,14 @@
     const { listClient, fleetTracker, clock, logger, signal, intervalMilliseconds } = options;
     let isUnavailable = false;
     while (!signal.aborted) {
-        if (options.isLeader()) {
-            const instances = await listClient.getInstances(
-                AbortSignal.any([signal, AbortSignal.timeout(readTimeoutMilliseconds)]),
-            );
-            recordReadResult(instances !== undefined);
-            if (instances && options.isLeader()) {
-                fleetTracker.setInstances(instances);
-            }
+        if (!options.isLeader()) {
+            await clock.sleep(leadershipCheckMilliseconds, signal);
+            continue;
+        }
+        const instances = await runWithTimeout(clock, readTimeoutMilliseconds, signal, listClient.getInstances);
+        recordReadResult(instances !== undefined);
+        if (instances && options.isLeader()) {
+            fleetTracker.setInstances(instances);
         }
         await clock.sleep(intervalMilliseconds, signal);
     }
--- a/src/fleet/runWeightsLoad.ts
+++ b/src/fleet/runWeightsLoad.ts
@@ -7,7 +7,7 @@
 import { ConsensusRole } from "../control/consensus";
 import { assertNever } from "../errors";
 import { LoadedWeightsSchema } from "../protocol";
-import { waitWithTimeout } from "../runtime";
+import { runWithTimeout } from "../runtime";
 import { getWeightsVersion } from "./getWeightsVersion";
 import { RolloutOptions } from "./RolloutOptions";
 import { UnresponsiveEngines } from "./UnresponsiveEngines";
@@ -54,11 +54,7 @@
     let isDone = false;
     let nextOrderMilliseconds = 0;
     while (!isDone && isLeading() && clock.getMonotonicMilliseconds() < startMilliseconds + loadTimeoutMilliseconds) {
-        const report = await waitWithTimeout(
-            clock,
-            engineClient.readReport(instance, getCallSignal()),
-            callTimeoutMilliseconds,
-        );
+        const report = await callEngine(limit => engineClient.readReport(instance, limit));
         if (report) {
             isDone = (getWeightsVersion({ weights: [...report.weights] }, model) ?? 0) >= weightsVersion;
             fleetTracker.recordWeights(instanceId, report.weights);
@@ -97,10 +93,8 @@
      * terminated.
      */
     async function sendOrder(expectedOrderCount: number): Promise<boolean> {
-        const outcome = await engineClient.orderWeights(
-            { instance, model, weightsVersion, holder, fencingToken: term, expectedOrderCount },
-            getCallSignal(),
-        );
+        const order = { instance, model, weightsVersion, holder, fencingToken: term, expectedOrderCount };
+        const outcome = await callEngine(limit => engineClient.orderWeights(order, limit));
         logger.info({ ...fields, expectedOrderCount, outcome }, "ordered new weights");
         nextOrderMilliseconds = clock.getMonotonicMilliseconds() + getRetryDelayMilliseconds(outcome);
         if (outcome.kind === "holds") {
@@ -112,8 +106,8 @@
         return outcome.kind === "holds" || outcome.kind === "misdirected";
     }
 
-    function getCallSignal(): AbortSignal {
-        return AbortSignal.any([signal, AbortSignal.timeout(callTimeoutMilliseconds)]);
+    function callEngine<T>(call: (limit: AbortSignal) => Promise<T>): Promise<T> {
+        return runWithTimeout(clock, callTimeoutMilliseconds, signal, call);
     }
 }
 
--- a/src/forwarding/startKvCacheStoreView.ts
+++ b/src/forwarding/startKvCacheStoreView.ts
@@ -4,6 +4,7 @@
  * view, a request saves parts only where the store lacks a shared one.
  */
 import { LRUCache } from "lru-cache";
+import { runWithTimeout } from "../runtime";
 import { KvCacheStoreView } from "./KvCacheStoreView";
 import { KvCacheStoreViewOptions } from "./KvCacheStoreViewOptions";
 
@@ -69,8 +70,13 @@
         let position = 0;
         let incarnation: string | undefined;
         while (!signal.aborted && stores.get(address) === store) {
-            const limit = AbortSignal.any([signal, AbortSignal.timeout(pollWaitMilliseconds + responseMilliseconds)]);
-            const batch = await source.getChanges(address, position, pollWaitMilliseconds, limit);
+            const fromPosition = position;
+            const batch = await runWithTimeout(
+                clock,
+                pollWaitMilliseconds + responseMilliseconds,
+                signal,
+                limit => source.getChanges(address, fromPosition, pollWaitMilliseconds, limit),
+            );
             recordReachability(address, store, batch !== undefined);
             if (!batch) {
                 await clock.sleep(failurePauseMilliseconds, signal);
--- a/src/runtime/index.ts
+++ b/src/runtime/index.ts
@@ -8,6 +8,7 @@
 export * from "./createSystemClock";
 export * from "./createWakeup";
 export * from "./RandomSource";
+export * from "./runWithTimeout";
 export * from "./Stoppable";
 export * from "./waitWithTimeout";
 export * from "./Wakeup";
--- a/tests/fleet/runWeightsLoad.tests.ts
+++ b/tests/fleet/runWeightsLoad.tests.ts
@@ -18,7 +18,7 @@
      * Runs one load against an engine whose accepted orders take 800 ms.
      * @param responses - The responses to orders, in their order; further orders get a conflict.
      */
-    function createFixture(responses: (WeightsOrderOutcome | "lostButAccepted")[]) {
+    function createFixture(responses: (WeightsOrderOutcome | "lostButAccepted" | "withheld")[]) {
         const clock = createManualClock();
         const fleetTracker = createFleetTracker(
             { getNamedWeights: () => [], getQuarantinedSubjects: () => [], addListener: () => () => undefined },
@@ -42,9 +42,9 @@
             documents: { getNamedWeights: () => [] },
             fleetTracker,
             engineClient: {
-                readReport: () => {
+                readReport: (...[, signal]) => {
                     if (engine.withholdsReports) {
-                        return new Promise(() => undefined);
+                        return new Promise(resolve => signal.addEventListener("abort", () => resolve(undefined)));
                     }
                     if (engine.failsReports) {
                         return Promise.resolve(undefined);
@@ -54,9 +54,14 @@
                     ];
                     return Promise.resolve({ ...engine, weights });
                 },
-                orderWeights: order => {
+                orderWeights: (order, signal) => {
                     orders.push(order);
                     const response = responses[orders.length - 1] ?? { kind: "conflict" };
+                    if (response === "withheld") {
+                        return new Promise(resolve =>
+                            signal.addEventListener("abort", () => resolve({ kind: "unknown", reason: "aborted" }))
+                        );
+                    }
                     if (response === "lostButAccepted" || response.kind === "accepted") {
                         startLoading();
                     }
@@ -149,6 +154,15 @@
         await fixture.load;
     });
 
+    it("abandons a load whose order gets no response, so that the engine is not excluded for good", async () => {
+        const fixture = createFixture(["withheld", { kind: "accepted" }]);
+        await fixture.clock.advance(1_500);
+        expect(fixture.orders.length).to.equal(2);
+        await fixture.clock.advance(3_000);
+        await fixture.load;
+        expect(isLoading(fixture)).to.equal(false);
+    });
+
     it("abandons the load after its timeout, so that the engine can be chosen again", async () => {
         const fixture = createFixture([]);
         await fixture.clock.advance(8_000);
