Elect a leader without an election timeout after a restart of all control members

Cause: a restarted member refuses votes for a minimum election timeout, since it may have acknowledged a message of a leader whose lease must hold. Then random timeouts decide who campaigns.

Change: a restarted member asks all members that it, or any member that has responded, knows whether they lead. Once all of them have said after its restart that they do not, or another process answers at their address, no lease from before can be valid: it votes at once, and campaigns in the order of completeness of the logs. Where one of them does not respond, as a leader that is cut off or suspended, nothing changes.

The test of a vote within the leader's lease now waits for the response on the group's clock.

--- a/examples/replicatedLog.ts
+++ b/examples/replicatedLog.ts
@@ -75,6 +75,7 @@
             handleAppend: async request => log?.handleAppend(request),
             handleSnapshotPart: async part => log?.handleSnapshotPart(part),
             handleJoin: async request => log?.handleJoin(request),
+            handleLeadership: async request => log?.handleLeadership(request),
             handleReadIndex: async request => log?.handleReadIndex(request),
         }));
     return {
--- a/scripts/measure/log/measureRecovery.ts
+++ b/scripts/measure/log/measureRecovery.ts
@@ -89,6 +89,7 @@
         installSnapshot: async () => undefined,
         requestJoin: async () => undefined,
         requestReadIndex: async () => undefined,
+        requestLeadership: async () => undefined,
     };
 }
 
--- a/scripts/measure/log/startMeasuredMember.ts
+++ b/scripts/measure/log/startMeasuredMember.ts
@@ -89,6 +89,7 @@
             handleSnapshotPart: async part => log?.handleSnapshotPart(part),
             handleJoin: async request => log?.handleJoin(request),
             handleReadIndex: async request => log?.handleReadIndex(request),
+            handleLeadership: async request => log?.handleLeadership(request),
         }));
     return {
         address: server.address,
--- a/src/control/consensus/ConsensusHandlers.ts
+++ b/src/control/consensus/ConsensusHandlers.ts
@@ -6,6 +6,8 @@
     AppendResponse,
     JoinRequest,
     JoinResponse,
+    LeadershipRequest,
+    LeadershipResponse,
     ReadIndexRequest,
     ReadIndexResponse,
     SnapshotPart,
@@ -26,4 +28,6 @@
     handleJoin(request: JoinRequest): Promise<JoinResponse | undefined>;
     /** Handles a member's request for the read index of a linearizable read. */
     handleReadIndex(request: ReadIndexRequest): Promise<ReadIndexResponse | undefined>;
+    /** Handles a restarted member's question whether this member leads the group. */
+    handleLeadership(request: LeadershipRequest): Promise<LeadershipResponse | undefined>;
 }
--- a/src/control/consensus/ConsensusPeers.ts
+++ b/src/control/consensus/ConsensusPeers.ts
@@ -6,6 +6,8 @@
     AppendResponse,
     JoinRequest,
     JoinResponse,
+    LeadershipRequest,
+    LeadershipResponse,
     ReadIndexRequest,
     ReadIndexResponse,
     SnapshotPart,
@@ -26,4 +28,6 @@
     requestJoin(address: string, request: JoinRequest): Promise<JoinResponse | undefined>;
     /** Requests the read index, up to which a linearizable read must wait, from the leader. */
     requestReadIndex(address: string, request: ReadIndexRequest): Promise<ReadIndexResponse | undefined>;
+    /** Asks a member whether it leads the group. */
+    requestLeadership(address: string, request: LeadershipRequest): Promise<LeadershipResponse | undefined>;
 }
--- a/src/control/consensus/ConsensusState.ts
+++ b/src/control/consensus/ConsensusState.ts
@@ -61,6 +61,18 @@
      * Returns whether a leader's message arrived within the minimum election timeout, so that all votes are refused.
      */
     hasRecentContact(): boolean;
+    /**
+     * Returns whether votes are refused only since the member may have acknowledged a leader's message before its restart.
+     */
+    hasFormerContact(): boolean;
+    /**
+     * Records that no leader from before the member's restart still leads.
+     * @param electionDelayMilliseconds - How long the member waits for another candidate before it campaigns, in
+     * milliseconds.
+     */
+    endFormerContact(electionDelayMilliseconds: number): void;
+    /** Gets when the member campaigns without waiting for an election timeout; Infinity where it does not. */
+    getEarlyElectionMilliseconds(): number;
     /** Restarts the election timer. */
     restartElectionTimer(): void;
     /** Adopts a higher term and becomes a follower; other terms are ignored. */
--- a/src/control/consensus/addConsensusService.ts
+++ b/src/control/consensus/addConsensusService.ts
@@ -17,6 +17,7 @@
         installSnapshot: async part => getResponseOrThrow(await handlers.handleSnapshotPart(part)),
         join: async request => getResponseOrThrow(await handlers.handleJoin(request)),
         readIndex: async request => getResponseOrThrow(await handlers.handleReadIndex(request)),
+        getLeadership: async request => getResponseOrThrow(await handlers.handleLeadership(request)),
     });
 
     /** Handles a leader's messages in order, one at a time. */
--- a/src/control/consensus/createConnectPeers.ts
+++ b/src/control/consensus/createConnectPeers.ts
@@ -34,6 +34,7 @@
             return getResponse(getClient(address).join(request, { timeoutMs: joinTimeoutMilliseconds }));
         },
         requestReadIndex: (address, request) => getResponse(getClient(address).readIndex(request, { timeoutMs })),
+        requestLeadership: (address, request) => getResponse(getClient(address).getLeadership(request, { timeoutMs })),
     };
 
     function getAppendStream(address: string): AppendStream {
--- a/src/control/consensus/createConsensusState.ts
+++ b/src/control/consensus/createConsensusState.ts
@@ -37,6 +37,8 @@
     // Before a restart, the member may have acknowledged a leader's message, whose lease must hold. A member that has
     // seen a term therefore refuses votes for one minimum election timeout after its start.
     let lastContactMilliseconds = term === 0n ? -Infinity : clock.getMonotonicMilliseconds();
+    let hasFormerContact = term !== 0n;
+    let earlyElectionMilliseconds = Infinity;
     let electionStartMilliseconds = clock.getMonotonicMilliseconds();
     return {
         options,
@@ -60,6 +62,9 @@
         getLastContactMilliseconds: () => lastContactMilliseconds,
         getElectionStartMilliseconds: () => electionStartMilliseconds,
         hasRecentContact,
+        hasFormerContact: () => hasFormerContact && hasRecentContact(),
+        endFormerContact,
+        getEarlyElectionMilliseconds: () => earlyElectionMilliseconds,
         restartElectionTimer,
         observeTerm,
         followLeader,
@@ -99,8 +104,19 @@
         return elapsed < timing.minimumElectionTimeoutMilliseconds;
     }
 
+    function endFormerContact(electionDelayMilliseconds: number): void {
+        if (!hasFormerContact) {
+            return;
+        }
+        hasFormerContact = false;
+        lastContactMilliseconds = -Infinity;
+        earlyElectionMilliseconds = clock.getMonotonicMilliseconds() + electionDelayMilliseconds;
+        roleSignal.notify();
+    }
+
     function restartElectionTimer(): void {
         electionStartMilliseconds = clock.getMonotonicMilliseconds();
+        earlyElectionMilliseconds = Infinity;
     }
 
     function observeTerm(newTerm: bigint): void {
@@ -114,8 +130,9 @@
     }
 
     function followLeader(address: string): void {
+        hasFormerContact = false;
         lastContactMilliseconds = clock.getMonotonicMilliseconds();
-        electionStartMilliseconds = lastContactMilliseconds;
+        restartElectionTimer();
         if (role === ConsensusRole.Follower && leaderAddress === address) {
             return;
         }
--- a/src/control/consensus/createElection.ts
+++ b/src/control/consensus/createElection.ts
@@ -1,7 +1,8 @@
 /*
  * Elections. One task campaigns when no leader's message arrives for an election timeout. It starts with a pre-vote, so
  * that a partitioned member does not raise the term. A member that received a leader's message within the minimum
- * election timeout refuses both pre-votes and votes; leader leases rely on that.
+ * election timeout refuses both pre-votes and votes; leader leases rely on that. After a restart of all members there is
+ * no lease to wait for, and the member with the most complete log campaigns at once.
  */
 import { create } from "@bufbuild/protobuf";
 import { CounterName } from "../../metrics";
@@ -10,13 +11,15 @@
 import { ConsensusRole } from "./ConsensusRole";
 import { ConsensusState } from "./ConsensusState";
 import { Election } from "./Election";
+import { FormerLease } from "./FormerLease";
 
 /**
  * Creates the elections of a member and starts their task.
  * @param state - The member's state.
+ * @param formerLease - Ends the lease that a leader may have had before the member's restart.
  * @param onElected - Called when the member wins an election.
  */
-export function createElection(state: ConsensusState, onElected: () => void): Election {
+export function createElection(state: ConsensusState, formerLease: FormerLease, onElected: () => void): Election {
     const { options: { group, storage, clock, random, metrics, peers }, timing } = state;
     state.startTask(runElectionLoop);
     return { handleVote };
@@ -41,11 +44,15 @@
                 await state.roleSignal.wait();
                 continue;
             }
-            const elapsed = clock.getMonotonicMilliseconds() - state.getElectionStartMilliseconds();
-            if (elapsed >= timeout || isOnlyVoter()) {
+            const end = Math.min(
+                state.getElectionStartMilliseconds() + timeout,
+                state.getEarlyElectionMilliseconds(),
+            );
+            const remaining = end - clock.getMonotonicMilliseconds();
+            if (remaining <= 0 || isOnlyVoter()) {
                 return;
             }
-            await state.roleSignal.wait(timeout - elapsed);
+            await state.roleSignal.wait(remaining);
         }
     }
 
@@ -108,6 +115,7 @@
     }
 
     async function handleVote(request: VoteRequest): Promise<VoteResponse | undefined> {
+        await formerLease.check();
         if (state.isStopped()) {
             return undefined;
         }
--- a/src/control/consensus/createReplicatedLog.ts
+++ b/src/control/consensus/createReplicatedLog.ts
@@ -11,6 +11,7 @@
 import { createConsensusState } from "./createConsensusState";
 import { createElection } from "./createElection";
 import { createFollower } from "./createFollower";
+import { createFormerLease } from "./createFormerLease";
 import { createLeadership } from "./createLeadership";
 import { createMembership } from "./createMembership";
 import { createProposalQueue } from "./createProposalQueue";
@@ -42,7 +43,8 @@
         onDurable: () => leadership.advanceCommitIndex(),
     });
     const follower = createFollower(state, applier);
-    const election = createElection(state, () => leadership.begin());
+    const formerLease = createFormerLease(state);
+    const election = createElection(state, formerLease, () => leadership.begin());
     const barrier = createReadBarrier(state, leadership, applier);
     const membership = createMembership(state, leadership, proposals);
     if (options.initialMembers && hasEmptyLog(state)) {
@@ -68,6 +70,7 @@
         handleSnapshotPart: follower.handleSnapshotPart,
         handleJoin: membership.handleJoin,
         handleReadIndex: barrier.handleReadIndex,
+        handleLeadership: formerLease.handleLeadership,
     };
 
     /** Starts a new group, whose members are stored as a snapshot at index 0. */
--- a/src/protocol/getCallerRoles.ts
+++ b/src/protocol/getCallerRoles.ts
@@ -17,6 +17,7 @@
         installSnapshot: [Role.Control],
         join: [Role.Control],
         readIndex: [Role.Control],
+        getLeadership: [Role.Control],
     },
     [ControlService.typeName]: {
         session: allRoles,
--- a/tests/control/consensus/createNetworkFake.ts
+++ b/tests/control/consensus/createNetworkFake.ts
@@ -83,6 +83,7 @@
             installSnapshot: (address, part) => call(address, member => member.handleSnapshotPart(part)),
             requestJoin: (address, request) => call(address, member => member.handleJoin(request)),
             requestReadIndex: (address, request) => call(address, member => member.handleReadIndex(request)),
+            requestLeadership: (address, request) => call(address, member => member.handleLeadership(request)),
         };
 
         function call<T>(
--- a/tests/control/consensus/createReplicatedLog.properties.tests.ts
+++ b/tests/control/consensus/createReplicatedLog.properties.tests.ts
@@ -1,6 +1,6 @@
 import fc from "fast-check";
 import { createTestGroup } from "./createTestGroup";
-import { createFaultActions, createMembershipActions, performAction } from "./faultActions";
+import { createFaultActions, createMembershipActions, createRestartActions, performAction } from "./faultActions";
 
 const runFactor = Number(process.env.BASILWING_RUN_FACTOR ?? 1);
 const seedOffset = Number(process.env.BASILWING_SEED ?? 0);
@@ -54,4 +54,31 @@
             { seed: 22 + seedOffset, numRuns: 300 * runFactor },
         );
     }).timeout(timeoutMilliseconds);
+
+    it("keeps its invariants when all members restart at once, also while members change", async () => {
+        const memberCount = 4;
+        await fc.assert(
+            fc.asyncProperty(
+                fc.integer(),
+                fc.array(rate, { minLength: memberCount, maxLength: memberCount }),
+                fc.array(createRestartActions(memberCount), { minLength: 3, maxLength: 14 }),
+                async (seed, rates, actions) => {
+                    const group = await createTestGroup({
+                        seed,
+                        memberCount: 3,
+                        learnerCount: 1,
+                        rates,
+                        options: { timing: { voterReplacementTimeoutMilliseconds: 2_000 } },
+                    });
+                    for (const action of actions) {
+                        await performAction(group, action);
+                    }
+                    await group.checkRecovery();
+                    await group.waitForVoters(3);
+                    await group.stop();
+                },
+            ),
+            { seed: 23 + seedOffset, numRuns: 300 * runFactor },
+        );
+    }).timeout(timeoutMilliseconds);
 });
--- a/tests/control/consensus/createReplicatedLog.tests.ts
+++ b/tests/control/consensus/createReplicatedLog.tests.ts
@@ -118,8 +118,54 @@
                     lastIndex,
                     lastTerm: term,
                 });
-                expect((await voter!.log!.handleVote(request))?.granted).to.equal(false);
-                expect((await voter!.log!.handleVote({ ...request, preVote: true }))?.granted).to.equal(false);
+                expect((await group.waitFor(voter!.log!.handleVote(request)))?.granted).to.equal(false);
+                const preVote = voter!.log!.handleVote({ ...request, preVote: true });
+                expect((await group.waitFor(preVote))?.granted).to.equal(false);
+            }));
+
+        it("has no pause of an election timeout after a restart of all members", () =>
+            withGroup({ memberCount: 5 }, async group => {
+                for (const crashes of [1, 2, 3]) {
+                    group.members.forEach(group.crash);
+                    await Promise.all(group.members.map(member => group.start(member)));
+                    await group.advance(leaseMilliseconds / 2);
+                    expect(group.getLeader(), `after ${crashes} restarts`).not.to.equal(undefined);
+                }
+                await group.checkRecovery();
+            }));
+
+        it("has no pause of an election timeout after a restart of all members, one of them with an empty disk", () =>
+            withGroup({}, async (group, leader) => {
+                group.members.forEach(group.crash);
+                await group.replaceDisk(getOthers(group, leader)[0]!);
+                await Promise.all(
+                    group.members.filter(member => !member.log).map(member => group.start(member)),
+                );
+                await group.advance(leaseMilliseconds / 2);
+                expect(group.getLeader()).not.to.equal(undefined);
+                await group.checkRecovery();
+            }));
+
+        it("is not taken over early while the former leader is suspended", () =>
+            withGroup({}, async (group, leader) => {
+                group.network.setFrozen(leader.address, true);
+                getOthers(group, leader).forEach(group.crash);
+                await Promise.all(getOthers(group, leader).map(member => group.start(member)));
+                await group.advance(leaseMilliseconds * 0.9);
+                expect(getOthers(group, leader).map(member => getStatus(member).role))
+                    .to.deep.equal([ConsensusRole.Follower, ConsensusRole.Follower]);
+                await group.checkRecovery();
+            }));
+
+        it("is not taken over early while the former leader can't be reached", () =>
+            withGroup({}, async (group, leader) => {
+                isolate(group, leader);
+                getOthers(group, leader).forEach(group.crash);
+                await Promise.all(getOthers(group, leader).map(member => group.start(member)));
+                await group.advance(leaseMilliseconds * 0.9);
+                expect(getOthers(group, leader).map(member => getStatus(member).role))
+                    .to.deep.equal([ConsensusRole.Follower, ConsensusRole.Follower]);
+                await group.checkRecovery();
             }));
     });
 
--- a/tests/control/consensus/faultActions.ts
+++ b/tests/control/consensus/faultActions.ts
@@ -8,6 +8,7 @@
     | { kind: "wait"; milliseconds: number; }
     | { kind: "crash"; member: number; }
     | { kind: "start"; member: number; }
+    | { kind: "restartAll"; downMember: number | undefined; }
     | { kind: "isolate"; member: number; }
     | { kind: "cut"; from: number; to: number; }
     | { kind: "heal"; }
@@ -63,6 +64,15 @@
     );
 }
 
+/** Creates an arbitrary of actions with restarts of all members at once, after which one may stay down. */
+export function createRestartActions(memberCount: number): fc.Arbitrary<FaultAction> {
+    const downMember = fc.option(fc.integer({ min: 0, max: memberCount - 1 }), { nil: undefined });
+    return fc.oneof<fc.WeightedArbitrary<FaultAction>[]>(
+        withWeight(6, createMembershipActions(memberCount)),
+        withWeight(3, fc.record({ kind: fc.constant("restartAll" as const), downMember })),
+    );
+}
+
 /** Performs an action on a group. */
 export async function performAction(group: TestGroup, action: FaultAction): Promise<void> {
     switch (action.kind) {
@@ -87,6 +97,14 @@
                 await group.start(group.members[action.member]!);
             }
             return;
+        case "restartAll":
+            group.members.filter(member => member.log).forEach(group.crash);
+            await Promise.all(
+                group.members
+                    .filter((...[, number]) => number !== action.downMember)
+                    .map(member => group.start(member)),
+            );
+            return;
         case "isolate":
             group.members.forEach((other, number) => {
                 if (number !== action.member) {
--- a/tests/control/consensus/startTestMember.ts
+++ b/tests/control/consensus/startTestMember.ts
@@ -52,6 +52,7 @@
             handleSnapshotPart: async part => handlers?.handleSnapshotPart(part),
             handleJoin: async request => handlers?.handleJoin(request),
             handleReadIndex: async request => handlers?.handleReadIndex(request),
+            handleLeadership: async request => handlers?.handleLeadership(request),
         }));
     const member: TestMember = {
         address: server.address,
