Move types to the lowest folder that needs them, and rename the forwarding part's ranking

RendezvousRanking of src/forwarding, which collided with another type of that name in src/routing, is NodeRanking there; FleetSource and SharedLimit belong to src/fleet, getSubjectGroup to src/documents, isLoopbackAddress to src/settings. Behaviour is unchanged. The circle of feed, crashQuarantine and serverLimits remains for the next change.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -9,6 +9,8 @@
     { selector: "variable", modifiers: ["global", "const"], format: ["camelCase", "PascalCase"] },
 ];
 
+const nullRule = { selector: "Literal[raw='null']", message: "Use undefined, not null." };
+
 export default tseslint.config(
     { ignores: ["dist/**", "target/**", "journal/**", "node_modules/**", "src/protocol/generated/**"] },
     ...tseslint.configs.recommended,
@@ -27,10 +29,7 @@
             eqeqeq: ["error", "always"],
             "max-lines": ["error", { max: 300, skipComments: true, skipBlankLines: true }],
             "max-depth": ["error", 4],
-            "no-restricted-syntax": ["error", {
-                selector: "Literal[raw='null']",
-                message: "Use undefined, not null.",
-            }, {
+            "no-restricted-syntax": ["error", nullRule, {
                 selector: "MemberExpression[object.name='AbortSignal'][property.name='timeout']",
                 message: "Use runWithTimeout: Node collects timeout signals as garbage once they are combined.",
             }],
@@ -41,6 +40,6 @@
     },
     {
         files: ["tests/**/*.ts"],
-        rules: { "max-lines": "off" },
+        rules: { "max-lines": "off", "no-restricted-syntax": ["error", nullRule] },
     },
 );
--- a/src/commands/readOperatorConnection.ts
+++ b/src/commands/readOperatorConnection.ts
@@ -4,7 +4,7 @@
  */
 import { readFile } from "node:fs/promises";
 import { getErrorMessage } from "../errors";
-import { isLoopbackAddress } from "../security";
+import { isLoopbackAddress } from "../settings";
 import { Environment, isHttpAddress } from "../settings";
 import { OperatorConnectionOptions } from "./OperatorConnectionOptions";
 import { OperatorConnectionOutcome } from "./OperatorConnectionOutcome";
--- a/src/crashQuarantine/index.ts
+++ b/src/crashQuarantine/index.ts
@@ -15,7 +15,6 @@
 export * from "./createSubjectSet";
 export * from "./encodeCrashReport";
 export * from "./getRequestSubjectId";
-export * from "./getSubjectGroup";
 export * from "./getSubjectKind";
 export * from "./getSubjectLimits";
 export * from "./GuiltySubject";
--- a/src/documents/createDocumentState.ts
+++ b/src/documents/createDocumentState.ts
@@ -4,7 +4,6 @@
  */
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import { ApplyContext } from "../control/consensus";
-import { getSubjectGroup } from "../crashQuarantine";
 import { assertNever } from "../errors";
 import {
     DocumentCommandSchema,
@@ -13,6 +12,7 @@
     QuarantinedSubjectRecordSchema,
 } from "../protocol";
 import { DocumentState } from "./DocumentState";
+import { getSubjectGroup } from "./getSubjectGroup";
 import { NamedWeightsVersion } from "./NamedWeightsVersion";
 import { QuarantinedSubject } from "./QuarantinedSubject";
 
--- a/src/documents/index.ts
+++ b/src/documents/index.ts
@@ -10,6 +10,7 @@
 export * from "./DocumentState";
 export * from "./DocumentWorkspace";
 export * from "./getDocumentProblem";
+export * from "./getSubjectGroup";
 export * from "./NamedWeightsVersion";
 export * from "./QuarantinedSubject";
 export * from "./Route";
--- a/src/feed/FeedHandlerOptions.ts
+++ b/src/feed/FeedHandlerOptions.ts
@@ -4,10 +4,10 @@
 import { ReplicatedLog } from "../control/consensus";
 import { SubjectEvidence } from "../crashQuarantine";
 import { DocumentState } from "../documents";
+import { FleetSource } from "../fleet";
 import { Clock } from "../runtime";
 import { LimitLedger } from "../serverLimits";
 import { EntryRegistry } from "./EntryRegistry";
-import { FleetSource } from "./FleetSource";
 
 /** The options of a control member's feed handler. */
 export interface FeedHandlerOptions {
--- a/src/feed/index.ts
+++ b/src/feed/index.ts
@@ -15,6 +15,5 @@
 export * from "./FeedState";
 export * from "./FeedStateOptions";
 export * from "./FeedTaskOptions";
-export * from "./FleetSource";
 export * from "./PollResult";
 export * from "./runFeed";
--- a/src/fleet/FleetTracker.ts
+++ b/src/fleet/FleetTracker.ts
@@ -1,9 +1,9 @@
 /*
  * The leader's view of the fleet: the platform's list, corrected by the leader's own observations.
  */
-import { FleetSource } from "../feed";
 import { FleetInstance, LoadedWeights } from "../protocol";
-import { SharedLimit } from "../serverLimits";
+import { FleetSource } from "./FleetSource";
+import { SharedLimit } from "./SharedLimit";
 
 /** Tracks the backend servers of the fleet. */
 export interface FleetTracker extends FleetSource {
--- a/src/fleet/createFleetTracker.ts
+++ b/src/fleet/createFleetTracker.ts
@@ -14,8 +14,8 @@
     WeightsTargetSchema,
 } from "../protocol";
 import { Clock } from "../runtime";
-import { SharedLimit } from "../serverLimits";
 import { FleetTracker } from "./FleetTracker";
+import { SharedLimit } from "./SharedLimit";
 
 /**
  * Creates a tracker without a list.
--- a/src/forwarding/CacheContext.ts
+++ b/src/forwarding/CacheContext.ts
@@ -1,9 +1,9 @@
 /*
  * The state from which the cache addresses of an attempt are chosen.
  */
+import { NodeRanking } from "../routing";
 import { KvCacheStoreView } from "./KvCacheStoreView";
 import { PrefixSources } from "./PrefixSources";
-import { RendezvousRanking } from "./RendezvousRanking";
 
 /** Where the parts of prompts may be cached. */
 export interface CacheContext {
@@ -12,5 +12,5 @@
     /** The contents of the KV cache stores. */
     kvCacheStores: KvCacheStoreView;
     /** Distributes the shared prefixes over the stores. */
-    ranking: RendezvousRanking;
+    ranking: NodeRanking;
 }
--- a/src/forwarding/createEnginePlacement.ts
+++ b/src/forwarding/createEnginePlacement.ts
@@ -7,6 +7,7 @@
 import { DesiredWeights } from "../feed";
 import { getWeightsVersion } from "../fleet";
 import { FleetInstance } from "../protocol";
+import { NodeRanking } from "../routing";
 import { Clock } from "../runtime";
 import { createPrefillTracker } from "./createPrefillTracker";
 import { EnginePlacement } from "./EnginePlacement";
@@ -17,7 +18,6 @@
 import { PrefixSources } from "./PrefixSources";
 import { PromptDescriptor } from "./PromptDescriptor";
 import { PromptPrefix } from "./PromptPrefix";
-import { RendezvousRanking } from "./RendezvousRanking";
 
 /** The prefill speed of an engine, in prompt tokens per millisecond: the magnitude of current engines. */
 const prefillTokensPerMillisecond = 50;
@@ -59,7 +59,7 @@
  */
 export function createEnginePlacement(
     loads: LoadTracker,
-    ranking: RendezvousRanking,
+    ranking: NodeRanking,
     clock: Clock,
     supersededWeightsGraceMilliseconds: number,
 ): EnginePlacement {
--- a/src/protocol/createPeerTransports.ts
+++ b/src/protocol/createPeerTransports.ts
@@ -4,7 +4,8 @@
 import type { DescMethod } from "@bufbuild/protobuf";
 import type { Transport } from "@connectrpc/connect";
 import { createConnectTransport } from "@connectrpc/connect-node";
-import { isLoopbackAddress, TlsIdentity } from "../security";
+import { TlsIdentity } from "../security";
+import { isLoopbackAddress } from "../settings";
 import { Role } from "../settings";
 import { connectToPeer } from "./connectToPeer";
 import { createPeerConnection } from "./createPeerConnection";
--- a/src/forwarding/RendezvousRanking.ts
+++ b/src/routing/NodeRanking.ts
@@ -3,7 +3,7 @@
  */
 
 /** Ranks nodes for keys, in the same order in every process. */
-export interface RendezvousRanking {
+export interface NodeRanking {
     /**
      * Gets the nodes that rank highest for a key, the highest first.
      * @param key - The key.
--- a/src/forwarding/createRendezvousRanking.ts
+++ b/src/routing/createNodeRanking.ts
@@ -3,7 +3,7 @@
  */
 import { LRUCache } from "lru-cache";
 import { createInstanceDigest, getRendezvousScore, InstanceDigest } from "../routing";
-import { RendezvousRanking } from "./RendezvousRanking";
+import { NodeRanking } from "./NodeRanking";
 
 /**
  * The maximum number of cached digests: more than the engines of any fleet and the prefixes of some seconds together.
@@ -11,7 +11,7 @@
 const maximumDigests = 4_096;
 
 /** Creates the ranking of a process. */
-export function createRendezvousRanking(): RendezvousRanking {
+export function createNodeRanking(): NodeRanking {
     const digests = new LRUCache<string, InstanceDigest>({ max: maximumDigests });
     return { getHighest };
 
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -3,6 +3,7 @@
  */
 export * from "./createInstanceDigest";
 export * from "./createLoadTracker";
+export * from "./createNodeRanking";
 export * from "./createPlacement";
 export * from "./createPrefixChain";
 export * from "./createRendezvousRanking";
@@ -11,6 +12,7 @@
 export * from "./getRendezvousScore";
 export * from "./InstanceDigest";
 export * from "./LoadTracker";
+export * from "./NodeRanking";
 export * from "./Placement";
 export * from "./PlacementOptions";
 export * from "./PlacementRequest";
--- a/src/security/getListenerProblem.ts
+++ b/src/security/getListenerProblem.ts
@@ -2,7 +2,7 @@
  * Prevents listeners without TLS from being opened to other machines by mistake.
  */
 import { ListenerSettings } from "../settings";
-import { isLoopbackAddress } from "./isLoopbackAddress";
+import { isLoopbackAddress } from "../settings";
 
 /**
  * Gets the reason why a listener must not be opened.
--- a/src/security/index.ts
+++ b/src/security/index.ts
@@ -11,7 +11,6 @@
 export * from "./getPeerCertificateChain";
 export * from "./isChainTrusted";
 export * from "./isKeyAccepted";
-export * from "./isLoopbackAddress";
 export * from "./loadTlsIdentity";
 export * from "./parseCertificates";
 export * from "./PeerIdentity";
--- a/src/serverLimits/LimitLedger.ts
+++ b/src/serverLimits/LimitLedger.ts
@@ -1,8 +1,8 @@
 /*
  * The limits of backend servers, at a control member.
  */
+import { SharedLimit } from "../fleet";
 import { LimitStatement } from "./LimitStatement";
-import { SharedLimit } from "./SharedLimit";
 
 /** Joins what entry processes report of limits. */
 export interface LimitLedger {
--- a/src/serverLimits/createLimitLedger.ts
+++ b/src/serverLimits/createLimitLedger.ts
@@ -4,12 +4,12 @@
  * kept without a call for each request.
  */
 import { LRUCache } from "lru-cache";
-import { RendezvousRanking } from "../forwarding";
+import { SharedLimit } from "../fleet";
+import { NodeRanking } from "../routing";
 import { Clock } from "../runtime";
 import { getHolderCount } from "./getHolderCount";
 import { LimitLedger } from "./LimitLedger";
 import { LimitStatement } from "./LimitStatement";
-import { SharedLimit } from "./SharedLimit";
 
 /** How long the end of a limit is distributed, in milliseconds: entry processes with an older statement learn of it. */
 const endedLifetimeMilliseconds = 60_000;
@@ -28,7 +28,7 @@
  * @param clock - Measures the age of statements.
  * @param ranking - Chooses the entry processes that share a limit.
  */
-export function createLimitLedger(clock: Clock, ranking: RendezvousRanking): LimitLedger {
+export function createLimitLedger(clock: Clock, ranking: NodeRanking): LimitLedger {
     const records = new LRUCache<string, ServerRecord>({ max: maximumServers });
     const knownStatements = new LRUCache<string, true>({ max: maximumKnownStatements });
     return { addStatement, getSharedLimits };
--- a/src/serverLimits/index.ts
+++ b/src/serverLimits/index.ts
@@ -10,4 +10,3 @@
 export * from "./RequestLimit";
 export * from "./runServerLimits";
 export * from "./ServerLimits";
-export * from "./SharedLimit";
--- a/src/settings/getRelationProblems.ts
+++ b/src/settings/getRelationProblems.ts
@@ -1,8 +1,8 @@
 /*
  * Validates the constraints between settings that the schema can't express.
  */
-import { isLoopbackAddress } from "../security/isLoopbackAddress";
 import { InstanceSettings } from "./InstanceSettings";
+import { isLoopbackAddress } from "./isLoopbackAddress";
 import { ListenerSettings } from "./ListenerSettings";
 import { Role } from "./Role";
 import { ValueProblem } from "./validation";
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -9,6 +9,7 @@
 export * from "./getEnvironmentOverrides";
 export * from "./InstanceSettings";
 export * from "./instanceSettingsSchema";
+export * from "./isLoopbackAddress";
 export * from "./ListenerSettings";
 export * from "./loadInstanceSettings";
 export * from "./Role";
--- a/src/streamOrigins/StreamOriginsOptions.ts
+++ b/src/streamOrigins/StreamOriginsOptions.ts
@@ -1,9 +1,9 @@
 /*
  * The options of the stream origins of an entry process.
  */
-import { RendezvousRanking } from "../forwarding";
 import { Logger } from "../logging";
 import { Metrics } from "../metrics";
+import { NodeRanking } from "../routing";
 import { Clock } from "../runtime";
 import { StreamOriginClient } from "./StreamOriginClient";
 
@@ -14,7 +14,7 @@
     /** Gets the internal addresses of the control members that are known. */
     getMemberAddresses(): readonly string[];
     /** Chooses the members that hold an origin. */
-    ranking: RendezvousRanking;
+    ranking: NodeRanking;
     /** Measures lifetimes and waits. */
     clock: Clock;
     /** Logs when the members become unreachable and reachable again. */
--- a/tests/crashQuarantine/createTestControl.ts
+++ b/tests/crashQuarantine/createTestControl.ts
@@ -4,9 +4,9 @@
 import { createDocumentState, DocumentState, RoutingDocument } from "../../src/documents";
 import { createEntryRegistry, createFeedHandler, FeedClient } from "../../src/feed";
 import { createFleetTracker } from "../../src/fleet";
-import { createRendezvousRanking } from "../../src/forwarding";
 import { createSilentLogger } from "../../src/logging";
 import { DocumentCommandSchema, FleetInstance } from "../../src/protocol";
+import { createNodeRanking } from "../../src/routing";
 import { createLimitLedger } from "../../src/serverLimits";
 import { ManualClock } from "../support/createManualClock";
 
@@ -77,7 +77,7 @@
             fleet,
             entryRegistry: createEntryRegistry(clock),
             evidence,
-            limitLedger: createLimitLedger(clock, createRendezvousRanking()),
+            limitLedger: createLimitLedger(clock, createNodeRanking()),
             clock,
         });
         fleet.reset(term);
--- a/tests/feed/createFeedHandler.tests.ts
+++ b/tests/feed/createFeedHandler.tests.ts
@@ -4,8 +4,8 @@
 import { createSubjectEvidence } from "../../src/crashQuarantine";
 import { createDocumentState } from "../../src/documents";
 import { createEntryRegistry, createFeedHandler } from "../../src/feed";
-import { createRendezvousRanking } from "../../src/forwarding";
 import { DocumentCommandSchema, FleetViewSchema, PollOutcome, PollRequestSchema } from "../../src/protocol";
+import { createNodeRanking } from "../../src/routing";
 import { createLimitLedger } from "../../src/serverLimits";
 import { createManualClock } from "../support/createManualClock";
 
@@ -35,7 +35,7 @@
             fleet: { getRevision: () => fixture.fleetRevision, getView: () => create(FleetViewSchema) },
             entryRegistry: createEntryRegistry(clock),
             evidence: createSubjectEvidence(clock),
-            limitLedger: createLimitLedger(clock, createRendezvousRanking()),
+            limitLedger: createLimitLedger(clock, createNodeRanking()),
             clock,
         });
         return fixture;
--- a/tests/forwarding/createEnginePlacement.tests.ts
+++ b/tests/forwarding/createEnginePlacement.tests.ts
@@ -1,11 +1,7 @@
 import { expect } from "chai";
-import {
-    createEnginePlacement,
-    createLoadTracker,
-    createRendezvousRanking,
-    PromptDescriptor,
-} from "../../src/forwarding";
+import { createEnginePlacement, createLoadTracker, PromptDescriptor } from "../../src/forwarding";
 import { FleetInstance } from "../../src/protocol";
+import { createNodeRanking } from "../../src/routing";
 import { createRandomSource } from "../../src/runtime";
 import { createTestInstance } from "../feed/createTestFeed";
 import { createManualClock } from "../support/createManualClock";
@@ -30,7 +26,7 @@
     function createTrial(isUnresponsive: (instanceId: string) => boolean = () => false) {
         const clock = createManualClock();
         const loads = createLoadTracker(clock, isUnresponsive);
-        return { clock, loads, placement: createEnginePlacement(loads, createRendezvousRanking(), clock, 10_000) };
+        return { clock, loads, placement: createEnginePlacement(loads, createNodeRanking(), clock, 10_000) };
     }
 
     const engines = createEngines([1, 1, 1, 1, 1, 1, 1, 1]);
--- a/tests/forwarding/getCacheAddresses.tests.ts
+++ b/tests/forwarding/getCacheAddresses.tests.ts
@@ -1,11 +1,12 @@
 import { expect } from "chai";
-import { createRendezvousRanking, PrefixSources, PromptDescriptor } from "../../src/forwarding";
+import { PrefixSources, PromptDescriptor } from "../../src/forwarding";
 import { getCacheAddresses } from "../../src/forwarding/getCacheAddresses";
+import { createNodeRanking } from "../../src/routing";
 import { createTestInstance } from "../feed/createTestFeed";
 
 describe("getCacheTerms", () => {
     const stores = ["10.9.0.1:80", "10.9.0.2:80", "10.9.0.3:80"];
-    const ranking = createRendezvousRanking();
+    const ranking = createNodeRanking();
     const likely = createTestInstance({ instanceId: "likely", address: "10.0.0.1:80" });
     const recent = createTestInstance({ instanceId: "recent", address: "10.0.0.2:80" });
     const former = createTestInstance({ instanceId: "former", address: "10.0.0.3:80" });
--- a/tests/serverLimits/createLimitLedger.tests.ts
+++ b/tests/serverLimits/createLimitLedger.tests.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { createRendezvousRanking } from "../../src/forwarding";
+import { createNodeRanking } from "../../src/routing";
 import { createLimitLedger, LimitStatement } from "../../src/serverLimits";
 import { createManualClock } from "../support/createManualClock";
 
@@ -8,7 +8,7 @@
 
     function createFixture() {
         const clock = createManualClock();
-        const ledger = createLimitLedger(clock, createRendezvousRanking());
+        const ledger = createLimitLedger(clock, createNodeRanking());
         let count = 0;
         return { clock, ledger, add, getLimit };
 
--- a/tests/serverLimits/runServerLimits.tests.ts
+++ b/tests/serverLimits/runServerLimits.tests.ts
@@ -1,15 +1,16 @@
 import { expect } from "chai";
 import { ConsensusRole, LogStatus } from "../../src/control/consensus";
 import { createEntryRegistry } from "../../src/feed";
-import { createRendezvousRanking } from "../../src/forwarding";
-import { createLimitLedger, runServerLimits, SharedLimit } from "../../src/serverLimits";
+import { SharedLimit } from "../../src/fleet";
+import { createNodeRanking } from "../../src/routing";
+import { createLimitLedger, runServerLimits } from "../../src/serverLimits";
 import { createTestInstance } from "../feed/createTestFeed";
 import { createManualClock } from "../support/createManualClock";
 
 describe("runServerLimits", () => {
     function createFixture(role: ConsensusRole) {
         const clock = createManualClock();
-        const ledger = createLimitLedger(clock, createRendezvousRanking());
+        const ledger = createLimitLedger(clock, createNodeRanking());
         const entryRegistry = createEntryRegistry(clock);
         const updates: (readonly SharedLimit[])[] = [];
         entryRegistry.recordPoll("entry-1");
--- a/tests/streamOrigins/createStreamOrigins.tests.ts
+++ b/tests/streamOrigins/createStreamOrigins.tests.ts
@@ -1,9 +1,9 @@
 import { create } from "@bufbuild/protobuf";
 import { expect } from "chai";
-import { createRendezvousRanking } from "../../src/forwarding";
 import { createSilentLogger } from "../../src/logging";
 import { createMetrics } from "../../src/metrics";
 import { StreamOrigin, StreamOriginSchema } from "../../src/protocol";
+import { createNodeRanking } from "../../src/routing";
 import {
     createStreamOrigins,
     createStreamOriginStore,
@@ -56,7 +56,7 @@
             createStreamOrigins({
                 client,
                 getMemberAddresses: () => members,
-                ranking: createRendezvousRanking(),
+                ranking: createNodeRanking(),
                 clock,
                 logger: createSilentLogger(),
                 metrics: createMetrics(),
