Share what entry processes observe as expiring facts, and keep copies for the next leader

Cause: crash reports were held by the entry process that had seen the crash, which sent them again with each poll, and by the leader. An entry process that restarts forgets its reports, a new leader has none.

Change: src/facts holds what an entry process observes and others need for a limited time, by kind, key and reporter, with a revision and an age. Facts travel with the polls, each one once until it is confirmed; a leader with another store gets all facts that an entry process holds. A poll that waits is replaced at once where a fact is urgent.

The tests of crash reports moved from addCrashReport, which is gone, to readCrashFacts with the same expectations.

--- a/src/crashQuarantine/index.ts
+++ b/src/crashQuarantine/index.ts
@@ -3,7 +3,9 @@
  * crashes and the subjects in flight at them, the leader of the control members joins the observations and decides, and
  * entry processes refuse requests with a quarantined subject before they reach a backend server.
  */
-export * from "./addCrashReport";
+export * from "./completionFactKind";
+export * from "./CrashDetails";
+export * from "./crashFactKind";
 export * from "./CrashObservation";
 export * from "./CrashObserver";
 export * from "./CrashObserverOptions";
@@ -13,13 +15,14 @@
 export * from "./createCrashQuarantine";
 export * from "./createSubjectEvidence";
 export * from "./createSubjectSet";
-export * from "./encodeCrashReport";
 export * from "./getRequestSubjectId";
 export * from "./getSubjectKind";
 export * from "./getSubjectLimits";
 export * from "./GuiltySubject";
 export * from "./InstanceState";
 export * from "./ObservedRun";
+export * from "./publishCrashReport";
+export * from "./readCrashFacts";
 export * from "./RequestIdentity";
 export * from "./requestSubjectPrefix";
 export * from "./runCrashQuarantine";
--- a/src/crashQuarantine/runCrashQuarantine.ts
+++ b/src/crashQuarantine/runCrashQuarantine.ts
@@ -1,16 +1,18 @@
 /*
  * The leader's task that decides which subjects are quarantined. The decision is a command of the replicated
- * log, so that it outlives the leader; the evidence is kept in memory only, since entry processes report it again.
+ * log, so that it outlives the leader; the evidence is kept in memory only, since entry processes keep copies of it.
  */
 import { create, toBinary } from "@bufbuild/protobuf";
 import { ConsensusRole, ReplicatedLog } from "../control/consensus";
 import { DocumentState } from "../documents";
+import { FactStore } from "../facts";
 import { FleetTracker } from "../fleet";
 import { Logger } from "../logging";
 import { DocumentCommandSchema } from "../protocol";
 import { Clock } from "../runtime";
 import { getSubjectKind } from "./getSubjectKind";
 import { GuiltySubject } from "./GuiltySubject";
+import { readCrashFacts } from "./readCrashFacts";
 import { SubjectEvidence } from "./SubjectEvidence";
 
 /** The interval between two decisions, in milliseconds. */
@@ -24,6 +26,8 @@
     /** Holds the subjects that are or were in quarantine. */
     documents: Pick<DocumentState, "getQuarantinedSubjects">;
     /** What the entry processes have reported to this member. */
+    facts: FactStore;
+    /** Joins the reports. */
     evidence: SubjectEvidence;
     /** Shows the suspects to the entry processes. */
     fleetTracker: Pick<FleetTracker, "setSuspectedSubjects">;
@@ -40,8 +44,13 @@
  * @param options - The options of the task.
  */
 export async function runCrashQuarantine(options: CrashQuarantineOptions): Promise<void> {
-    const { log, documents, evidence, fleetTracker, clock, logger, signal } = options;
+    const { log, documents, facts, evidence, fleetTracker, clock, logger, signal } = options;
+    let readPosition = -1;
     while (!signal.aborted) {
+        if (facts.getPosition() !== readPosition) {
+            readPosition = facts.getPosition();
+            readCrashFacts(facts, evidence, clock);
+        }
         if (log.getStatus().role === ConsensusRole.Leader) {
             explainKnownSubjects();
             for (const subject of evidence.getGuiltySubjects()) {
--- /dev/null
+++ b/src/facts/FactDistribution.ts
@@ -0,0 +1,11 @@
+/*
+ * Which processes receive the facts of a kind.
+ */
+
+/** The receivers of facts. */
+export enum FactDistribution {
+    /** All entry processes act on the facts. */
+    AllEntries = "allEntries",
+    /** Control members act on the facts; a few entry processes keep a copy for the next leader. */
+    FewEntries = "fewEntries",
+}
--- a/src/feed/FeedClient.ts
+++ b/src/feed/FeedClient.ts
@@ -11,6 +11,12 @@
      * @param address - The member's internal address.
      * @param request - The versions that the entry process has.
      * @param timeoutMilliseconds - The time after which the poll fails, in milliseconds.
+     * @param signal - Ends the poll, which fails then.
      */
-    poll(address: string, request: PollRequest, timeoutMilliseconds: number): Promise<PollResult>;
+    poll(
+        address: string,
+        request: PollRequest,
+        timeoutMilliseconds: number,
+        signal: AbortSignal,
+    ): Promise<PollResult>;
 }
--- a/src/feed/FeedHandlerOptions.ts
+++ b/src/feed/FeedHandlerOptions.ts
@@ -2,11 +2,10 @@
  * The options of the feed handler.
  */
 import { ReplicatedLog } from "../control/consensus";
-import { SubjectEvidence } from "../crashQuarantine";
 import { DocumentState } from "../documents";
+import { FactHub } from "../facts";
 import { FleetSource } from "../fleet";
 import { Clock } from "../runtime";
-import { LimitLedger } from "../serverLimits";
 import { EntryRegistry } from "./EntryRegistry";
 
 /** The options of a control member's feed handler. */
@@ -19,10 +18,8 @@
     fleet: FleetSource;
     /** Counts the entry processes that poll. */
     entryRegistry: EntryRegistry;
-    /** Receives the reports of crashes that come with the polls. */
-    evidence: SubjectEvidence;
-    /** Receives the statements on limits that come with the polls. */
-    limitLedger: LimitLedger;
+    /** Exchanges facts with the entry processes that poll. */
+    factHub: FactHub;
     /** Measures the wait of polls. */
     clock: Clock;
 }
--- a/src/feed/FeedTaskOptions.ts
+++ b/src/feed/FeedTaskOptions.ts
@@ -1,10 +1,9 @@
 /*
  * The options of the polling task of an entry process.
  */
-import { CrashReport } from "../crashQuarantine";
+import { FactSync } from "../facts";
 import { Logger } from "../logging";
 import { Clock, RandomSource } from "../runtime";
-import { LimitStatement } from "../serverLimits";
 import { FeedClient } from "./FeedClient";
 import { FeedState } from "./FeedState";
 
@@ -18,10 +17,10 @@
     client: FeedClient;
     /** The state that the responses update. */
     state: FeedState;
-    /** Gets the crashes that are reported with each poll. */
-    getCrashReport(): CrashReport;
-    /** Gets the statements on limits that are reported with each poll. */
-    getLimitStatements(): readonly LimitStatement[];
+    /** Exchanges facts with the leader. */
+    factSync: FactSync;
+    /** Called before each poll, to publish facts. */
+    onBeforePoll?: () => void;
     /** Provides the time and the delays between retries. */
     clock: Clock;
     /** Randomizes the first member and the retry delays, so that entry processes do not poll in step. */
--- a/src/feed/createFeedClient.ts
+++ b/src/feed/createFeedClient.ts
@@ -14,10 +14,15 @@
 export function createFeedClient(transports: PeerTransports): FeedClient {
     return { poll };
 
-    async function poll(address: string, request: PollRequest, timeoutMs: number): Promise<PollResult> {
+    async function poll(
+        address: string,
+        request: PollRequest,
+        timeoutMs: number,
+        signal: AbortSignal,
+    ): Promise<PollResult> {
         const client = createClient(FeedService, transports.getTransport(address));
         try {
-            return { kind: "answered", response: await client.poll(request, { timeoutMs }) };
+            return { kind: "answered", response: await client.poll(request, { timeoutMs, signal }) };
         }
         catch (thrown) {
             return { kind: "failed", reason: getErrorMessage(thrown) };
--- a/src/feed/createFeedHandler.ts
+++ b/src/feed/createFeedHandler.ts
@@ -5,7 +5,6 @@
  */
 import { create } from "@bufbuild/protobuf";
 import { ConsensusRole, createSignal } from "../control/consensus";
-import { addCrashReport } from "../crashQuarantine";
 import { PollOutcome, PollRequest, PollResponse, PollResponseSchema } from "../protocol";
 import { FeedHandler } from "./FeedHandler";
 import { FeedHandlerOptions } from "./FeedHandlerOptions";
@@ -18,7 +17,7 @@
  * @param options - The handler's log, state and clock.
  */
 export function createFeedHandler(options: FeedHandlerOptions): FeedHandler {
-    const { log, documents, fleet, entryRegistry, clock } = options;
+    const { log, documents, fleet, entryRegistry, factHub, clock } = options;
     const changeSignal = createSignal(clock);
     documents.addListener(wakePolls);
     return { poll, wakePolls };
@@ -29,8 +28,7 @@
 
     async function poll(request: PollRequest): Promise<PollResponse> {
         entryRegistry.recordPoll(request.entryId);
-        addCrashReport(options.evidence, request);
-        request.limitStatements.forEach(options.limitLedger.addStatement);
+        factHub.readPoll(request);
         const endMilliseconds = clock.getMonotonicMilliseconds()
             + Math.min(request.waitMilliseconds, maximumWaitMilliseconds);
         while (isLeader() && !hasChanges(request) && clock.getMonotonicMilliseconds() < endMilliseconds) {
@@ -53,7 +51,8 @@
 
     function hasChanges(request: PollRequest): boolean {
         return Number(request.documentVersion) !== documents.getVersion()
-            || request.fleetRevision !== fleet.getRevision();
+            || request.fleetRevision !== fleet.getRevision()
+            || factHub.hasNewFacts(request);
     }
 
     function createCurrentResponse(request: PollRequest): PollResponse {
@@ -69,6 +68,7 @@
             fleet: hasNewFleet ? fleet.getView() : undefined,
             entryCount: entryRegistry.getCount(),
             memberAddresses: getMemberAddresses(),
+            ...factHub.createResponseFields(request),
         });
     }
 
--- a/src/feed/runFeed.ts
+++ b/src/feed/runFeed.ts
@@ -1,18 +1,20 @@
 /*
  * The entry process's task that polls the leader of the control members. When a poll fails or the member is not the
  * leader, the task polls another member. Each poll has a timeout of its own, so that an unresponsive connection delays
- * the task by at most one poll.
+ * the task by at most one poll. A poll that waits for changes is replaced by one that does not as soon as this process has
+ * a fact that the others need at once.
  */
 import { create } from "@bufbuild/protobuf";
-import { encodeCrashReport } from "../crashQuarantine";
 import { readClocks } from "../membership";
-import { LimitStatementSchema, PollOutcome, PollRequestSchema } from "../protocol";
+import { PollOutcome, PollRequestSchema } from "../protocol";
 import { FeedTaskOptions } from "./FeedTaskOptions";
 
 /** How long a poll waits for changes, in milliseconds; without faults, the document's age also grows to this. */
 const pollWaitMilliseconds = 400;
 /** The timeout of a poll beyond its wait, in milliseconds: a heartbeat round of the control group and some delay. */
 const responseTimeoutMilliseconds = 600;
+/** The minimum time between two polls that send urgent facts, in milliseconds, so that many facts share a poll. */
+const urgentIntervalMilliseconds = 25;
 /** The maximum delay after a poll without a current response, in milliseconds; each delay is random up to this. */
 const maximumRetryDelayMilliseconds = 150;
 
@@ -21,24 +23,38 @@
  * @param options - The client, the state to update and the task's other dependencies.
  */
 export async function runFeed(options: FeedTaskOptions): Promise<void> {
-    const { entryId, client, state, clock, random, logger, signal } = options;
+    const { entryId, client, state, factSync, clock, random, logger, signal } = options;
     let members: readonly string[] = [];
     let address: string | undefined;
     let isConnected = false;
     let position = random.getInteger(1_024);
+    let isUrgent = false;
+    let interruptWait: () => void = () => undefined;
+    factSync.addUrgentListener(() => {
+        isUrgent = true;
+        interruptWait();
+    });
     while (!signal.aborted) {
         address ??= getNextAddress();
         const sendTime = readClocks(clock);
+        const waits = isConnected && !isUrgent;
+        isUrgent = false;
+        options.onBeforePoll?.();
         const request = create(PollRequestSchema, {
             entryId,
             documentVersion: BigInt(state.getRouteTable()?.document.version ?? 0),
             fleetRevision: state.getFleetRevision(),
-            ...encodeCrashReport(options.getCrashReport()),
-            limitStatements: options.getLimitStatements().map(fields => create(LimitStatementSchema, fields)),
-            waitMilliseconds: isConnected ? pollWaitMilliseconds : 0,
+            ...factSync.createPollFields(),
+            waitMilliseconds: waits ? pollWaitMilliseconds : 0,
         });
         const timeoutMilliseconds = responseTimeoutMilliseconds + request.waitMilliseconds;
-        const result = await client.poll(address, request, timeoutMilliseconds);
+        const interruption = new AbortController();
+        interruptWait = waits ? () => interruption.abort() : () => undefined;
+        const result = await client.poll(address, request, timeoutMilliseconds, interruption.signal);
+        if (interruption.signal.aborted) {
+            await clock.sleep(urgentIntervalMilliseconds, signal);
+            continue;
+        }
         if (result.kind === "failed") {
             recordDisconnected(address, result.reason);
             address = undefined;
@@ -50,6 +66,7 @@
         if (response.outcome === PollOutcome.CURRENT) {
             recordConnected(address);
             state.applyResponse(response, sendTime);
+            factSync.readResponse(response);
             options.onUpdate?.();
             continue;
         }
--- a/src/serverLimits/runServerLimits.ts
+++ b/src/serverLimits/runServerLimits.ts
@@ -2,10 +2,12 @@
  * The leader's task that divides the limits of backend servers among the entry processes.
  */
 import { ConsensusRole, ReplicatedLog } from "../control/consensus";
+import { FactStore } from "../facts";
 import { EntryRegistry } from "../feed";
 import { FleetTracker } from "../fleet";
 import { Clock } from "../runtime";
 import { LimitLedger } from "./LimitLedger";
+import { readLimitFacts } from "./readLimitFacts";
 
 /**
  * The interval between two divisions, in milliseconds. Each change sends the fleet view to all entry processes, and a
@@ -17,6 +19,8 @@
     /** The replicated log, whose leader divides the limits. */
     log: Pick<ReplicatedLog, "getStatus">;
     /** What the entry processes have reported to this member. */
+    facts: FactStore;
+    /** Joins the reports. */
     ledger: LimitLedger;
     /** The active entry processes. */
     entryRegistry: EntryRegistry;
@@ -33,8 +37,13 @@
  * @param options - The options of the task.
  */
 export async function runServerLimits(options: ServerLimitsTaskOptions): Promise<void> {
-    const { log, ledger, entryRegistry, fleetTracker, clock, signal } = options;
+    const { log, facts, ledger, entryRegistry, fleetTracker, clock, signal } = options;
+    let readPosition = -1;
     while (!signal.aborted) {
+        if (facts.getPosition() !== readPosition) {
+            readPosition = facts.getPosition();
+            readLimitFacts(facts, ledger, clock);
+        }
         if (log.getStatus().role === ConsensusRole.Leader) {
             const limits = ledger.getSharedLimits(entryRegistry.getIds());
             const listedIds = limits.length > 0
--- a/tests/crashQuarantine/createTestControl.ts
+++ b/tests/crashQuarantine/createTestControl.ts
@@ -6,8 +6,7 @@
 import { createFleetTracker } from "../../src/fleet";
 import { createSilentLogger } from "../../src/logging";
 import { DocumentCommandSchema, FleetInstance } from "../../src/protocol";
-import { createNodeRanking } from "../../src/routing";
-import { createLimitLedger } from "../../src/serverLimits";
+import { createTestFactHub, createTestFactStore } from "../facts/createTestFacts";
 import { ManualClock } from "../support/createManualClock";
 
 /** The control members of a test, of which only the leader is played. */
@@ -63,6 +62,9 @@
         const stopController = new AbortController();
         const fleet = createFleetTracker(documents, clock, () => feed.wakePolls());
         const evidence = createSubjectEvidence(clock);
+        const entryRegistry = createEntryRegistry(clock);
+        const facts = createTestFactStore(clock, `control ${term}`);
+        facts.addListener(() => feed.wakePolls());
         const log: Pick<ReplicatedLog, "propose" | "getStatus" | "readBarrier"> = {
             getStatus: () => ({ role: ConsensusRole.Leader, term, members: [] }) as unknown as LogStatus,
             readBarrier: () => Promise.resolve({ kind: "passed", index: 1n }),
@@ -75,9 +77,13 @@
             log,
             documents,
             fleet,
-            entryRegistry: createEntryRegistry(clock),
-            evidence,
-            limitLedger: createLimitLedger(clock, createNodeRanking()),
+            entryRegistry,
+            factHub: createTestFactHub({
+                clock,
+                store: facts,
+                storeId: String(term),
+                getEntryIds: entryRegistry.getIds,
+            }),
             clock,
         });
         fleet.reset(term);
@@ -85,6 +91,7 @@
         void runCrashQuarantine({
             log,
             documents,
+            facts,
             evidence,
             fleetTracker: fleet,
             clock,
--- a/tests/crashQuarantine/runCrashQuarantine.tests.ts
+++ b/tests/crashQuarantine/runCrashQuarantine.tests.ts
@@ -5,6 +5,7 @@
 import { createDocumentState } from "../../src/documents";
 import { createSilentLogger } from "../../src/logging";
 import { DocumentCommandSchema } from "../../src/protocol";
+import { createTestFactStore } from "../facts/createTestFacts";
 import { createManualClock } from "../support/createManualClock";
 
 describe("runCrashQuarantine", () => {
@@ -25,6 +26,7 @@
                 },
             },
             documents,
+            facts: createTestFactStore(clock),
             evidence,
             fleetTracker: { setSuspectedSubjects: subjectIds => suspects = subjectIds },
             clock,
--- a/tests/crashQuarantine/simulateCrashingRequests.ts
+++ b/tests/crashQuarantine/simulateCrashingRequests.ts
@@ -1,4 +1,5 @@
-import { createCrashQuarantine } from "../../src/crashQuarantine";
+import { createCrashQuarantine, publishCrashReport } from "../../src/crashQuarantine";
+import { createFactSync } from "../../src/facts";
 import { createFeedState, runFeed } from "../../src/feed";
 import { createForwarder, ForwardedRequest, Forwarder } from "../../src/forwarding";
 import { createSilentLogger } from "../../src/logging";
@@ -6,6 +7,7 @@
 import { RefusalReason } from "../../src/protocol";
 import { createRandomSource } from "../../src/runtime";
 import { createTestDocument } from "../documents/createTestDocument";
+import { createTestFactStore } from "../facts/createTestFacts";
 import { decodeTestDocument } from "../feed/createTestFeed";
 import { createTestReply } from "../forwarding/createTestReply";
 import { createTestRequest } from "../forwarding/createTestRequest";
@@ -159,6 +161,7 @@
             incarnation: `${entryId}.${startMilliseconds}`,
             checkInstance: link.checkInstance,
         });
+        const facts = createTestFactStore(clock, `${entryId} ${startMilliseconds}`);
         const entryRandom = createRandomSource(options.seed + index);
         void runFeed({
             ...common,
@@ -166,8 +169,8 @@
             getSeedAddresses: () => ["control"],
             client: control,
             state,
-            getCrashReport: crashQuarantine.getReport,
-            getLimitStatements: () => [],
+            factSync: createFactSync(facts),
+            onBeforePoll: () => publishCrashReport(facts, crashQuarantine.getReport(), clock),
             random: entryRandom,
         });
         const forwarder = createForwarder({
--- a/tests/feed/createFeedHandler.tests.ts
+++ b/tests/feed/createFeedHandler.tests.ts
@@ -1,12 +1,10 @@
 import { create, toBinary } from "@bufbuild/protobuf";
 import { expect } from "chai";
 import { ConsensusRole, LogStatus, ReadBarrierOutcome } from "../../src/control/consensus";
-import { createSubjectEvidence } from "../../src/crashQuarantine";
 import { createDocumentState } from "../../src/documents";
 import { createEntryRegistry, createFeedHandler } from "../../src/feed";
 import { DocumentCommandSchema, FleetViewSchema, PollOutcome, PollRequestSchema } from "../../src/protocol";
-import { createNodeRanking } from "../../src/routing";
-import { createLimitLedger } from "../../src/serverLimits";
+import { createTestFactHub, createTestFactStore } from "../facts/createTestFacts";
 import { createManualClock } from "../support/createManualClock";
 
 describe("createFeedHandler", () => {
@@ -34,8 +32,7 @@
             documents,
             fleet: { getRevision: () => fixture.fleetRevision, getView: () => create(FleetViewSchema) },
             entryRegistry: createEntryRegistry(clock),
-            evidence: createSubjectEvidence(clock),
-            limitLedger: createLimitLedger(clock, createNodeRanking()),
+            factHub: createTestFactHub({ clock, store: createTestFactStore(clock) }),
             clock,
         });
         return fixture;
--- a/tests/feed/runFeed.tests.ts
+++ b/tests/feed/runFeed.tests.ts
@@ -1,10 +1,12 @@
 import { create } from "@bufbuild/protobuf";
 import { expect } from "chai";
+import { createFactSync } from "../../src/facts";
 import { createFeedState, PollResult, runFeed } from "../../src/feed";
 import { createSilentLogger } from "../../src/logging";
 import { PollOutcome, PollResponseSchema } from "../../src/protocol";
 import { createRandomSource } from "../../src/runtime";
 import { createTestDocument } from "../documents/createTestDocument";
+import { createTestFactStore } from "../facts/createTestFacts";
 import { createManualClock } from "../support/createManualClock";
 import { decodeTestDocument } from "./createTestFeed";
 
@@ -33,8 +35,7 @@
                 },
             },
             state,
-            getCrashReport: () => ({ incarnation: "1", observations: [], completions: new Map() }),
-            getLimitStatements: () => [],
+            factSync: createFactSync(createTestFactStore(clock)),
             clock,
             random: createRandomSource(3),
             logger: createSilentLogger(),
--- a/tests/serverLimits/runServerLimits.tests.ts
+++ b/tests/serverLimits/runServerLimits.tests.ts
@@ -3,7 +3,8 @@
 import { createEntryRegistry } from "../../src/feed";
 import { SharedLimit } from "../../src/fleet";
 import { createNodeRanking } from "../../src/routing";
-import { createLimitLedger, runServerLimits } from "../../src/serverLimits";
+import { createLimitLedger, publishLimitStatements, runServerLimits } from "../../src/serverLimits";
+import { createTestFactStore } from "../facts/createTestFacts";
 import { createTestInstance } from "../feed/createTestFeed";
 import { createManualClock } from "../support/createManualClock";
 
@@ -14,11 +15,19 @@
         const entryRegistry = createEntryRegistry(clock);
         const updates: (readonly SharedLimit[])[] = [];
         entryRegistry.recordPoll("entry-1");
-        ["engine-1", "engine-gone"].forEach(instanceId =>
-            ledger.addStatement({ statementId: instanceId, instanceId, requestsPerSecond: 2, ageMilliseconds: 0 })
+        const facts = createTestFactStore(clock);
+        publishLimitStatements(
+            facts,
+            ["engine-1", "engine-gone"].map(instanceId => ({
+                statementId: instanceId,
+                instanceId,
+                requestsPerSecond: 2,
+                ageMilliseconds: 0,
+            })),
         );
         void runServerLimits({
             log: { getStatus: () => ({ role }) as LogStatus },
+            facts,
             ledger,
             entryRegistry,
             fleetTracker: {
