Tell all entry processes which backend servers are silent, and end streams at servers that are gone

Cause: verdicts on silent servers stayed with the entry process that had reached them, and no signal ended an attempt that can't be repeated.

Change: an entry process whose probe failed reports the server as an urgent fact, which the others have after one round trip through the leader. They avoid the server without probes of their own; one with attempts in flight there probes it at once instead of after 350 ms of silence. A server that responds to it is served on, whatever others report. One entry process renews and ends the report. Where most servers with attempts in flight are silent the entry process reports none: the fault is rather its own. After three failed probes, 2.4 s after the last sign of life, a stream that must not run again ends, with 502 or broken off; a server that was suspended for 2 s keeps its streams, as does a slow one, which responds to probes. Calls to plain services go on waiting: their response may be ready, and an unknown outcome is worse.

Result: nine tests of reports and signals, and two of the forwarder; without the change none of the reports, and no end before the deadline.

--- a/src/facts/Fact.ts
+++ b/src/facts/Fact.ts
@@ -8,6 +8,8 @@
     key: string;
     /** The entry process that observed it, and its start. */
     reporter: string;
+    /** Whether this process has published it. */
+    isOwn: boolean;
     /** When it was observed, on the monotonic clock, in milliseconds. */
     timeMilliseconds: number;
     /** The value. */
--- a/src/facts/createFactStore.ts
+++ b/src/facts/createFactStore.ts
@@ -33,6 +33,7 @@
     kind: FactKind<unknown>;
     key: string;
     reporter: string;
+    isOwn: boolean;
     revision: bigint;
     timeMilliseconds: number;
     bytes: Uint8Array;
@@ -91,6 +92,7 @@
             kind,
             key,
             reporter: ownReporter,
+            isOwn: true,
             revision: ownRevision,
             timeMilliseconds: clock.getMonotonicMilliseconds() - ageMilliseconds,
             bytes,
@@ -115,7 +117,7 @@
             }
             facts.delete(oldestId);
         }
-        listeners.forEach(listener => listener(kind, fact.origin === ""));
+        listeners.forEach(listener => listener(kind, fact.isOwn));
     }
 
     function merge(received: readonly SharedFact[], origin: string): void {
@@ -131,13 +133,13 @@
             }
             const value = isWithdrawn ? undefined : decode(kind, bytes);
             if (value !== undefined || isWithdrawn) {
-                const timeMilliseconds = now - ageMilliseconds;
                 add({
                     kind,
                     key,
                     reporter,
+                    isOwn: false,
                     revision,
-                    timeMilliseconds,
+                    timeMilliseconds: now - ageMilliseconds,
                     bytes,
                     value,
                     isWithdrawn,
--- a/src/forwarding/ForwarderOptions.ts
+++ b/src/forwarding/ForwarderOptions.ts
@@ -2,6 +2,7 @@
  * Options of a forwarder.
  */
 import { CrashQuarantine } from "../crashQuarantine";
+import { FactStore } from "../facts";
 import { FeedState } from "../feed";
 import { Logger } from "../logging";
 import { Metrics } from "../metrics";
@@ -23,6 +24,8 @@
     crashQuarantine: CrashQuarantine;
     /** The limits that backend servers name. */
     serverLimits: ServerLimits;
+    /** What entry processes tell each other. */
+    facts: FactStore;
     /** The contents of the KV cache stores. */
     kvCacheStores: KvCacheStoreView;
     /** The entry process's data centre. */
--- a/src/forwarding/LivenessMonitor.ts
+++ b/src/forwarding/LivenessMonitor.ts
@@ -12,8 +12,10 @@
     recordActivity(instanceId: string): void;
     /** Records that an attempt has ended. */
     recordAttemptEnd(instanceId: string): void;
-    /** Returns whether a backend server is considered unresponsive. */
+    /** Returns whether a backend server is considered unresponsive, by this entry process or another one. */
     isUnresponsive(instanceId: string): boolean;
-    /** Gets a signal that is aborted once the backend server is considered unresponsive. */
+    /** Gets a signal that is aborted once this entry process considers the backend server unresponsive. */
     getUnresponsiveSignal(instanceId: string): AbortSignal;
+    /** Gets a signal that is aborted once the backend server has been unresponsive for so long that it is taken for gone. */
+    getGoneSignal(instanceId: string): AbortSignal;
 }
--- a/src/forwarding/LivenessMonitorOptions.ts
+++ b/src/forwarding/LivenessMonitorOptions.ts
@@ -1,6 +1,7 @@
 /*
  * Options of the liveness monitor.
  */
+import { FactStore } from "../facts";
 import { Logger } from "../logging";
 import { Clock } from "../runtime";
 import { BackendLink } from "./BackendLink";
@@ -9,6 +10,8 @@
 export interface LivenessMonitorOptions {
     /** Sends liveness probes. */
     link: Pick<BackendLink, "probe">;
+    /** Shares the backend servers that do not respond with the other entry processes. */
+    facts: FactStore;
     /** The clock. */
     clock: Clock;
     /** Logs when a backend server becomes unresponsive or responds again. */
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -44,7 +44,7 @@
  */
 export function createAttemptDispatcher(options: ForwarderOptions): AttemptDispatcher {
     const { state, link, serverLimits, dataCentre, clock, random, metrics } = options;
-    const liveness = createLivenessMonitor({ link, clock, logger: options.logger, signal: options.signal });
+    const liveness = createLivenessMonitor(options);
     const loads = createLoadTracker(clock, liveness.isUnresponsive);
     const ranking = createNodeRanking();
     const placement = createEnginePlacement(loads, ranking, clock, options.supersededWeightsGraceMilliseconds);
@@ -161,7 +161,7 @@
             remainingMilliseconds: getRemainingMilliseconds(task),
             lastEventId,
             signal: task.signal,
-            unresponsiveSignal: allowsAnotherRun(task, 1) ? createTakeoverSignal(task, instanceId) : undefined,
+            unresponsiveSignal: getUnresponsiveSignal(task, instanceId),
             onActivity: () => liveness.recordActivity(instanceId),
             ...parameters,
         });
@@ -172,6 +172,19 @@
         return result;
     }
 
+    /**
+     * Gets the signal that ends an attempt at an unresponsive backend server. Where another server may take over, it is
+     * aborted soon; a stream that must not run again ends once its server is taken for gone, since its caller can do
+     * better than to wait for the deadline. Other requests wait: their response may be ready, and the caller of a request
+     * that must not run twice needs its outcome.
+     */
+    function getUnresponsiveSignal(task: ForwardingTask, instanceId: string): AbortSignal | undefined {
+        if (allowsAnotherRun(task, 1)) {
+            return createTakeoverSignal(task, instanceId);
+        }
+        return task.admission.route.kind === RouteKind.Stream ? liveness.getGoneSignal(instanceId) : undefined;
+    }
+
     /** Creates the signal that is aborted once the backend server is unresponsive and another one can take over. */
     function createTakeoverSignal(task: ForwardingTask, instanceId: string): AbortSignal {
         const takeover = new AbortController();
--- a/src/forwarding/createLivenessMonitor.ts
+++ b/src/forwarding/createLivenessMonitor.ts
@@ -1,12 +1,15 @@
 /*
  * Detects backend servers that stop responding without closing their connections, as when some of them accept requests
  * and never respond. A backend server with attempts in flight that sends nothing for some time is probed by a call that
- * needs no slot. If the probe gets no response, it is considered unresponsive until one does.
+ * needs no slot. If the probe gets no response, it is considered unresponsive until one does, and the other entry processes
+ * are told; one that hears of it probes the server at once if it has attempts in flight there. Where most backend servers
+ * with attempts in flight are silent, the cause is rather this process or its network, which the others need not know.
  */
 import { setMaxListeners } from "node:events";
 import { BackendService } from "../documents";
 import { FleetInstance } from "../protocol";
 import { waitWithTimeout } from "../runtime";
+import { createReportedServers } from "./createReportedServers";
 import { LivenessMonitor } from "./LivenessMonitor";
 import { LivenessMonitorOptions } from "./LivenessMonitorOptions";
 
@@ -23,6 +26,10 @@
 const maximumSilenceMilliseconds = 2_800;
 /** How long the response to a probe may take: many times the network delay. */
 const probeTimeoutMilliseconds = 350;
+/** The number of probes without a response, one after the other, after which a backend server is taken for gone. */
+const probesUntilGone = 3;
+/** The number of monitored backend servers from which on the silence of most of them is put down to this process. */
+const minimumServersForObserverFault = 3;
 /** The pause between two probes of an unresponsive backend server. */
 const probeIntervalMilliseconds = 500;
 /** How often backend servers are checked for inactivity. */
@@ -43,6 +50,8 @@
     isProbed: boolean;
     /** Aborted once it is considered unresponsive. */
     unresponsive: AbortController;
+    /** Aborted once it is taken for gone. */
+    gone: AbortController;
 }
 
 /**
@@ -50,16 +59,19 @@
  * @param options - The options of the monitor.
  */
 export function createLivenessMonitor(options: LivenessMonitorOptions): LivenessMonitor {
-    const { link, clock, logger, signal } = options;
+    const { link, facts, clock, logger, signal } = options;
     const servers = new Map<string, MonitoredServer>();
-    const neverAborted = new AbortController();
+    const neverAborted = createServerController();
+    const reportedServers = createReportedServers(facts, clock, checkReportedServer);
     void checkSilences();
     return {
         recordSent,
         recordActivity,
         recordAttemptEnd,
-        isUnresponsive: instanceId => servers.get(instanceId)?.unresponsive.signal.aborted ?? false,
+        isUnresponsive: instanceId =>
+            (servers.get(instanceId)?.unresponsive.signal.aborted ?? false) || reportedServers.isReported(instanceId),
         getUnresponsiveSignal: instanceId => servers.get(instanceId)?.unresponsive.signal ?? neverAborted.signal,
+        getGoneSignal: instanceId => servers.get(instanceId)?.gone.signal ?? neverAborted.signal,
     };
 
     function recordSent(instance: FleetInstance, service: BackendService): void {
@@ -97,22 +109,40 @@
             const now = clock.getMonotonicMilliseconds();
             for (const server of servers.values()) {
                 const isTooSilent = now - server.lastActivityMilliseconds > server.allowedSilenceMilliseconds;
-                if (!server.isProbed && server.attemptsInFlight > 0 && isTooSilent) {
-                    server.isProbed = true;
-                    void probeUntilResponsive(server);
+                if (isTooSilent) {
+                    startProbing(server);
                 }
             }
             await clock.sleep(checkIntervalMilliseconds, signal);
         }
     }
 
+    function checkReportedServer(instanceId: string): void {
+        const server = servers.get(instanceId);
+        if (server) {
+            startProbing(server);
+        }
+    }
+
+    function startProbing(server: MonitoredServer): void {
+        if (!server.isProbed && server.attemptsInFlight > 0) {
+            server.isProbed = true;
+            void probeUntilResponsive(server);
+        }
+    }
+
     /** Sends probes until there is a response. */
     async function probeUntilResponsive(server: MonitoredServer): Promise<void> {
         const { instance, service } = server;
         const { instanceId } = instance;
         const start = clock.getMonotonicMilliseconds();
         const end = start + maximumProbingMilliseconds;
+        let failedProbes = 0;
         while (!signal.aborted && clock.getMonotonicMilliseconds() < end) {
+            if (server.attemptsInFlight <= 0 && reportedServers.isReported(instanceId)) {
+                await clock.sleep(probeIntervalMilliseconds, signal);
+                continue;
+            }
             const ended = new AbortController();
             const response = link.probe(instance, service, ended.signal);
             const isResponsive = await waitWithTimeout(clock, response, probeTimeoutMilliseconds);
@@ -120,23 +150,21 @@
             if (isResponsive) {
                 break;
             }
-            if (!server.unresponsive.signal.aborted) {
-                logger.warn(
-                    { instanceId, owed: server.attemptsInFlight, silenceMilliseconds: initialSilenceMilliseconds },
-                    "backend server is silent",
-                );
-                server.unresponsive.abort();
-            }
+            failedProbes += 1;
+            recordFailedProbe(server, failedProbes);
             await clock.sleep(probeIntervalMilliseconds, signal);
         }
         server.allowedSilenceMilliseconds = Math.min(
             maximumSilenceMilliseconds,
             silenceGrowthFactor * server.allowedSilenceMilliseconds,
         );
+        reportedServers.endReport(instanceId);
+        reportedServers.contradict(instanceId);
         if (server.unresponsive.signal.aborted) {
             const milliseconds = Math.round(clock.getMonotonicMilliseconds() - start);
             logger.info({ instanceId, milliseconds }, "backend server answers again");
-            server.unresponsive = createUnresponsiveController();
+            server.unresponsive = createServerController();
+            server.gone = createServerController();
             server.allowedSilenceMilliseconds = initialSilenceMilliseconds;
         }
         server.lastActivityMilliseconds = clock.getMonotonicMilliseconds();
@@ -145,6 +173,31 @@
             servers.delete(instanceId);
         }
     }
+
+    function recordFailedProbe(server: MonitoredServer, failedProbes: number): void {
+        const { instance: { instanceId }, attemptsInFlight: owed } = server;
+        if (!server.unresponsive.signal.aborted) {
+            logger.warn(
+                { instanceId, owed, silenceMilliseconds: initialSilenceMilliseconds },
+                "backend server is silent",
+            );
+            server.unresponsive.abort();
+        }
+        if (failedProbes >= probesUntilGone && !server.gone.signal.aborted) {
+            logger.warn({ instanceId, owed, failedProbes }, "backend server is taken for gone");
+            server.gone.abort();
+        }
+        if (!isObserverSuspect()) {
+            reportedServers.report(instanceId);
+        }
+    }
+
+    /** Returns whether most backend servers with attempts in flight are unresponsive or have a probe outstanding. */
+    function isObserverSuspect(): boolean {
+        const busy = [...servers.values()].filter(({ attemptsInFlight }) => attemptsInFlight > 0);
+        const silentCount = busy.filter(({ isProbed }) => isProbed).length;
+        return busy.length >= minimumServersForObserverFault && silentCount > busy.length / 2;
+    }
 }
 
 function createMonitoredServer(instance: FleetInstance, service: BackendService, now: number): MonitoredServer {
@@ -155,12 +208,13 @@
         lastActivityMilliseconds: now,
         allowedSilenceMilliseconds: initialSilenceMilliseconds,
         isProbed: false,
-        unresponsive: createUnresponsiveController(),
+        unresponsive: createServerController(),
+        gone: createServerController(),
     };
 }
 
 /** Creates the controller of a backend server's signal, to which each of its attempts adds a listener. */
-function createUnresponsiveController(): AbortController {
+function createServerController(): AbortController {
     const controller = new AbortController();
     setMaxListeners(0, controller.signal);
     return controller;
--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -40,3 +40,4 @@
 export * from "./RetryBudgets";
 export * from "./startKvCacheStoreView";
 export * from "./StreamEvent";
+export * from "./unresponsiveServerFactKind";
--- a/tests/crashQuarantine/simulateCrashingRequests.ts
+++ b/tests/crashQuarantine/simulateCrashingRequests.ts
@@ -174,6 +174,7 @@
             random: entryRandom,
         });
         const forwarder = createForwarder({
+            facts,
             ...common,
             state,
             link,
--- a/tests/forwarding/crashingParts.tests.ts
+++ b/tests/forwarding/crashingParts.tests.ts
@@ -5,6 +5,7 @@
 import { createMetrics } from "../../src/metrics";
 import { createRandomSource } from "../../src/runtime";
 import { createTestCrashQuarantine } from "../crashQuarantine/createTestCrashQuarantine";
+import { createTestFactStore } from "../facts/createTestFacts";
 import { createTestFeedState, createTestInstance } from "../feed/createTestFeed";
 import { createTestServerLimits } from "../serverLimits/createTestServerLimits";
 import { createTestStreamOrigins } from "../streamOrigins/createTestStreamOrigins";
@@ -53,6 +54,7 @@
         };
         const state = createTestFeedState(clock, instances, { workspaces: undefined });
         const forwarder = createForwarder({
+            facts: createTestFactStore(clock),
             state,
             link,
             crashQuarantine: createTestCrashQuarantine({ state, link, clock }),
--- a/tests/forwarding/createForwarder.tests.ts
+++ b/tests/forwarding/createForwarder.tests.ts
@@ -16,6 +16,8 @@
 import { createRandomSource } from "../../src/runtime";
 import { StreamOrigins } from "../../src/streamOrigins";
 import { createTestCrashQuarantine } from "../crashQuarantine/createTestCrashQuarantine";
+import { createTestDocument } from "../documents/createTestDocument";
+import { createTestFactStore } from "../facts/createTestFacts";
 import { createEmptyTestFeedState, createTestInstance, updateTestFeedState } from "../feed/createTestFeed";
 import { createTestServerLimits } from "../serverLimits/createTestServerLimits";
 import { createTestStreamOrigins } from "../streamOrigins/createTestStreamOrigins";
@@ -51,6 +53,7 @@
             receiveState();
         }
         const forwarder = createForwarder({
+            facts: createTestFactStore(clock),
             state,
             link,
             streamOrigins: options.streamOrigins ?? createTestStreamOrigins(),
@@ -645,6 +648,29 @@
                 };
             }
         }
+        it("ends a stream that must not run again once its server is taken for gone, as an unknown outcome", async () => {
+            const routes = createTestDocument().routes.map(route => ({ ...route, timeoutMilliseconds: 15_000 }));
+            const trial = createTrial({ respond: waitForEnd, probe: () => "never", document: { routes } });
+            const { reply, ended } = await trial.forward({ ...summary, callerMilliseconds: 15_000 });
+            await trial.clock.advance(2_000);
+            expect(reply.getRefusal()).to.equal(undefined);
+            await trial.clock.advance(1_000);
+            await ended;
+            expect([reply.getRefusal()?.kind, trial.link.attempts.length]).to.deep.equal(["unknown", 1]);
+        });
+        it("keeps a request that must not run twice and may still be answered", async () => {
+            const trial = createTrial({
+                respond: async ({ unresponsiveSignal }) => {
+                    await trial.clock.sleep(1_900, unresponsiveSignal);
+                    return createTestResponse(["done"]);
+                },
+                probe: () => "never",
+            });
+            const { reply, ended } = await trial.forward(release);
+            await trial.clock.advance(1_900);
+            await ended;
+            expect(reply.getText()).to.equal("200 done whole");
+        });
         it("is sent no more requests until it responds again", async () => {
             let isUnresponsive = true;
             const instances = services.slice(0, 2);
--- /dev/null
+++ b/tests/forwarding/createLivenessMonitor.tests.ts
@@ -0,0 +1,151 @@
+import { expect } from "chai";
+import { FactStore } from "../../src/facts";
+import { createLivenessMonitor, unresponsiveServerFactKind } from "../../src/forwarding";
+import { createSilentLogger } from "../../src/logging";
+import { testServices } from "../crashQuarantine/testServices";
+import { createTestFactStore } from "../facts/createTestFacts";
+import { createTestInstance } from "../feed/createTestFeed";
+import { createManualClock } from "../support/createManualClock";
+
+describe("createLivenessMonitor", () => {
+    const id = "engine-1";
+
+    /** Creates the monitor of an entry process, and the facts of another one. */
+    function createFixture() {
+        const clock = createManualClock();
+        const facts = createTestFactStore(clock, "entry-1 1");
+        const otherFacts = createTestFactStore(clock, "entry-2 1");
+        const silentIds = new Set<string>();
+        const probes: string[] = [];
+        const monitor = createLivenessMonitor({
+            link: {
+                probe: ({ instanceId }) => {
+                    probes.push(instanceId);
+                    return silentIds.has(instanceId) ? new Promise(() => undefined) : Promise.resolve(true);
+                },
+            },
+            facts,
+            clock,
+            logger: createSilentLogger(),
+            signal: new AbortController().signal,
+        });
+        return { clock, facts, otherFacts, silentIds, probes, monitor, send, exchange, report };
+
+        function send(instanceId = id) {
+            monitor.recordSent(createTestInstance({ instanceId }), testServices.engine);
+        }
+
+        function exchange(from: FactStore, to: FactStore) {
+            to.merge(from.getChanges(0, () => true).facts, "store");
+        }
+
+        function report(instanceId = id) {
+            otherFacts.publish(unresponsiveServerFactKind, instanceId, true);
+            exchange(otherFacts, facts);
+        }
+    }
+
+    const getReported = (facts: FactStore) => facts.getAll(unresponsiveServerFactKind).map(({ key }) => key);
+
+    describe("isUnresponsive", () => {
+        it("holds for a server without attempts in flight that another entry process reports, without a probe", async () => {
+            const { clock, monitor, probes, report } = createFixture();
+            report();
+            expect(monitor.isUnresponsive(id)).to.equal(true);
+            await clock.advance(2_999);
+            expect([monitor.isUnresponsive(id), probes.length]).to.deep.equal([true, 0]);
+            await clock.advance(1);
+            expect(monitor.isUnresponsive(id)).to.equal(false);
+        });
+
+        it("ends when the other entry process withdraws its report", () => {
+            const { facts, otherFacts, monitor, exchange, report } = createFixture();
+            report();
+            otherFacts.withdraw(unresponsiveServerFactKind, id);
+            exchange(otherFacts, facts);
+            expect(monitor.isUnresponsive(id)).to.equal(false);
+        });
+
+        it("does not hold for a reported server that responds to this entry process", async () => {
+            const { clock, monitor, probes, send, report } = createFixture();
+            send();
+            report();
+            await clock.advance(0);
+            expect([monitor.isUnresponsive(id), probes.length]).to.deep.equal([false, 1]);
+            await clock.advance(1_000);
+            report();
+            expect(monitor.isUnresponsive(id)).to.equal(false);
+        });
+    });
+
+    describe("getUnresponsiveSignal", () => {
+        it("is aborted sooner for a reported server, after a failed probe of this entry process", async () => {
+            const { clock, monitor, silentIds, send, report } = createFixture();
+            silentIds.add(id);
+            send();
+            report();
+            const signal = monitor.getUnresponsiveSignal(id);
+            await clock.advance(349);
+            expect(signal.aborted).to.equal(false);
+            await clock.advance(1);
+            expect(signal.aborted).to.equal(true);
+        });
+    });
+
+    describe("getGoneSignal", () => {
+        async function doTest(silentMilliseconds: number, expected: boolean) {
+            const { clock, monitor, silentIds, send } = createFixture();
+            silentIds.add(id);
+            send();
+            const signal = monitor.getGoneSignal(id);
+            await clock.advance(silentMilliseconds);
+            silentIds.clear();
+            await clock.advance(10_000);
+            expect(signal.aborted).to.equal(expected);
+        }
+
+        it("is aborted after three failed probes", () => doTest(2_600, true));
+        it("is not aborted for a server that was suspended and responds again", () => doTest(2_000, false));
+    });
+
+    describe("reports", () => {
+        it("begin with the first failed probe, are renewed, and end when the server responds", async () => {
+            const { clock, facts, silentIds, send } = createFixture();
+            silentIds.add(id);
+            send();
+            await clock.advance(700);
+            expect(getReported(facts)).to.deep.equal([]);
+            await clock.advance(100);
+            expect(getReported(facts)).to.deep.equal([id]);
+            await clock.advance(10_000);
+            expect(getReported(facts)).to.deep.equal([id]);
+            silentIds.clear();
+            await clock.advance(1_000);
+            expect(getReported(facts)).to.deep.equal([]);
+        });
+
+        it("are not repeated by an entry process that knows of one", async () => {
+            const { clock, facts, silentIds, send, report } = createFixture();
+            silentIds.add(id);
+            send();
+            for (let count = 0; count < 5; count++) {
+                report();
+                await clock.advance(1_000);
+            }
+            expect(facts.getOwn(unresponsiveServerFactKind, id)).to.equal(undefined);
+        });
+
+        it("are not made while most servers are silent, since the fault may be the entry process's own", async () => {
+            const { clock, facts, silentIds, send } = createFixture();
+            for (const instanceId of ["engine-1", "engine-2", "engine-3", "engine-4"]) {
+                silentIds.add(instanceId);
+                send(instanceId);
+                await clock.advance(0);
+            }
+            for (let count = 0; count < 50; count++) {
+                await clock.advance(100);
+                expect(getReported(facts)).to.deep.equal([]);
+            }
+        });
+    });
+});
--- a/tests/forwarding/requestLimits.tests.ts
+++ b/tests/forwarding/requestLimits.tests.ts
@@ -11,6 +11,7 @@
 import { createRandomSource } from "../../src/runtime";
 import { createLimitLedger } from "../../src/serverLimits";
 import { createTestCrashQuarantine } from "../crashQuarantine/createTestCrashQuarantine";
+import { createTestFactStore } from "../facts/createTestFacts";
 import { createTestFeedState, createTestInstance } from "../feed/createTestFeed";
 import { createTestServerLimits } from "../serverLimits/createTestServerLimits";
 import { createTestStreamOrigins } from "../streamOrigins/createTestStreamOrigins";
@@ -60,6 +61,7 @@
             state.getEntryCount = () => entryCount;
             const serverLimits = createTestServerLimits(state, clock, `entry-${index}`);
             const forwarder = createForwarder({
+                facts: createTestFactStore(clock),
                 state,
                 link,
                 crashQuarantine: createTestCrashQuarantine({ state, link, clock }),
--- a/tests/platform/backends/endlessResponses.tests.ts
+++ b/tests/platform/backends/endlessResponses.tests.ts
@@ -7,6 +7,7 @@
 import { createMetrics } from "../../../src/metrics";
 import { createRandomSource, createSystemClock } from "../../../src/runtime";
 import { createTestCrashQuarantine } from "../../crashQuarantine/createTestCrashQuarantine";
+import { createTestFactStore } from "../../facts/createTestFacts";
 import { createTestFeedState, createTestInstance } from "../../feed/createTestFeed";
 import { createTestReply } from "../../forwarding/createTestReply";
 import { createTestRequest } from "../../forwarding/createTestRequest";
@@ -51,6 +52,7 @@
         const state = createTestFeedState(clock, instances);
         const link = createBackendLink();
         const forwarder = createForwarder({
+            facts: createTestFactStore(clock),
             state,
             link,
             crashQuarantine: createTestCrashQuarantine({ state, link, clock }),
