--- a/src/fleet/RolloutOptions.ts
+++ b/src/fleet/RolloutOptions.ts
@@ -18,6 +18,8 @@
     engineClient: EngineClient;
     /** Confirms leadership; its term is the fencing token of orders. */
     log: Pick<ReplicatedLog, "readBarrier" | "getStatus">;
+    /** Returns whether entry processes report an engine as unresponsive, by its instance id. */
+    isReportedUnresponsive(instanceId: string): boolean;
     /** The instance id of this process, which its orders name as their holder. */
     holder: string;
     /**
--- a/src/fleet/createUnresponsiveEngines.ts
+++ b/src/fleet/createUnresponsiveEngines.ts
@@ -10,8 +10,12 @@
 /**
  * Creates an empty record.
  * @param clock - Measures the time since an engine was recorded.
+ * @param isReported - Returns whether entry processes report an engine as unresponsive.
  */
-export function createUnresponsiveEngines(clock: Clock): UnresponsiveEngines {
+export function createUnresponsiveEngines(
+    clock: Clock,
+    isReported: (instanceId: string) => boolean,
+): UnresponsiveEngines {
     const recordTimes = new Map<string, number>();
     return { record, has };
 
@@ -21,6 +25,7 @@
 
     function has(instanceId: string): boolean {
         const time = recordTimes.get(instanceId);
-        return time !== undefined && clock.getMonotonicMilliseconds() - time < exclusionMilliseconds;
+        const isRecorded = time !== undefined && clock.getMonotonicMilliseconds() - time < exclusionMilliseconds;
+        return isRecorded || isReported(instanceId);
     }
 }
--- a/src/fleet/runRollout.ts
+++ b/src/fleet/runRollout.ts
@@ -17,7 +17,7 @@
 export async function runRollout(options: RolloutOptions): Promise<void> {
     const { documents, fleetTracker, log, clock, signal, handoverMilliseconds } = options;
     const runs = new Set<Promise<void>>();
-    const unresponsiveEngines = createUnresponsiveEngines(clock);
+    const unresponsiveEngines = createUnresponsiveEngines(clock, options.isReportedUnresponsive);
     let leaderTerm: bigint | undefined;
     let handoverEndMilliseconds = 0;
     while (!signal.aborted) {
--- a/tests/fleet/runWeightsLoad.tests.ts
+++ b/tests/fleet/runWeightsLoad.tests.ts
@@ -35,7 +35,7 @@
             failsReports: false,
             withholdsReports: false,
         };
-        const unresponsiveEngines = createUnresponsiveEngines(clock);
+        const unresponsiveEngines = createUnresponsiveEngines(clock, () => false);
         const orders: WeightsOrder[] = [];
         const status = { role: ConsensusRole.Leader, term: 4n } as LogStatus;
         const load = runWeightsLoad({ instance, model: "large", weightsVersion: 2 }, {
@@ -72,6 +72,7 @@
             },
             log: { readBarrier: () => Promise.resolve({ kind: "passed", index: 1n }), getStatus: () => status },
             holder: "control-1",
+            isReportedUnresponsive: () => false,
             handoverMilliseconds: 0,
             clock,
             logger: createSilentLogger(),
