Place prompts by the load of all entry processes, among the owners and two random engines

After the change of the leader 14 engines served the newest weights; all entry processes preferred them, and each knew a seventieth of their load.

Cause: an entry process estimates an engine's load by its own requests and by the reports in responses, of which it gets one in several seconds for each engine.

Change: each entry process reports its requests and prompt tokens in flight by engine with its polls; the leader adds them up and distributes the sums, at most four times a second and less often with hundreds of entry processes. Of others' prompts that were waiting, what the engine has prefilled since is subtracted.

--- a/src/facts/FactStore.ts
+++ b/src/facts/FactStore.ts
@@ -35,7 +35,7 @@
      */
     getChanges(
         position: number,
-        isWanted: (fact: SharedFact, kind: FactKind<unknown>, origin: string) => boolean,
+        isWanted: (fact: Pick<SharedFact, "key" | "reporter">, kind: FactKind<unknown>, origin: string) => boolean,
     ): FactChanges;
     /** Gets the position of the last change. */
     getPosition(): number;
--- a/src/facts/createFactHub.ts
+++ b/src/facts/createFactHub.ts
@@ -4,6 +4,7 @@
  * leader: their number does not grow with that of the entry processes.
  */
 import { create } from "@bufbuild/protobuf";
+import { assertNever } from "../errors";
 import { PollRequest, PollResponse, SharedFact, SharedFactSchema } from "../protocol";
 import { NodeRanking } from "../routing";
 import { Clock } from "../runtime";
@@ -84,13 +85,22 @@
     }
 
     function isReceiver(
-        { key, reporter }: SharedFact,
+        { key, reporter }: Pick<SharedFact, "key" | "reporter">,
         { name, distribution }: FactKind<unknown>,
         entryId: string,
         entryIds: readonly string[],
     ): boolean {
-        return distribution === FactDistribution.AllEntries
-            || ranking.getHighest(`${name} ${reporter} ${key}`, entryIds, id => id, copiesPerFact).includes(entryId);
+        switch (distribution) {
+            case FactDistribution.Leader:
+                return false;
+            case FactDistribution.FewEntries:
+                return ranking.getHighest(`${name} ${reporter} ${key}`, entryIds, id => id, copiesPerFact)
+                    .includes(entryId);
+            case FactDistribution.AllEntries:
+                return true;
+            default:
+                return assertNever(distribution);
+        }
     }
 }
 
--- a/src/facts/createFactStore.ts
+++ b/src/facts/createFactStore.ts
@@ -175,20 +175,17 @@
 
     function getChanges(
         after: number,
-        isWanted: (fact: SharedFact, kind: FactKind<unknown>, origin: string) => boolean,
+        isWanted: (fact: Pick<SharedFact, "key" | "reporter">, kind: FactKind<unknown>, origin: string) => boolean,
     ): FactChanges {
         kinds.forEach(removeExpired);
-        const changed = [...factsByKind.values()].flatMap(facts =>
-            [...facts.values()].filter(fact => fact.position > after)
-        );
-        const wanted = changed
-            .sort((left, right) => left.position - right.position)
-            .map(fact => ({ fact, shared: getSharedFact(fact) }))
-            .filter(({ fact, shared }) => isWanted(shared, fact.kind, fact.origin));
+        const wanted = [...factsByKind.values()]
+            .flatMap(facts => [...facts.values()].filter(fact => fact.position > after))
+            .filter(fact => isWanted(fact, fact.kind, fact.origin))
+            .sort((left, right) => left.position - right.position);
         const sent = wanted.slice(0, maximumFactsPerMessage);
         return {
-            facts: sent.map(({ shared }) => shared),
-            position: sent.length < wanted.length ? sent.at(-1)!.fact.position : position,
+            facts: sent.map(getSharedFact),
+            position: sent.length < wanted.length ? sent.at(-1)!.position : position,
         };
     }
 
--- a/src/forwarding/AttemptDispatcher.ts
+++ b/src/forwarding/AttemptDispatcher.ts
@@ -19,4 +19,6 @@
     recordAttemptEnd(task: ForwardingTask, instanceId: string, end: AttemptEnd): void;
     /** Returns whether a request may be sent again although it may have run. */
     canRunAgain(task: ForwardingTask): boolean;
+    /** Reports the load that this entry process has caused to the others. */
+    reportLoads(): void;
 }
--- a/src/forwarding/Forwarder.ts
+++ b/src/forwarding/Forwarder.ts
@@ -10,4 +10,6 @@
     forward(request: ForwardedRequest, reply: CallerReply): Promise<void>;
     /** Gets the number of requests that are being handled. */
     getActiveCount(): number;
+    /** Reports the load that this entry process has caused to the others, as a fact that is sent with the next poll. */
+    reportLoads(): void;
 }
--- a/src/forwarding/LoadTracker.ts
+++ b/src/forwarding/LoadTracker.ts
@@ -1,6 +1,7 @@
 /*
  * An entry process's view of the load of each backend server.
  */
+import { ServerLoad } from "../serverLoads";
 import { LoadReport } from "./LoadReport";
 
 /** Tracks the load of backend servers. */
@@ -26,6 +27,8 @@
     getQueueLength(instanceId: string): number;
     /** Gets the estimated number of requests at a backend server, from all entry processes. */
     getRequestCount(instanceId: string): number;
-    /** Gets the prompt tokens sent by this entry process that the backend server has not prefilled yet. */
+    /** Gets the estimated prompt tokens, from all entry processes, that the backend server has not prefilled yet. */
     getPendingPrefillTokens(instanceId: string): number;
+    /** Gets the load that this entry process has caused at engines. */
+    getOwnLoads(): readonly ServerLoad[];
 }
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -9,6 +9,7 @@
 import { HistogramName, RetryReason } from "../metrics";
 import { FleetInstance, RefusalReason } from "../protocol";
 import { createNodeRanking } from "../routing";
+import { createFleetLoads } from "../serverLoads";
 import { AttemptDispatcher } from "./AttemptDispatcher";
 import { AttemptEnd } from "./AttemptEnd";
 import { AttemptResult } from "./AttemptResult";
@@ -45,9 +46,16 @@
 export function createAttemptDispatcher(options: ForwarderOptions): AttemptDispatcher {
     const { state, link, serverLimits, dataCentre, clock, random, metrics } = options;
     const liveness = createLivenessMonitor(options);
-    const loads = createLoadTracker(clock, liveness.isUnresponsive);
+    const fleetLoads = createFleetLoads(options.facts, clock);
+    const loads = createLoadTracker(clock, liveness.isUnresponsive, fleetLoads);
     const ranking = createNodeRanking();
-    const placement = createEnginePlacement(loads, ranking, clock, options.supersededWeightsGraceMilliseconds);
+    const placement = createEnginePlacement(
+        loads,
+        ranking,
+        clock,
+        options.supersededWeightsGraceMilliseconds,
+        random,
+    );
     const scheduler = createPromptScheduler(placement, state, clock);
     const selector = createInstanceSelector({ state, scheduler, loads, serverLimits, dataCentre, random });
     const retryBudgets = createRetryBudgets(options.retryShare, options.retryReserve, state.getEntryCount);
@@ -56,6 +64,7 @@
         recordPrefillEnd,
         recordAttemptEnd,
         canRunAgain,
+        reportLoads: () => fleetLoads.reportOwn(loads.getOwnLoads()),
     };
 
     async function dispatch(task: ForwardingTask, lastEventId: string | undefined): Promise<DispatchOutcome> {
--- a/src/forwarding/createEnginePlacement.ts
+++ b/src/forwarding/createEnginePlacement.ts
@@ -2,25 +2,26 @@
  * Chooses an engine for a prompt, for traffic whose prompts share long prefixes and engines with uneven load.
  * Rendezvous hashing gives each shared prefix the same owners in all entry processes without exchanging state. A prompt
  * goes to another engine only where the owner's load costs more than another prefill of the prefix; that engine then
- * fetches the prefix from one that holds it.
+ * fetches the prefix from one that holds it. Entry processes know the load of engines with a delay, and with the same one:
+ * if all of them chose the least loaded engine, it would get all requests until they heard of it. Each prompt therefore has
+ * its owners and two random engines to choose from.
  */
 import { DesiredWeights } from "../feed";
 import { getWeightsVersion } from "../fleet";
 import { FleetInstance } from "../protocol";
 import { NodeRanking } from "../routing";
-import { Clock } from "../runtime";
+import { Clock, RandomSource } from "../runtime";
 import { createPrefillTracker } from "./createPrefillTracker";
 import { EnginePlacement } from "./EnginePlacement";
 import { getSharedPartIds } from "./getSharedPartIds";
 import { getSharedPrefixes } from "./getSharedPrefixes";
 import { LoadTracker } from "./LoadTracker";
+import { prefillTokensPerMillisecond } from "./prefillTokensPerMillisecond";
 import { PrefixHolders } from "./PrefixHolders";
 import { PrefixSources } from "./PrefixSources";
 import { PromptDescriptor } from "./PromptDescriptor";
 import { PromptPrefix } from "./PromptPrefix";
 
-/** The prefill speed of an engine, in prompt tokens per millisecond: the magnitude of current engines. */
-const prefillTokensPerMillisecond = 50;
 /** The cost of each request at an engine: its share of the time of the batch's decoding steps. */
 const millisecondsPerRequest = 4;
 /** The additional cost of each queued request at an engine: the prefill of a prompt. */
@@ -46,6 +47,8 @@
 const recentPrefillMilliseconds = 2_000;
 /** The maximum age of a prefill that may still be cached. */
 const formerPrefillMilliseconds = 10_000;
+/** The number of random engines that a prompt may go to besides its owners. */
+const randomCandidates = 2;
 /** The owners of each prefix: the primary one, and a second one for when the primary is overloaded. */
 const ownersPerPrefix = 2;
 
@@ -56,12 +59,14 @@
  * @param clock - The clock.
  * @param supersededWeightsGraceMilliseconds - How long superseded weights may still serve requests after newer ones
  * were named, in milliseconds.
+ * @param random - Chooses among the engines that own a prompt's prefix no more than others.
  */
 export function createEnginePlacement(
     loads: LoadTracker,
     ranking: NodeRanking,
     clock: Clock,
     supersededWeightsGraceMilliseconds: number,
+    random: RandomSource,
 ): EnginePlacement {
     const prefills = createPrefillTracker(clock);
     return { choose, recordSent, recordPrefillEnd: prefills.recordPrefillEnd, getPrefillInFlight, getPrefixSources };
@@ -77,7 +82,7 @@
         const longestPrefixByVersion = new Map<number | undefined, PromptPrefix | undefined>();
         let best: FleetInstance | undefined;
         let bestCost = Infinity;
-        for (const candidate of candidates) {
+        for (const candidate of getConsideredCandidates(candidates, ownerRanks)) {
             const rank = ownerRanks.get(candidate);
             const isHolder = rank === 0 || isLikelyCachedAt(candidate, getLongestPrefix(candidate));
             const prefillCost = isHolder ? 0 : sharedTokens / prefillTokensPerMillisecond + prefixMissMilliseconds;
@@ -100,6 +105,24 @@
         }
     }
 
+    /** Gets the owners, and some random engines; those that load weights or failed only where there are no others. */
+    function getConsideredCandidates(
+        candidates: readonly FleetInstance[],
+        ownerRanks: ReadonlyMap<FleetInstance, number>,
+    ): Iterable<FleetInstance> {
+        const usable = candidates.filter(isUsable);
+        const others = usable.length > 0 ? usable : candidates;
+        const chosen = Array.from(
+            { length: Math.min(randomCandidates, others.length) },
+            () => others[random.getInteger(others.length)]!,
+        );
+        return new Set([...ownerRanks.keys(), ...chosen]);
+    }
+
+    function isUsable({ instanceId, isLoading }: FleetInstance): boolean {
+        return !isLoading && !loads.isSuspected(instanceId);
+    }
+
     function recordSent(requestId: string, prompt: PromptDescriptor, scope: string, instance: FleetInstance): void {
         const keys = getPrefixesAtInstance(prompt, scope, instance).map(prefix => prefix.key);
         prefills.recordPrefillStart(requestId, keys, instance.instanceId);
@@ -158,7 +181,7 @@
         scope: string,
         candidates: readonly FleetInstance[],
     ): ReadonlyMap<FleetInstance, number> {
-        const usable = candidates.filter(({ instanceId, isLoading }) => !isLoading && !loads.isSuspected(instanceId));
+        const usable = candidates.filter(isUsable);
         const versions = new Set(usable.map(candidate => getWeightsVersion(candidate, prompt.model)));
         return new Map([...versions].flatMap(version => {
             const engines = usable.filter(candidate => getWeightsVersion(candidate, prompt.model) === version);
--- a/src/forwarding/createForwarder.ts
+++ b/src/forwarding/createForwarder.ts
@@ -39,7 +39,7 @@
     const dispatcher = createAttemptDispatcher(options);
     const holdEndMilliseconds = clock.getMonotonicMilliseconds() + startupHoldMilliseconds;
     let activeCount = 0;
-    return { forward, getActiveCount: () => activeCount };
+    return { forward, getActiveCount: () => activeCount, reportLoads: dispatcher.reportLoads };
 
     async function forward(request: ForwardedRequest, reply: CallerReply): Promise<void> {
         activeCount += 1;
--- a/src/forwarding/createLoadTracker.ts
+++ b/src/forwarding/createLoadTracker.ts
@@ -1,10 +1,14 @@
 /*
  * Tracks the load of backend servers: what they report with their responses, corrected by the attempts that this entry
- * process has started and ended since.
+ * process has started and ended since, and what the other entry processes have in flight at engines. The others' prompts
+ * that were waiting for their prefill some time ago have partly been prefilled since; only what is left of a long backlog
+ * counts.
  */
 import { Clock } from "../runtime";
+import { FleetLoads, ServerLoad } from "../serverLoads";
 import { LoadReport } from "./LoadReport";
 import { LoadTracker } from "./LoadTracker";
+import { prefillTokensPerMillisecond } from "./prefillTokensPerMillisecond";
 
 /** How long a report is used: the time of a few requests; after that, the requests that it counts have ended. */
 const reportValidityMilliseconds = 1_500;
@@ -21,6 +25,8 @@
 interface InstanceLoad {
     /** The attempts of this entry process in flight. */
     ownAttempts: number;
+    /** Whether its requests have prompts. */
+    isEngine: boolean;
     pendingPrefillTokens: number;
     report: LoadReport | undefined;
     reportedAtMilliseconds: number;
@@ -34,8 +40,13 @@
  * Creates an empty tracker.
  * @param clock - The clock.
  * @param isUnresponsive - Returns whether a backend server is considered unresponsive.
+ * @param fleetLoads - The load that other entry processes have caused.
  */
-export function createLoadTracker(clock: Clock, isUnresponsive: (instanceId: string) => boolean): LoadTracker {
+export function createLoadTracker(
+    clock: Clock,
+    isUnresponsive: (instanceId: string) => boolean,
+    fleetLoads: Pick<FleetLoads, "getOthers">,
+): LoadTracker {
     const loads = new Map<string, InstanceLoad>();
     return {
         recordSent,
@@ -51,7 +62,8 @@
             || (loads.get(instanceId)?.suspectedUntilMilliseconds ?? 0) > clock.getMonotonicMilliseconds(),
         getQueueLength,
         getRequestCount,
-        getPendingPrefillTokens: instanceId => loads.get(instanceId)?.pendingPrefillTokens ?? 0,
+        getPendingPrefillTokens,
+        getOwnLoads,
     };
 
     function getLoad(instanceId: string): InstanceLoad {
@@ -61,6 +73,7 @@
         }
         const load: InstanceLoad = {
             ownAttempts: 0,
+            isEngine: false,
             pendingPrefillTokens: 0,
             report: undefined,
             reportedAtMilliseconds: 0,
@@ -76,6 +89,7 @@
         const load = getLoad(instanceId);
         load.ownAttempts += 1;
         load.netAttemptsSinceReport += 1;
+        load.isEngine ||= promptTokens > 0;
         load.pendingPrefillTokens += promptTokens;
     }
 
@@ -117,14 +131,34 @@
     }
 
     function getRequestCount(instanceId: string): number {
+        const othersCount = fleetLoads.getOthers(instanceId)?.requestCount ?? 0;
         const load = loads.get(instanceId);
         if (!load) {
-            return 0;
+            return othersCount;
         }
+        const countByOwnRequests = load.ownAttempts + othersCount;
         const reportAgeMilliseconds = clock.getMonotonicMilliseconds() - load.reportedAtMilliseconds;
         if (!load.report || reportAgeMilliseconds > reportValidityMilliseconds) {
-            return load.ownAttempts;
+            return countByOwnRequests;
         }
-        return Math.max(load.ownAttempts, load.report.running + load.report.waiting + load.netAttemptsSinceReport);
+        return Math.max(countByOwnRequests, load.report.running + load.report.waiting + load.netAttemptsSinceReport);
+    }
+
+    function getPendingPrefillTokens(instanceId: string): number {
+        const others = fleetLoads.getOthers(instanceId);
+        const othersTokens = others
+            ? others.pendingPrefillTokens - prefillTokensPerMillisecond * others.ageMilliseconds
+            : 0;
+        return (loads.get(instanceId)?.pendingPrefillTokens ?? 0) + Math.max(0, othersTokens);
+    }
+
+    function getOwnLoads(): readonly ServerLoad[] {
+        return [...loads]
+            .filter(([, { isEngine, ownAttempts }]) => isEngine && ownAttempts > 0)
+            .map(([instanceId, { ownAttempts, pendingPrefillTokens }]) => ({
+                instanceId,
+                requestCount: ownAttempts,
+                pendingPrefillTokens,
+            }));
     }
 }
--- /dev/null
+++ b/src/serverLoads/ServerLoad.ts
@@ -0,0 +1,13 @@
+/*
+ * The load of an engine that entry processes have caused.
+ */
+
+/** The requests at an engine. */
+export interface ServerLoad {
+    /** The id of the engine. */
+    instanceId: string;
+    /** The number of requests in flight. */
+    requestCount: number;
+    /** The prompt tokens that were sent and that the engine has not prefilled yet. */
+    pendingPrefillTokens: number;
+}
--- a/tests/forwarding/createEnginePlacement.tests.ts
+++ b/tests/forwarding/createEnginePlacement.tests.ts
@@ -3,6 +3,8 @@
 import { FleetInstance } from "../../src/protocol";
 import { createNodeRanking } from "../../src/routing";
 import { createRandomSource } from "../../src/runtime";
+import { createFleetLoads } from "../../src/serverLoads";
+import { createTestFactStore } from "../facts/createTestFacts";
 import { createTestInstance } from "../feed/createTestFeed";
 import { createManualClock } from "../support/createManualClock";
 
@@ -25,8 +27,10 @@
 
     function createTrial(isUnresponsive: (instanceId: string) => boolean = () => false) {
         const clock = createManualClock();
-        const loads = createLoadTracker(clock, isUnresponsive);
-        return { clock, loads, placement: createEnginePlacement(loads, createNodeRanking(), clock, 10_000) };
+        const facts = createTestFactStore(clock);
+        const loads = createLoadTracker(clock, isUnresponsive, createFleetLoads(facts, clock));
+        const placement = createEnginePlacement(loads, createNodeRanking(), clock, 10_000, createRandomSource(1));
+        return { clock, facts, loads, placement };
     }
 
     const engines = createEngines([1, 1, 1, 1, 1, 1, 1, 1]);
--- a/tests/platform/callers/startCallerServer.tests.ts
+++ b/tests/platform/callers/startCallerServer.tests.ts
@@ -23,7 +23,11 @@
         const clock = createSystemClock();
         callerServer = await startCallerServer({
             address: "127.0.0.1:0",
-            forwarder: { forward: async (forwarded, reply) => forward(forwarded, reply), getActiveCount: () => 0 },
+            forwarder: {
+                forward: async (forwarded, reply) => forward(forwarded, reply),
+                getActiveCount: () => 0,
+                reportLoads: () => undefined,
+            },
             state: createTestFeedState(clock, []),
             isStopping: typeof isStopping === "boolean" ? () => isStopping : isStopping,
             clock,
--- /dev/null
+++ b/tests/serverLoads/simulatePlacement.ts
@@ -0,0 +1,167 @@
+import { createEnginePlacement, createLoadTracker, PromptDescriptor } from "../../src/forwarding";
+import { createNodeRanking } from "../../src/routing";
+import { Clock, createRandomSource } from "../../src/runtime";
+import { addUpLoads, createFleetLoads, fleetLoadFactKind, ownLoadFactKind } from "../../src/serverLoads";
+import { createTestFactStore } from "../facts/createTestFacts";
+import { createTestInstance } from "../feed/createTestFeed";
+
+/** The load of a simulation. */
+export interface PlacementSimulationOptions {
+    seed: number;
+    entryCount: number;
+    engineCount: number;
+    /** The requests a second for each engine: summaries of long documents and short labels. */
+    summariesPerSecond: number;
+    labelsPerSecond: number;
+    /** The share of the summaries that are about one document. */
+    hotShare?: number;
+    /** Whether entry processes know the load that the others have caused. */
+    sharesLoads: boolean;
+}
+
+/** What a simulation has shown. */
+export interface PlacementSimulationResult {
+    /** The share of the requests whose first token came later than their objective. */
+    lateShare: number;
+    /** The largest number of requests at one engine, in relation to the mean. */
+    imbalance: number;
+}
+
+interface Pending {
+    firstTokenMilliseconds: number;
+    entry: number;
+    instanceId: string;
+    promptTokens: number;
+}
+
+const endMilliseconds = 12_000;
+const warmUpMilliseconds = 4_000;
+const exchangeMilliseconds = 250;
+const tokensPerMillisecond = 56;
+const cacheMilliseconds = 2_500;
+/** The share of the missed prefixes that an engine fetches from another one or a store. */
+const fetchedShare = 0.6;
+const decodeMilliseconds = 900;
+const endIntervalMilliseconds = 5;
+const kinds = {
+    summary: { sharedTokens: 5_400, ownTokens: 6_600, objectiveMilliseconds: 1_000, subjectsPerEngine: 10 },
+    label: { sharedTokens: 570, ownTokens: 1_800, objectiveMilliseconds: 610, subjectsPerEngine: 28 },
+};
+
+/** Plays requests through the placement of many entry processes; each engine prefills prompts one after the other. */
+export function simulatePlacement(options: PlacementSimulationOptions): PlacementSimulationResult {
+    const { entryCount, engineCount, hotShare = 0 } = options;
+    const random = createRandomSource(options.seed);
+    let now = 0;
+    const clock: Clock = {
+        getMonotonicMilliseconds: () => now,
+        getWallMilliseconds: () => now,
+        sleep: () => new Promise(() => undefined),
+    };
+    const engines = Array.from(
+        { length: engineCount },
+        (...[, index]) => createTestInstance({ instanceId: `engine-${index}` }),
+    );
+    const entries = Array.from({ length: entryCount }, (...[, index]) => createEntry(index));
+    const leaderFacts = createTestFactStore(clock, "control", [ownLoadFactKind, fleetLoadFactKind]);
+    const freeAt = new Map<string, number>();
+    const cachedAt = new Map<string, number>();
+    const requestCounts = new Map<string, number>();
+    const prefills: Pending[] = [];
+    const decodes: Pending[] = [];
+    const rate = (options.summariesPerSecond + options.labelsPerSecond) * engineCount / 1_000;
+    let nextExchange = 0;
+    let nextEnd = 0;
+    let count = 0;
+    let lateCount = 0;
+    while (now < endMilliseconds) {
+        now += -Math.log(1 - random.getFraction()) / rate;
+        if (now >= nextEnd) {
+            endPrefills();
+            nextEnd = now + endIntervalMilliseconds;
+        }
+        if (options.sharesLoads && now >= nextExchange) {
+            exchangeLoads();
+            nextExchange = now + exchangeMilliseconds;
+        }
+        sendRequest();
+    }
+    const sentCounts = [...requestCounts.values()];
+    return {
+        lateShare: lateCount / count,
+        imbalance: Math.max(...sentCounts) / (sentCounts.reduce((sum, value) => sum + value, 0) / engineCount),
+    };
+
+    function createEntry(index: number) {
+        const facts = createTestFactStore(clock, `entry-${index}`, [ownLoadFactKind, fleetLoadFactKind]);
+        const fleetLoads = createFleetLoads(facts, clock);
+        const loads = createLoadTracker(clock, () => false, fleetLoads);
+        const entryRandom = createRandomSource(options.seed + index);
+        const placement = createEnginePlacement(loads, createNodeRanking(), clock, 10_000, entryRandom);
+        return { facts, fleetLoads, loads, placement };
+    }
+
+    /** Distributes the sums of what the entry processes have reported, and lets them report anew. */
+    function exchangeLoads(): void {
+        const sums = addUpLoads(leaderFacts.getAll(ownLoadFactKind).flatMap(({ value }) => value));
+        leaderFacts.publish(fleetLoadFactKind, "fleet", sums, exchangeMilliseconds);
+        const fleetFacts = leaderFacts.getChanges(0, (...[, kind]) => kind.name === fleetLoadFactKind.name).facts;
+        for (const { facts, fleetLoads, loads } of entries) {
+            facts.merge(fleetFacts, "leader");
+            fleetLoads.reportOwn(loads.getOwnLoads());
+            leaderFacts.merge(facts.getChanges(0, (...[, kind]) => kind.name === ownLoadFactKind.name).facts, "entry");
+        }
+    }
+
+    function sendRequest(): void {
+        const { summariesPerSecond, labelsPerSecond } = options;
+        const isSummary = random.getFraction() < summariesPerSecond / (summariesPerSecond + labelsPerSecond);
+        const kind = isSummary ? kinds.summary : kinds.label;
+        const isHot = isSummary && random.getFraction() < hotShare;
+        const subject = isHot ? 0 : random.getInteger(kind.subjectsPerEngine * engineCount);
+        const prefix = `${isSummary ? "s" : "l"}${subject}`;
+        const prompt: PromptDescriptor = {
+            model: "large",
+            parts: [{ id: prefix, tokens: kind.sharedTokens }, { id: "own", tokens: kind.ownTokens }],
+            promptTokens: kind.sharedTokens + kind.ownTokens,
+            maximumOutputTokens: 80,
+        };
+        const index = random.getInteger(entryCount);
+        const { loads, placement } = entries[index]!;
+        const engine = placement.choose(prompt, "", engines, [])!;
+        const { instanceId } = engine;
+        loads.recordSent(instanceId, prompt.promptTokens);
+        placement.recordSent(`request-${count}`, prompt, "", engine);
+        requestCounts.set(instanceId, (requestCounts.get(instanceId) ?? 0) + 1);
+        const key = `${instanceId} ${prefix}`;
+        const isCached = now - (cachedAt.get(key) ?? -Infinity) < cacheMilliseconds;
+        const readsShared = !isCached && random.getFraction() >= fetchedShare;
+        cachedAt.set(key, now);
+        const readTokens = kind.ownTokens + (readsShared ? kind.sharedTokens : 0);
+        const end = Math.max(now, freeAt.get(instanceId) ?? 0) + readTokens / tokensPerMillisecond;
+        freeAt.set(instanceId, end);
+        prefills.push({ firstTokenMilliseconds: end, entry: index, instanceId, promptTokens: prompt.promptTokens });
+        if (now > warmUpMilliseconds) {
+            count += 1;
+            lateCount += end - now > kind.objectiveMilliseconds ? 1 : 0;
+        }
+    }
+
+    function endPrefills(): void {
+        for (const pending of takeUntil(prefills, now)) {
+            entries[pending.entry]!.loads.recordPrefillEnd(pending.instanceId, pending.promptTokens);
+            decodes.push(pending);
+        }
+        for (const { entry, instanceId } of takeUntil(decodes, now - decodeMilliseconds)) {
+            entries[entry]!.loads.recordAttemptEnd(instanceId);
+        }
+    }
+}
+
+/** Removes and returns what got its first token by a time. */
+function takeUntil(pending: Pending[], milliseconds: number): readonly Pending[] {
+    const ended = pending.filter(({ firstTokenMilliseconds }) => firstTokenMilliseconds <= milliseconds);
+    const remaining = pending.filter(({ firstTokenMilliseconds }) => firstTokenMilliseconds > milliseconds);
+    pending.splice(0, pending.length, ...remaining);
+    return ended;
+}
