Place prompts by the memory that the prompts in flight occupy at each engine

Cause: placement knew queue and unread tokens, but not the memory that running requests occupy for seconds.

Change: entry processes also share the prompt tokens of their requests in flight.

--- a/src/forwarding/EnginePlacement.ts
+++ b/src/forwarding/EnginePlacement.ts
@@ -14,6 +14,7 @@
      * @param scope - The workspace within which its parts may be shared; empty where all workspaces share them.
      * @param candidates - The engines that may be chosen.
      * @param desiredWeights - The versions of the model's weights that were named last.
+     * @param memoryTokens - The tokens that an engine has memory for.
      * @returns The engine, or undefined where there are no candidates.
      */
     choose(
@@ -21,6 +22,7 @@
         scope: string,
         candidates: readonly FleetInstance[],
         desiredWeights: readonly DesiredWeights[],
+        memoryTokens: number,
     ): FleetInstance | undefined;
     /** Records that a prompt is sent to an engine, which then prefills the parts that it has not cached. */
     recordSent(requestId: string, prompt: PromptDescriptor, scope: string, instance: FleetInstance): void;
--- a/src/forwarding/LoadTracker.ts
+++ b/src/forwarding/LoadTracker.ts
@@ -10,8 +10,8 @@
     recordSent(instanceId: string, promptTokens: number): void;
     /** Records that the prefill of an attempt's prompt has ended: its first event was received, or none will be. */
     recordPrefillEnd(instanceId: string, promptTokens: number): void;
-    /** Records that an attempt has ended. */
-    recordAttemptEnd(instanceId: string): void;
+    /** Records that an attempt has ended, with the tokens of its prompt. */
+    recordAttemptEnd(instanceId: string, promptTokens: number): void;
     /** Records the load that a backend server reports. */
     recordReport(instanceId: string, report: LoadReport): void;
     /** Records that a backend server was unreachable or did not complete its response; it is avoided for some time. */
@@ -29,6 +29,8 @@
     getRequestCount(instanceId: string): number;
     /** Gets the estimated prompt tokens, from all entry processes, that the backend server has not prefilled yet. */
     getPendingPrefillTokens(instanceId: string): number;
+    /** Gets the estimated prompt tokens of the requests in flight at an engine, from all entry processes. */
+    getPromptTokens(instanceId: string): number;
     /** Gets the load that this entry process has caused at engines. */
     getOwnLoads(): readonly ServerLoad[];
 }
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -298,7 +298,7 @@
     }
 
     function recordAttemptEnd(task: ForwardingTask, instanceId: string, end: AttemptEnd): void {
-        loads.recordAttemptEnd(instanceId);
+        loads.recordAttemptEnd(instanceId, getPromptTokens(task));
         liveness.recordAttemptEnd(instanceId);
         task.attemptEnded?.abort();
         endObservedRun(task, end);
--- a/src/forwarding/createEnginePlacement.ts
+++ b/src/forwarding/createEnginePlacement.ts
@@ -30,6 +30,10 @@
 const prefixMissMilliseconds = 60;
 /** The cost of an engine that does not own the prefix: more than the second owner's, less than that of a queue. */
 const nonOwnerMilliseconds = 8;
+/** The share of an engine's memory that prompts in flight may fill without preemptions: output needs memory as well. */
+const unpreemptedMemoryShare = 0.8;
+/** The cost of a request that fills an engine's memory: some request is preempted, and its prompt prefilled again. */
+const preemptionMilliseconds = 300;
 /** The cost of an engine that is loading weights: the duration of a load. */
 const loadingWeightsMilliseconds = 2_000;
 /** The cost of an engine that failed recently: more than that of any queue. */
@@ -76,6 +80,7 @@
         scope: string,
         candidates: readonly FleetInstance[],
         desiredWeights: readonly DesiredWeights[],
+        memoryTokens: number,
     ): FleetInstance | undefined {
         const sharedTokens = getSharedTokens(prompt);
         const ownerRanks = getOwnerRanks(prompt, scope, candidates);
@@ -88,7 +93,8 @@
             const prefillCost = isHolder ? 0 : sharedTokens / prefillTokensPerMillisecond + prefixMissMilliseconds;
             const ownerCost = rank === undefined ? nonOwnerMilliseconds : rank * millisecondsPerRequest;
             const cost = prefillCost + ownerCost + getLoadCost(candidate)
-                + getWeightsCost(candidate, prompt.model, desiredWeights);
+                + getWeightsCost(candidate, prompt.model, desiredWeights)
+                + getMemoryCost(candidate, prompt, memoryTokens);
             if (cost < bestCost) {
                 best = candidate;
                 bestCost = cost;
@@ -214,6 +220,16 @@
         return age / millisecondsPerSecond * supersededWeightsMillisecondsPerSecond + expiringCost;
     }
 
+    /** Gets the cost of preemptions, which become likely as the prompts in flight fill an engine's memory. */
+    function getMemoryCost(
+        { instanceId }: FleetInstance,
+        { promptTokens }: PromptDescriptor,
+        memoryTokens: number,
+    ): number {
+        const usedShare = (loads.getPromptTokens(instanceId) + promptTokens) / memoryTokens;
+        return Math.max(0, usedShare - unpreemptedMemoryShare) / (1 - unpreemptedMemoryShare) * preemptionMilliseconds;
+    }
+
     /** Gets what a candidate's load and state add to the time to the first token, in milliseconds. */
     function getLoadCost({ instanceId, isLoading }: FleetInstance): number {
         return loads.getPendingPrefillTokens(instanceId) / prefillTokensPerMillisecond
--- a/src/forwarding/createLoadTracker.ts
+++ b/src/forwarding/createLoadTracker.ts
@@ -28,6 +28,8 @@
     /** Whether its requests have prompts. */
     isEngine: boolean;
     pendingPrefillTokens: number;
+    /** The prompt tokens of its attempts in flight. */
+    promptTokens: number;
     report: LoadReport | undefined;
     reportedAtMilliseconds: number;
     /** The attempts of this entry process that were started since the report, less those that ended. */
@@ -63,6 +65,8 @@
         getQueueLength,
         getRequestCount,
         getPendingPrefillTokens,
+        getPromptTokens: instanceId =>
+            (loads.get(instanceId)?.promptTokens ?? 0) + (fleetLoads.getOthers(instanceId)?.promptTokens ?? 0),
         getOwnLoads,
     };
 
@@ -75,6 +79,7 @@
             ownAttempts: 0,
             isEngine: false,
             pendingPrefillTokens: 0,
+            promptTokens: 0,
             report: undefined,
             reportedAtMilliseconds: 0,
             netAttemptsSinceReport: 0,
@@ -91,6 +96,7 @@
         load.netAttemptsSinceReport += 1;
         load.isEngine ||= promptTokens > 0;
         load.pendingPrefillTokens += promptTokens;
+        load.promptTokens += promptTokens;
     }
 
     function recordPrefillEnd(instanceId: string, promptTokens: number): void {
@@ -98,8 +104,9 @@
         load.pendingPrefillTokens = Math.max(0, load.pendingPrefillTokens - promptTokens);
     }
 
-    function recordAttemptEnd(instanceId: string): void {
+    function recordAttemptEnd(instanceId: string, promptTokens: number): void {
         const load = getLoad(instanceId);
+        load.promptTokens = Math.max(0, load.promptTokens - promptTokens);
         load.ownAttempts = Math.max(0, load.ownAttempts - 1);
         load.netAttemptsSinceReport -= 1;
     }
@@ -155,10 +162,11 @@
     function getOwnLoads(): readonly ServerLoad[] {
         return [...loads]
             .filter(([, { isEngine, ownAttempts }]) => isEngine && ownAttempts > 0)
-            .map(([instanceId, { ownAttempts, pendingPrefillTokens }]) => ({
+            .map(([instanceId, { ownAttempts, pendingPrefillTokens, promptTokens }]) => ({
                 instanceId,
                 requestCount: ownAttempts,
                 pendingPrefillTokens,
+                promptTokens,
             }));
     }
 }
--- a/src/forwarding/createPromptScheduler.ts
+++ b/src/forwarding/createPromptScheduler.ts
@@ -34,9 +34,15 @@
     };
 
     function choose(task: ForwardingTask, candidates: readonly FleetInstance[]): FleetInstance | undefined {
-        const { prompt } = task.request;
-        return prompt
-            && placement.choose(prompt, getScope(task), candidates, state.getDesiredWeights(prompt.model));
+        const { request: { prompt }, admission: { service } } = task;
+        const memoryTokens = service.kind === "engine" ? service.kvCacheCapacityTokens : Infinity;
+        return prompt && placement.choose(
+            prompt,
+            getScope(task),
+            candidates,
+            state.getDesiredWeights(prompt.model),
+            memoryTokens,
+        );
     }
 
     async function waitForPrefill(task: ForwardingTask, instance: FleetInstance): Promise<boolean> {
--- a/src/serverLoads/ServerLoad.ts
+++ b/src/serverLoads/ServerLoad.ts
@@ -10,4 +10,6 @@
     requestCount: number;
     /** The prompt tokens that were sent and that the engine has not prefilled yet. */
     pendingPrefillTokens: number;
+    /** The prompt tokens of all requests in flight, which occupy the engine's memory until they end. */
+    promptTokens: number;
 }
--- a/src/serverLoads/addUpLoads.ts
+++ b/src/serverLoads/addUpLoads.ts
@@ -9,12 +9,13 @@
  */
 export function addUpLoads(loads: Iterable<ServerLoad>): readonly ServerLoad[] {
     const sums = new Map<string, ServerLoad>();
-    for (const { instanceId, requestCount, pendingPrefillTokens } of loads) {
+    for (const { instanceId, requestCount, pendingPrefillTokens, promptTokens } of loads) {
         const sum = sums.get(instanceId);
         sums.set(instanceId, {
             instanceId,
             requestCount: requestCount + (sum?.requestCount ?? 0),
             pendingPrefillTokens: pendingPrefillTokens + (sum?.pendingPrefillTokens ?? 0),
+            promptTokens: promptTokens + (sum?.promptTokens ?? 0),
         });
     }
     return [...sums.values()];
--- a/src/serverLoads/createFleetLoads.ts
+++ b/src/serverLoads/createFleetLoads.ts
@@ -57,6 +57,7 @@
             instanceId,
             requestCount: Math.max(0, (sum?.requestCount ?? 0) - (own?.requestCount ?? 0)),
             pendingPrefillTokens: Math.max(0, (sum?.pendingPrefillTokens ?? 0) - (own?.pendingPrefillTokens ?? 0)),
+            promptTokens: Math.max(0, (sum?.promptTokens ?? 0) - (own?.promptTokens ?? 0)),
             ageMilliseconds,
         };
     }
--- a/tests/forwarding/createEnginePlacement.tests.ts
+++ b/tests/forwarding/createEnginePlacement.tests.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { DesiredWeights } from "../../src/feed";
 import { createEnginePlacement, createLoadTracker, PromptDescriptor } from "../../src/forwarding";
 import { FleetInstance } from "../../src/protocol";
 import { createNodeRanking } from "../../src/routing";
@@ -30,7 +31,13 @@
         const facts = createTestFactStore(clock);
         const loads = createLoadTracker(clock, isUnresponsive, createFleetLoads(facts, clock));
         const placement = createEnginePlacement(loads, createNodeRanking(), clock, 10_000, createRandomSource(1));
-        return { clock, facts, loads, placement };
+        const choose = (
+            prompt: PromptDescriptor,
+            scope: string,
+            candidates: readonly FleetInstance[],
+            desiredWeights: readonly DesiredWeights[],
+        ) => placement.choose(prompt, scope, candidates, desiredWeights, 100_000);
+        return { clock, facts, loads, placement: { ...placement, choose } };
     }
 
     const engines = createEngines([1, 1, 1, 1, 1, 1, 1, 1]);
@@ -74,6 +81,21 @@
         expect(placement.choose(createPrompt(1), "", engines, [])).to.not.equal(owner);
     });
 
+    it("leaves a prefix's owner once the prompts in flight there fill its memory", () => {
+        const { placement, loads } = createTrial();
+        const owner = placement.choose(createPrompt(1), "", engines, [])!;
+        const sendSummary = () => {
+            loads.recordSent(owner.instanceId, 12_000);
+            loads.recordPrefillEnd(owner.instanceId, 12_000);
+        };
+        Array.from({ length: 6 }, sendSummary);
+        expect(placement.choose(createPrompt(1), "", engines, [])).to.equal(owner);
+        Array.from({ length: 2 }, sendSummary);
+        expect(placement.choose(createPrompt(1), "", engines, [])).to.not.equal(owner);
+        Array.from({ length: 3 }, () => loads.recordAttemptEnd(owner.instanceId, 12_000));
+        expect(placement.choose(createPrompt(1), "", engines, [])).to.equal(owner);
+    });
+
     it("avoids engines that are loading weights or are unresponsive", () => {
         const unresponsive = new Set<string>();
         const { placement } = createTrial(instanceId => unresponsive.has(instanceId));
--- a/tests/serverLoads/simulatePlacement.tests.ts
+++ b/tests/serverLoads/simulatePlacement.tests.ts
@@ -29,6 +29,20 @@
         });
     }
 
+    it("halves the requests that overfill engines' memory, where requests run for long", () => {
+        const [shared, separate] = [true, false].map(sharesLoads =>
+            simulatePlacement({
+                seed: 7,
+                ...sizes[2]!,
+                summariesPerSecond: 2.4,
+                labelsPerSecond: 4.6,
+                decodeMilliseconds: 2_000,
+                sharesLoads,
+            }).overfullShare
+        );
+        expect(shared).to.be.at.most(separate! / 2);
+    });
+
     it("halves the late requests at least where many entry processes see little of a hot document each", () => {
         for (const size of sizes.slice(1)) {
             const [shared, separate] = getLateShares({ ...load, ...size, hotShare: 0.27 });
--- a/tests/serverLoads/simulatePlacement.ts
+++ b/tests/serverLoads/simulatePlacement.ts
@@ -15,6 +15,8 @@
     labelsPerSecond: number;
     /** The share of the summaries that are about one document. */
     hotShare?: number;
+    /** How long requests run after their first token, in milliseconds. */
+    decodeMilliseconds?: number;
     /** Whether entry processes know the load that the others have caused. */
     sharesLoads: boolean;
 }
@@ -23,6 +25,8 @@
 export interface PlacementSimulationResult {
     /** The share of the requests whose first token came later than their objective. */
     lateShare: number;
+    /** The share of the requests that came to an engine whose memory they overfilled, so that others are preempted. */
+    overfullShare: number;
     /** The largest number of requests at one engine, in relation to the mean. */
     imbalance: number;
 }
@@ -38,10 +42,10 @@
 const warmUpMilliseconds = 4_000;
 const exchangeMilliseconds = 250;
 const tokensPerMillisecond = 56;
+const memoryTokens = 147_000;
 const cacheMilliseconds = 2_500;
 /** The share of the missed prefixes that an engine fetches from another one or a store. */
 const fetchedShare = 0.6;
-const decodeMilliseconds = 900;
 const endIntervalMilliseconds = 5;
 const kinds = {
     summary: { sharedTokens: 5_400, ownTokens: 6_600, objectiveMilliseconds: 1_000, subjectsPerEngine: 10 },
@@ -50,7 +54,7 @@
 
 /** Plays requests through the placement of many entry processes; each engine prefills prompts one after the other. */
 export function simulatePlacement(options: PlacementSimulationOptions): PlacementSimulationResult {
-    const { entryCount, engineCount, hotShare = 0 } = options;
+    const { entryCount, engineCount, hotShare = 0, decodeMilliseconds = 900 } = options;
     const random = createRandomSource(options.seed);
     let now = 0;
     const clock: Clock = {
@@ -67,6 +71,7 @@
     const freeAt = new Map<string, number>();
     const cachedAt = new Map<string, number>();
     const requestCounts = new Map<string, number>();
+    const usedTokens = new Map<string, number>();
     const prefills: Pending[] = [];
     const decodes: Pending[] = [];
     const rate = (options.summariesPerSecond + options.labelsPerSecond) * engineCount / 1_000;
@@ -74,6 +79,7 @@
     let nextEnd = 0;
     let count = 0;
     let lateCount = 0;
+    let overfullCount = 0;
     while (now < endMilliseconds) {
         now += -Math.log(1 - random.getFraction()) / rate;
         if (now >= nextEnd) {
@@ -89,6 +95,7 @@
     const sentCounts = [...requestCounts.values()];
     return {
         lateShare: lateCount / count,
+        overfullShare: overfullCount / count,
         imbalance: Math.max(...sentCounts) / (sentCounts.reduce((sum, value) => sum + value, 0) / engineCount),
     };
 
@@ -128,10 +135,11 @@
         };
         const index = random.getInteger(entryCount);
         const { loads, placement } = entries[index]!;
-        const engine = placement.choose(prompt, "", engines, [])!;
+        const engine = placement.choose(prompt, "", engines, [], memoryTokens)!;
         const { instanceId } = engine;
         loads.recordSent(instanceId, prompt.promptTokens);
         placement.recordSent(`request-${count}`, prompt, "", engine);
+        usedTokens.set(instanceId, (usedTokens.get(instanceId) ?? 0) + prompt.promptTokens);
         requestCounts.set(instanceId, (requestCounts.get(instanceId) ?? 0) + 1);
         const key = `${instanceId} ${prefix}`;
         const isCached = now - (cachedAt.get(key) ?? -Infinity) < cacheMilliseconds;
@@ -143,6 +151,7 @@
         prefills.push({ firstTokenMilliseconds: end, entry: index, instanceId, promptTokens: prompt.promptTokens });
         if (now > warmUpMilliseconds) {
             count += 1;
+            overfullCount += usedTokens.get(instanceId)! > memoryTokens ? 1 : 0;
             lateCount += end - now > kind.objectiveMilliseconds ? 1 : 0;
         }
     }
@@ -152,8 +161,9 @@
             entries[pending.entry]!.loads.recordPrefillEnd(pending.instanceId, pending.promptTokens);
             decodes.push(pending);
         }
-        for (const { entry, instanceId } of takeUntil(decodes, now - decodeMilliseconds)) {
-            entries[entry]!.loads.recordAttemptEnd(instanceId);
+        for (const { entry, instanceId, promptTokens } of takeUntil(decodes, now - decodeMilliseconds)) {
+            entries[entry]!.loads.recordAttemptEnd(instanceId, promptTokens);
+            usedTokens.set(instanceId, usedTokens.get(instanceId)! - promptTokens);
         }
     }
 }
