--- a/tests/feed/runFeed.tests.ts
+++ b/tests/feed/runFeed.tests.ts
@@ -6,6 +6,7 @@
 import { PollOutcome, PollResponseSchema } from "../../src/protocol";
 import { createRandomSource } from "../../src/runtime";
 import { createTestDocument } from "../documents/createTestDocument";
+import { createTestFactKind } from "../facts/createTestFactKind";
 import { createTestFactStore } from "../facts/createTestFacts";
 import { createManualClock } from "../support/createManualClock";
 import { decodeTestDocument } from "./createTestFeed";
@@ -89,4 +90,69 @@
         }, 4_000);
         expect(state.getRouteTable()?.document.version).to.equal(1);
     });
+
+    describe("an urgent fact", () => {
+        const kind = createTestFactKind({ isUrgent: true });
+
+        /** Runs the task with a leader that has no changes; returns the polls with the facts that they sent. */
+        async function createUrgentTrial() {
+            const clock = createManualClock();
+            const facts = createTestFactStore(clock, "entry-1 1", [kind]);
+            const state = createFeedState({ decode: decodeTestDocument, clock, logger: createSilentLogger() });
+            const polls: { milliseconds: number; factCount: number; isComplete: boolean; }[] = [];
+            void runFeed({
+                entryId: "entry-1",
+                getSeedAddresses: () => seeds,
+                client: {
+                    poll: async (...[, request, , signal]) => {
+                        const poll = {
+                            milliseconds: clock.getMonotonicMilliseconds(),
+                            factCount: request.facts.length,
+                            isComplete: false,
+                        };
+                        polls.push(poll);
+                        await clock.sleep(request.waitMilliseconds + 1, signal);
+                        poll.isComplete = !signal.aborted;
+                        return signal.aborted ? failed : {
+                            kind: "answered",
+                            response: {
+                                ...(current as Extract<PollResult, { kind: "answered"; }>).response,
+                                factStoreId: "1",
+                            },
+                        };
+                    },
+                },
+                state,
+                factSync: createFactSync(facts),
+                clock,
+                random: createRandomSource(3),
+                logger: createSilentLogger(),
+                signal: new AbortController().signal,
+            });
+            await clock.advance(1_000);
+            polls.length = 0;
+            return { clock, facts, state, polls };
+        }
+
+        it("replaces a poll that waits, and is sent once", async () => {
+            const { clock, facts, polls } = await createUrgentTrial();
+            const start = clock.getMonotonicMilliseconds();
+            facts.publish(kind, "a", "1");
+            await clock.advance(30);
+            expect(polls.map(({ milliseconds, factCount }) => [milliseconds - start, factCount]))
+                .to.deep.equal([[25, 1], [26, 0]]);
+        });
+
+        it("shares polls with others that follow closely, and lets the document grow no older than otherwise", async () => {
+            const { clock, facts, state, polls } = await createUrgentTrial();
+            for (let count = 0; count < 200; count++) {
+                facts.publish(kind, String(count), "1");
+                await clock.advance(5);
+                expect(state.getDocumentAgeMilliseconds()).to.be.at.most(850);
+            }
+            expect(polls.length).to.be.at.most(2 * 1_000 / 25 + 2);
+            expect(polls.reduce((sum, { factCount, isComplete }) => sum + (isComplete ? factCount : 0), 0))
+                .to.be.at.least(190);
+        });
+    });
 });
--- a/tests/platform/soak/soakRegressions.ts
+++ b/tests/platform/soak/soakRegressions.ts
@@ -11,9 +11,15 @@
 const runsAfterCrash =
     "a sound part of prompts was quarantined, as runs that were lost after a crash postponed it until the guilty request "
     + "counted as sound";
+const lostEvidence =
+    "a sound part of prompts was quarantined, as a restarted entry process and a new leader had forgotten at which crashes "
+    + "the guilty request was";
 const twoCauses =
     "a sound part of prompts was quarantined, as a guilty request and a guilty part crashed all engines in turn";
 
+const requestAtFewCrashes =
+    "requests with a guilty part reached servers late, as a request that was at two of the part's four crashes excused it";
+
 /** The seeds, each with the cause of the failure at the time. */
 export const soakRegressions: readonly { seed: number; cause: string; }[] = [
     { seed: 217, cause: readAfterLastResponse },
@@ -22,8 +28,10 @@
     { seed: 6028, cause: forgottenCompletions },
     { seed: 7005, cause: partOfCrashingRequest },
     { seed: 7006, cause: partOfCrashingRequest },
-    { seed: 8001, cause: runsAfterCrash },
+    { seed: 8001, cause: lostEvidence },
     { seed: 8031, cause: runsAfterCrash },
     { seed: 8010, cause: twoCauses },
     { seed: 8046, cause: twoCauses },
+    { seed: 9122, cause: requestAtFewCrashes },
+    { seed: 9142, cause: requestAtFewCrashes },
 ];
