--- a/src/feed/runFeed.ts
+++ b/src/feed/runFeed.ts
@@ -13,8 +13,8 @@
 const pollWaitMilliseconds = 400;
 /** The timeout of a poll beyond its wait, in milliseconds: a heartbeat round of the control group and some delay. */
 const responseTimeoutMilliseconds = 600;
-/** The minimum time between two polls that send urgent facts, in milliseconds, so that many facts share a poll. */
-const urgentIntervalMilliseconds = 25;
+/** How long an urgent fact waits for others before it is sent, in milliseconds, so that many facts share a poll. */
+const urgentDelayMilliseconds = 25;
 /** The maximum delay after a poll without a current response, in milliseconds; each delay is random up to this. */
 const maximumRetryDelayMilliseconds = 150;
 
@@ -37,6 +37,9 @@
     while (!signal.aborted) {
         address ??= getNextAddress();
         const sendTime = readClocks(clock);
+        if (isConnected && isUrgent) {
+            await clock.sleep(urgentDelayMilliseconds, signal);
+        }
         const waits = isConnected && !isUrgent;
         isUrgent = false;
         options.onBeforePoll?.();
@@ -52,7 +55,6 @@
         interruptWait = waits ? () => interruption.abort() : () => undefined;
         const result = await client.poll(address, request, timeoutMilliseconds, interruption.signal);
         if (interruption.signal.aborted) {
-            await clock.sleep(urgentIntervalMilliseconds, signal);
             continue;
         }
         if (result.kind === "failed") {
