Weigh a missed prefix by the prompts that its prefill delays, and memory only where it runs out

Change: a missed prefill counts three times, as it delays the prompts behind it and evicts prefixes; memory costs only beyond 0.95, up to 150 ms where it is full.

--- a/src/forwarding/createEnginePlacement.ts
+++ b/src/forwarding/createEnginePlacement.ts
@@ -26,14 +26,16 @@
 const millisecondsPerRequest = 4;
 /** The additional cost of each queued request at an engine: the prefill of a prompt. */
 const millisecondsPerQueuedRequest = 60;
-/** The cost of a cache miss in addition to the prefill itself, which delays other prompts as well. */
+/** The weight of a cache miss's prefill in the cost: it delays the prompts behind it, and evicts cached prefixes. */
+const missedPrefillWeight = 3;
+/** The cost of a cache miss in addition to that. */
 const prefixMissMilliseconds = 60;
 /** The cost of an engine that does not own the prefix: more than the second owner's, less than that of a queue. */
 const nonOwnerMilliseconds = 8;
 /** The share of an engine's memory that prompts in flight may fill without preemptions: output needs memory as well. */
-const unpreemptedMemoryShare = 0.8;
+const unpreemptedMemoryShare = 0.95;
 /** The cost of a request that fills an engine's memory: some request is preempted, and its prompt prefilled again. */
-const preemptionMilliseconds = 300;
+const preemptionMilliseconds = 150;
 /** The cost of an engine that is loading weights: the duration of a load. */
 const loadingWeightsMilliseconds = 2_000;
 /** The cost of an engine that failed recently: more than that of any queue. */
@@ -90,7 +92,9 @@
         for (const candidate of getConsideredCandidates(candidates, ownerRanks)) {
             const rank = ownerRanks.get(candidate);
             const isHolder = rank === 0 || isLikelyCachedAt(candidate, getLongestPrefix(candidate));
-            const prefillCost = isHolder ? 0 : sharedTokens / prefillTokensPerMillisecond + prefixMissMilliseconds;
+            const prefillCost = isHolder
+                ? 0
+                : missedPrefillWeight * sharedTokens / prefillTokensPerMillisecond + prefixMissMilliseconds;
             const ownerCost = rank === undefined ? nonOwnerMilliseconds : rank * millisecondsPerRequest;
             const cost = prefillCost + ownerCost + getLoadCost(candidate)
                 + getWeightsCost(candidate, prompt.model, desiredWeights)
