--- a/src/facts/FactSync.ts
+++ b/src/facts/FactSync.ts
@@ -9,8 +9,6 @@
     createPollFields(): Pick<PollRequest, "factStoreId" | "factPosition" | "facts">;
     /** Reads the response to the poll whose fields were created last. */
     readResponse(response: PollResponse): void;
-    /** Returns whether this process has facts that the leader may lack. */
-    hasUnsentFacts(): boolean;
     /**
      * Adds a listener of facts of this process that the leader should learn at once.
      * @param listener - Called after such a fact was published or withdrawn.
--- a/src/facts/createFactSync.ts
+++ b/src/facts/createFactSync.ts
@@ -18,10 +18,10 @@
     /** The position of the own store up to which the leader has confirmed all facts. */
     let confirmedPosition = 0;
     let sentPosition = 0;
-    return { createPollFields, readResponse, hasUnsentFacts, addUrgentListener };
+    return { createPollFields, readResponse, addUrgentListener };
 
     function createPollFields(): Pick<PollRequest, "factStoreId" | "factPosition" | "facts"> {
-        const { facts, position } = getUnsentFacts();
+        const { facts, position } = store.getChanges(confirmedPosition, (...[, , origin]) => origin !== leaderStoreId);
         sentPosition = position;
         return { factStoreId: leaderStoreId, factPosition: receivedPosition, facts };
     }
@@ -36,14 +36,6 @@
         store.merge(facts, factStoreId);
     }
 
-    function hasUnsentFacts(): boolean {
-        return getUnsentFacts().facts.length > 0;
-    }
-
-    function getUnsentFacts() {
-        return store.getChanges(confirmedPosition, (...[, , origin]) => origin !== leaderStoreId);
-    }
-
     function addUrgentListener(listener: () => void): void {
         store.addListener((kind, isOwn) => {
             if (isOwn && kind.isUrgent) {
--- a/src/forwarding/createLivenessMonitor.ts
+++ b/src/forwarding/createLivenessMonitor.ts
@@ -3,7 +3,8 @@
  * and never respond. A backend server with attempts in flight that sends nothing for some time is probed by a call that
  * needs no slot. If the probe gets no response, it is considered unresponsive until one does, and the other entry processes
  * are told; one that hears of it probes the server at once if it has attempts in flight there. Where most backend servers
- * with attempts in flight are silent, the cause is rather this process or its network, which the others need not know.
+ * with attempts in flight are silent, the cause is rather this process or its network: the others need not know, and no
+ * server is taken for gone.
  */
 import { setMaxListeners } from "node:events";
 import { BackendService } from "../documents";
@@ -138,6 +139,7 @@
         const start = clock.getMonotonicMilliseconds();
         const end = start + maximumProbingMilliseconds;
         let failedProbes = 0;
+        let isResponsive = false;
         while (!signal.aborted && clock.getMonotonicMilliseconds() < end) {
             if (server.attemptsInFlight <= 0 && reportedServers.isReported(instanceId)) {
                 await clock.sleep(probeIntervalMilliseconds, signal);
@@ -145,7 +147,7 @@
             }
             const ended = new AbortController();
             const response = link.probe(instance, service, ended.signal);
-            const isResponsive = await waitWithTimeout(clock, response, probeTimeoutMilliseconds);
+            isResponsive = await waitWithTimeout(clock, response, probeTimeoutMilliseconds) ?? false;
             ended.abort();
             if (isResponsive) {
                 break;
@@ -159,7 +161,9 @@
             silenceGrowthFactor * server.allowedSilenceMilliseconds,
         );
         reportedServers.endReport(instanceId);
-        reportedServers.contradict(instanceId);
+        if (isResponsive) {
+            reportedServers.contradict(instanceId);
+        }
         if (server.unresponsive.signal.aborted) {
             const milliseconds = Math.round(clock.getMonotonicMilliseconds() - start);
             logger.info({ instanceId, milliseconds }, "backend server answers again");
@@ -183,13 +187,14 @@
             );
             server.unresponsive.abort();
         }
+        if (isObserverSuspect()) {
+            return;
+        }
+        reportedServers.report(instanceId);
         if (failedProbes >= probesUntilGone && !server.gone.signal.aborted) {
             logger.warn({ instanceId, owed, failedProbes }, "backend server is taken for gone");
             server.gone.abort();
         }
-        if (!isObserverSuspect()) {
-            reportedServers.report(instanceId);
-        }
     }
 
     /** Returns whether most backend servers with attempts in flight are unresponsive or have a probe outstanding. */
--- a/tests/forwarding/createLivenessMonitor.tests.ts
+++ b/tests/forwarding/createLivenessMonitor.tests.ts
@@ -106,6 +106,15 @@
 
         it("is aborted after three failed probes", () => doTest(2_600, true));
         it("is not aborted for a server that was suspended and responds again", () => doTest(2_000, false));
+        it("is not aborted while most servers are silent, since the fault may be the entry process's own", async () => {
+            const { clock, monitor, silentIds, send } = createFixture();
+            const ids = ["engine-1", "engine-2", "engine-3", "engine-4"];
+            ids.forEach(instanceId => silentIds.add(instanceId));
+            ids.forEach(instanceId => send(instanceId));
+            const signals = ids.map(monitor.getGoneSignal);
+            await clock.advance(10_000);
+            expect(signals.map(signal => signal.aborted)).to.deep.equal([false, false, false, false]);
+        });
     });
 
     describe("reports", () => {
