Take a stream from a silent server only if another one has shown life and capacity, and count a part's own crashes in full

The stream of a silent server was taken away for another one that was just as silent, or whose limit was used up, so that none took it over.

Change: another server must neither be suspected nor be silent itself, and its limit must allow a request. A part's crashes are put down to a request unless as many are left as convict a part by themselves.

--- a/src/crashQuarantine/createSubjectEvidence.ts
+++ b/src/crashQuarantine/createSubjectEvidence.ts
@@ -29,8 +29,6 @@
 const sameCrashMilliseconds = 1_500;
 /** How long observations of a crash may take to arrive, in milliseconds: the wait of a poll and some delay. */
 const settlingMilliseconds = 600;
-/** The number of crashes at which a guilty part was in flight without a request that may be guilty itself. */
-const minimumCrashesBesideRequest = 3;
 /** The maximum number of crashes; beyond it, the oldest are dropped. */
 const maximumCrashes = 512;
 /** The maximum number of suspects, which all entry processes receive. */
@@ -170,8 +168,8 @@
     }
 
     /**
-     * Returns whether a part was in flight at nearly all of its crashes together with one and the same request, which was
-     * at enough of them to be guilty itself.
+     * Returns whether too few crashes accuse a part beside those at which it was in flight together with one and the same
+     * request, which was at enough of them to be guilty itself.
      */
     function isDueToRequest({ subjectId, crashes: partCrashes }: Accusation): boolean {
         if (getSubjectKind(subjectId) !== SubjectKind.PromptPart) {
@@ -179,8 +177,9 @@
         }
         const crashesByRequest = groupCrashes(partCrashes, SubjectKind.Request);
         const { guiltyCrashes } = getSubjectLimits(SubjectKind.Request);
+        const { guiltyCrashes: partGuiltyCrashes } = getSubjectLimits(SubjectKind.PromptPart);
         return [...crashesByRequest].some(([requestId, shared]) =>
-            shared.length >= guiltyCrashes && partCrashes.length - shared.length < minimumCrashesBesideRequest
+            shared.length >= guiltyCrashes && partCrashes.length - shared.length < partGuiltyCrashes
             && !hasCompletedOften(requestId, SubjectKind.Request, shared)
         );
     }
--- a/src/forwarding/LivenessMonitor.ts
+++ b/src/forwarding/LivenessMonitor.ts
@@ -14,6 +14,8 @@
     recordAttemptEnd(instanceId: string): void;
     /** Returns whether a backend server is considered unresponsive, by this entry process or another one. */
     isUnresponsive(instanceId: string): boolean;
+    /** Returns whether a backend server is silent, and has not responded to this entry process's probe yet. */
+    isProbed(instanceId: string): boolean;
     /** Gets a signal that is aborted once this entry process considers the backend server unresponsive. */
     getUnresponsiveSignal(instanceId: string): AbortSignal;
     /** Gets a signal that is aborted once the backend server has been unresponsive for so long that it is taken for gone. */
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -57,7 +57,15 @@
         random,
     );
     const scheduler = createPromptScheduler(placement, state, clock);
-    const selector = createInstanceSelector({ state, scheduler, loads, serverLimits, dataCentre, random });
+    const selector = createInstanceSelector({
+        state,
+        scheduler,
+        loads,
+        isProbed: liveness.isProbed,
+        serverLimits,
+        dataCentre,
+        random,
+    });
     const retryBudgets = createRetryBudgets(options.retryShare, options.retryReserve, state.getEntryCount);
     return {
         dispatch,
--- a/src/forwarding/createInstanceSelector.ts
+++ b/src/forwarding/createInstanceSelector.ts
@@ -21,6 +21,8 @@
     scheduler: PromptScheduler;
     /** The load of the backend servers. */
     loads: LoadTracker;
+    /** Returns whether a backend server is silent, and has not responded to a probe yet. */
+    isProbed(instanceId: string): boolean;
     /** The limits that backend servers name. */
     serverLimits: ServerLimits;
     /** The entry process's data centre. */
@@ -34,7 +36,7 @@
  * @param options - What the selection depends on.
  */
 export function createInstanceSelector(options: InstanceSelectorOptions): InstanceSelector {
-    const { state, scheduler, loads, serverLimits, dataCentre, random } = options;
+    const { state, scheduler, loads, isProbed, serverLimits, dataCentre, random } = options;
     return { getCandidates, choose, getLimitRefusal, canTakeOver };
 
     function getCandidates(task: ForwardingTask): readonly FleetInstance[] {
@@ -60,6 +62,9 @@
     }
 
     function canTakeOver(task: ForwardingTask): boolean {
-        return getCandidates(task).some(({ instanceId }) => !loads.isSuspected(instanceId));
+        return getCandidates(task).some(({ instanceId }) =>
+            !loads.isSuspected(instanceId) && !isProbed(instanceId)
+            && serverLimits.getWaitMilliseconds(instanceId) === 0
+        );
     }
 }
--- a/src/forwarding/createLivenessMonitor.ts
+++ b/src/forwarding/createLivenessMonitor.ts
@@ -71,6 +71,7 @@
         recordAttemptEnd,
         isUnresponsive: instanceId =>
             (servers.get(instanceId)?.unresponsive.signal.aborted ?? false) || reportedServers.isReported(instanceId),
+        isProbed: instanceId => servers.get(instanceId)?.isProbed ?? false,
         getUnresponsiveSignal: instanceId => servers.get(instanceId)?.unresponsive.signal ?? neverAborted.signal,
         getGoneSignal: instanceId => servers.get(instanceId)?.gone.signal ?? neverAborted.signal,
     };
--- a/tests/forwarding/createForwarder.tests.ts
+++ b/tests/forwarding/createForwarder.tests.ts
@@ -39,6 +39,7 @@
         document?: Partial<RoutingDocument>;
         retryReserve?: number;
         isStarting?: boolean;
+        getLimitWait?: (instanceId: string) => number;
         logger?: Logger;
         streamOrigins?: StreamOrigins;
     }
@@ -58,7 +59,10 @@
             link,
             streamOrigins: options.streamOrigins ?? createTestStreamOrigins(),
             crashQuarantine: createTestCrashQuarantine({ state, link, clock }),
-            serverLimits: createTestServerLimits(state, clock),
+            serverLimits: {
+                ...createTestServerLimits(state, clock),
+                ...options.getLimitWait ? { getWaitMilliseconds: options.getLimitWait } : {},
+            },
             kvCacheStores: { isReachable: () => false, hasPart: () => false },
             dataCentre: "west",
             signal: new AbortController().signal,
@@ -613,6 +617,33 @@
             doStreamTest({
                 instances: [engines[0]!, createTestInstance({ instanceId: "engine-new", softwareVersion: "v2" })],
             }));
+        it("keeps a stream where the others have used up the limits that they name", () =>
+            doStreamTest({
+                getLimitWait: instanceId => instanceId === "engine-1" ? 0 : 1_000,
+            }));
+        it("keeps its streams while the others are silent as well", async () => {
+            const trial = createTrial({
+                respond: async ({ unresponsiveSignal }) => {
+                    await trial.clock.sleep(1_200, unresponsiveSignal);
+                    return unresponsiveSignal?.aborted ? lostResult : createTestResponse(["id: 1\ndata: a\n\n"]);
+                },
+                probe: () => "never",
+                instances: engines.slice(0, 2),
+            });
+            const streams = await Promise.all(
+                Array.from({ length: 12 }, (...[, index]) => {
+                    const parts = [{ id: `part-${index}`, tokens: 500 }, { id: "own", tokens: 900 }];
+                    return trial.forward({ ...label, prompt: { ...label.prompt!, parts } });
+                }),
+            );
+            expect(new Set(trial.link.attempts.map(attempt => attempt.instance.instanceId)).size).to.equal(2);
+            await trial.clock.advance(1_500);
+            await Promise.all(streams.map(({ ended }) => ended));
+            expect([...new Set(streams.map(({ reply }) => reply.getText()))]).to.deep.equal([
+                "200 id: 1\ndata: a\n\nend",
+            ]);
+            expect(trial.link.attempts.length).to.equal(12);
+        });
         it("keeps a stream where the retry budget is used up", () => doStreamTest({ retryReserve: 0 }));
 
         /** Forwards a stream whose server is silent for some time, and expects that it is not ended. */
