Let a new leader collect evidence before it quarantines

Cause: a new leader decided within 2 ms to 300 ms after the first of two entry processes had found it. The crashes had long settled, but only that one had reported them: the guilty request, which the other one had in flight at most of them, was known at too few.

Change: a new leader decides only after 1.5 s; suspects are shown at once, so that lost requests with them are not sent again.

--- a/src/crashQuarantine/runCrashQuarantine.ts
+++ b/src/crashQuarantine/runCrashQuarantine.ts
@@ -17,6 +17,11 @@
 
 /** The interval between two decisions, in milliseconds. */
 const decisionIntervalMilliseconds = 100;
+/**
+ * How long a new leader collects evidence before it decides, in milliseconds: entry processes find it one after the other,
+ * and the reports of only some of them can accuse a sound subject.
+ */
+const collectionMilliseconds = 1_500;
 /** How long the crashes before a release may be reported, in milliseconds; the subject is not quarantined again by them. */
 const releaseMilliseconds = 60_000;
 
@@ -46,15 +51,27 @@
 export async function runCrashQuarantine(options: CrashQuarantineOptions): Promise<void> {
     const { log, documents, facts, evidence, fleetTracker, clock, logger, signal } = options;
     let readPosition = -1;
+    let leaderTerm: bigint | undefined;
+    let leadingSinceMilliseconds = 0;
     while (!signal.aborted) {
         if (facts.getPosition() !== readPosition) {
             readPosition = facts.getPosition();
             readCrashFacts(facts, evidence, clock);
         }
-        if (log.getStatus().role === ConsensusRole.Leader) {
+        const { role, term } = log.getStatus();
+        if (role !== ConsensusRole.Leader) {
+            leaderTerm = undefined;
+        }
+        else {
+            if (leaderTerm !== term) {
+                leaderTerm = term;
+                leadingSinceMilliseconds = clock.getMonotonicMilliseconds();
+            }
             explainKnownSubjects();
-            for (const subject of evidence.getGuiltySubjects()) {
-                await quarantine(subject);
+            if (clock.getMonotonicMilliseconds() - leadingSinceMilliseconds >= collectionMilliseconds) {
+                for (const subject of evidence.getGuiltySubjects()) {
+                    await quarantine(subject);
+                }
             }
             fleetTracker.setSuspectedSubjects(evidence.getSuspects());
         }
--- a/tests/crashQuarantine/runCrashQuarantine.tests.ts
+++ b/tests/crashQuarantine/runCrashQuarantine.tests.ts
@@ -1,7 +1,7 @@
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import { expect } from "chai";
 import { ConsensusRole, LogStatus } from "../../src/control/consensus";
-import { createSubjectEvidence, runCrashQuarantine } from "../../src/crashQuarantine";
+import { createSubjectEvidence, requestSubjectPrefix, runCrashQuarantine } from "../../src/crashQuarantine";
 import { createDocumentState } from "../../src/documents";
 import { createSilentLogger } from "../../src/logging";
 import { DocumentCommandSchema } from "../../src/protocol";
@@ -33,7 +33,7 @@
             logger: createSilentLogger(),
             signal: new AbortController().signal,
         });
-        return { clock, commands, getSuspects: () => suspects, release, reportCrashes };
+        return { clock, documents, evidence, commands, getSuspects: () => suspects, release, reportCrashes };
 
         function release() {
             const context = { term: 1n, index: 1n, timeMilliseconds: clock.getWallMilliseconds() };
@@ -64,6 +64,28 @@
         }
     }
 
+    it("decides only once a new leader has heard from all entry processes", async () => {
+        const { clock, documents, evidence } = createFixture();
+        const guiltyId = `${requestSubjectPrefix}guilty`;
+        const getQuarantinedIds = () => documents.getQuarantinedSubjects().map(({ subjectId }) => subjectId);
+        const report = (incarnation: string, begunSubjectIds: string[]) =>
+            [1, 2, 3, 4].forEach(count =>
+                evidence.addObservation({
+                    reportId: `${incarnation}.${count}`,
+                    instanceId: `engine-${count}`,
+                    ageMilliseconds: 5_000 - 1_000 * count,
+                    begunSubjectIds,
+                    waitingSubjectIds: [],
+                })
+            );
+        report("first", ["sound"]);
+        await clock.advance(1_000);
+        expect(getQuarantinedIds()).to.deep.equal([]);
+        report("second", ["sound", guiltyId]);
+        await clock.advance(1_000);
+        expect(getQuarantinedIds()).to.deep.equal([guiltyId]);
+    });
+
     it("suspects a part first, and quarantines it once", async () => {
         const { commands, getSuspects, reportCrashes } = createFixture();
         await reportCrashes(1, 3);
