--- a/tests/platform/soak/soakRegressions.ts
+++ b/tests/platform/soak/soakRegressions.ts
@@ -20,6 +20,11 @@
 const requestAtFewCrashes =
     "requests with a guilty part reached servers late, as a request that was at two of the part's four crashes excused it";
 
+const newLeader =
+    "a sound part of prompts was quarantined, as a new leader decided before all entry processes had reported to it";
+const noTakeover =
+    "a stream was cut, as it was taken from a silent server although the others were silent too or had used up their limits";
+
 /** The seeds, each with the cause of the failure at the time. */
 export const soakRegressions: readonly { seed: number; cause: string; }[] = [
     { seed: 217, cause: readAfterLastResponse },
@@ -34,4 +39,10 @@
     { seed: 8046, cause: twoCauses },
     { seed: 9122, cause: requestAtFewCrashes },
     { seed: 9142, cause: requestAtFewCrashes },
+    { seed: 11010, cause: twoCauses },
+    { seed: 11015, cause: noTakeover },
+    { seed: 11017, cause: noTakeover },
+    { seed: 11021, cause: newLeader },
+    { seed: 11030, cause: newLeader },
+    { seed: 11046, cause: newLeader },
 ];
