Judge crashes with more care at an entry process that has lost contact to control

Cause: during an election of 3.1 s entry process 12 had no confirmation for 2 s and decided by its own crashes. All of its requests hold the part a0. It did not know that others had seen a request at three of these crashes that control had quarantined already, and at one engine its own request only waited, while another entry process's request with the guilty part had begun.

Change: such an entry process also uses the crashes of others that it keeps as facts, takes crashes with a subject that control has quarantined for explained, and accuses parts only by crashes of engines at which a response had begun.

Result: two tests that failed before; the simulations of lost control are unchanged.

--- a/src/crashQuarantine/createCrashQuarantine.ts
+++ b/src/crashQuarantine/createCrashQuarantine.ts
@@ -1,7 +1,9 @@
 /*
  * Applies the quarantine that control members decide. Without contact to them an entry process also decides by the
- * crashes that it has seen itself; once it has contact again, their decision alone holds.
+ * crashes that it knows: its own, and those of others that it has heard of. That is a part of the evidence, so that it is
+ * judged with more care; once there is contact again, the members' decision alone holds.
  */
+import { FactStore } from "../facts";
 import { FeedState } from "../feed";
 import { FleetView } from "../protocol";
 import { CrashObserverOptions } from "./CrashObserverOptions";
@@ -10,15 +12,19 @@
 import { createCrashObserver } from "./createCrashObserver";
 import { createSubjectEvidence } from "./createSubjectEvidence";
 import { createSubjectSet } from "./createSubjectSet";
+import { EvidenceScope } from "./EvidenceScope";
+import { publishCrashReport } from "./publishCrashReport";
+import { readCrashFacts } from "./readCrashFacts";
 import { RunSubjects } from "./RunSubjects";
 
 /** How long the feed may be without a confirmation before the entry process decides by itself, in milliseconds. */
 const maximumFeedAgeMilliseconds = 2_000;
-const ownReporter = "self";
 
 interface CrashQuarantineOptions extends Omit<CrashObserverOptions, "getSuspectedRequestIds"> {
     /** Provides the decisions of the control members. */
     state: Pick<FeedState, "getFleet" | "getDocumentAgeMilliseconds">;
+    /** The facts of the entry process, also those of others that it keeps. */
+    facts: FactStore;
 }
 
 /**
@@ -26,9 +32,9 @@
  * @param options - The options of the crash observer, and the state that was received from control.
  */
 export function createCrashQuarantine(options: CrashQuarantineOptions): CrashQuarantine {
-    const { incarnation, state, clock } = options;
+    const { incarnation, state, facts, clock } = options;
     const observer = createCrashObserver({ ...options, getSuspectedRequestIds });
-    const ownEvidence = createSubjectEvidence(clock);
+    const evidence = createSubjectEvidence(clock, EvidenceScope.SomeEntries);
     let view: FleetView | undefined;
     let quarantined = createSubjectSet([]);
     let suspected = createSubjectSet([]);
@@ -40,7 +46,7 @@
             return true;
         }
         const isCutOff = state.getDocumentAgeMilliseconds() > maximumFeedAgeMilliseconds;
-        return isCutOff && createSubjectSet(getOwnGuiltyIds()).hasAny(subjects);
+        return isCutOff && createSubjectSet(getKnownGuiltyIds()).hasAny(subjects);
     }
 
     function isSuspected(subjects: RunSubjects): boolean {
@@ -63,11 +69,12 @@
         }
     }
 
-    function getOwnGuiltyIds(): readonly string[] {
-        const { observations, completions } = getReport();
-        observations.forEach(ownEvidence.addObservation);
-        ownEvidence.setCompletions(ownReporter, completions);
-        return ownEvidence.getGuiltySubjects().map(({ subjectId }) => subjectId);
+    /** Gets the subjects that are guilty by the crashes that this process knows, less those of known guilty ones. */
+    function getKnownGuiltyIds(): readonly string[] {
+        publishCrashReport(facts, getReport(), clock);
+        readCrashFacts(facts, evidence, clock);
+        evidence.explainCrashes(new Set(view?.quarantinedSubjects));
+        return evidence.getGuiltySubjects().map(({ subjectId }) => subjectId);
     }
 
     function getReport(): CrashReport {
--- a/src/crashQuarantine/createSubjectEvidence.ts
+++ b/src/crashQuarantine/createSubjectEvidence.ts
@@ -8,6 +8,7 @@
 import { LRUCache } from "lru-cache";
 import { Clock } from "../runtime";
 import { CrashObservation } from "./CrashObservation";
+import { EvidenceScope } from "./EvidenceScope";
 import { getSubjectKind } from "./getSubjectKind";
 import { getSubjectLimits } from "./getSubjectLimits";
 import { GuiltySubject } from "./GuiltySubject";
@@ -60,8 +61,9 @@
 /**
  * Creates evidence without crashes.
  * @param clock - Measures the age of crashes.
+ * @param scope - Whose observations are added; by default those of all entry processes.
  */
-export function createSubjectEvidence(clock: Clock): SubjectEvidence {
+export function createSubjectEvidence(clock: Clock, scope = EvidenceScope.AllEntries): SubjectEvidence {
     const completionsByReporter = new Map<string, LRUCache<string, readonly number[]>>();
     let crashes: Crash[] = [];
     return { addObservation, setCompletions, getSuspects, getGuiltySubjects, explainCrashes };
@@ -196,7 +198,7 @@
             !crash.explainedKinds.has(kind) && !explained.has(crash)
             && now - crash.timeMilliseconds < evidenceLifetimeMilliseconds
         );
-        return [...groupCrashes(openCrashes, kind)]
+        return [...groupCrashes(openCrashes.filter(crash => canAccuse(crash, kind)), kind)]
             .map(([subjectId, ownCrashes]) => ({
                 subjectId,
                 crashes: ownCrashes,
@@ -207,6 +209,11 @@
             .sort(compareGravity);
     }
 
+    /** Returns whether the candidates of a crash may be guilty; a part makes an engine crash once its request begins. */
+    function canAccuse({ begunSubjectIds }: Crash, kind: SubjectKind): boolean {
+        return scope === EvidenceScope.AllEntries || kind !== SubjectKind.PromptPart || begunSubjectIds.size > 0;
+    }
+
     function isSound(accusation: Accusation, kind: SubjectKind, openCrashes: readonly Crash[]): boolean {
         const { subjectId, crashes: ownCrashes, times } = accusation;
         const { commonCauseMilliseconds, minimumCrashShare } = getSubjectLimits(kind);
--- a/src/crashQuarantine/index.ts
+++ b/src/crashQuarantine/index.ts
@@ -15,6 +15,7 @@
 export * from "./createCrashQuarantine";
 export * from "./createSubjectEvidence";
 export * from "./createSubjectSet";
+export * from "./EvidenceScope";
 export * from "./getRequestSubjectId";
 export * from "./getSubjectKind";
 export * from "./getSubjectLimits";
--- a/tests/crashQuarantine/createCrashQuarantine.tests.ts
+++ b/tests/crashQuarantine/createCrashQuarantine.tests.ts
@@ -1,11 +1,12 @@
 import { create } from "@bufbuild/protobuf";
 import { expect } from "chai";
-import { InstanceState, requestSubjectPrefix, RunSubjects } from "../../src/crashQuarantine";
+import { crashFactKind, InstanceState, requestSubjectPrefix, RunSubjects } from "../../src/crashQuarantine";
 import { createFeedState } from "../../src/feed";
 import { createSilentLogger } from "../../src/logging";
 import { readClocks } from "../../src/membership";
 import { FleetViewSchema, PollResponseSchema } from "../../src/protocol";
 import { createTestDocument } from "../documents/createTestDocument";
+import { createTestFactStore } from "../facts/createTestFacts";
 import { createTestInstance, decodeTestDocument } from "../feed/createTestFeed";
 import { createManualClock } from "../support/createManualClock";
 import { createTestCrashQuarantine } from "./createTestCrashQuarantine";
@@ -17,8 +18,9 @@
         const clock = createManualClock();
         const state = createFeedState({ decode: decodeTestDocument, clock, logger: createSilentLogger() });
         const link = { checkInstance: () => Promise.resolve(InstanceState.Ended) };
-        const quarantine = createTestCrashQuarantine({ state, link, clock });
-        return { clock, quarantine, receive, beginRun, crash };
+        const facts = createTestFactStore(clock);
+        const quarantine = createTestCrashQuarantine({ state, link, clock, facts });
+        return { clock, facts, quarantine, receive, beginRun, lose, crash };
 
         function receive(quarantinedSubjects: string[], suspectedSubjects: string[] = []) {
             const fleet = create(FleetViewSchema, { quarantinedSubjects, suspectedSubjects });
@@ -36,6 +38,16 @@
             return quarantine.beginRun(createTestInstance({ instanceId }), testServices.engine, subjects);
         }
 
+        /** Crashes an engine under requests whose responses have begun or not, and waits for 500 ms. */
+        async function lose(instanceId: string, partIds: string[], hasBegun = true) {
+            const run = beginRun(instanceId, createTestSubjects(partIds));
+            if (hasBegun) {
+                run.recordBegin();
+            }
+            run.lose();
+            await clock.advance(500);
+        }
+
         /** Crashes engines under a part, one each 500 ms. */
         async function crash(count: number) {
             for (let index = 0; index < count; index++) {
@@ -100,6 +112,33 @@
         expect(quarantine.isQuarantined(createTestSubjects(["first", "bad"]))).to.equal(false);
     });
 
+    it("accuses no sound part without contact by crashes that others saw a quarantined request cause", async () => {
+        const { clock, facts, quarantine, receive, lose } = createFixture();
+        receive([`${requestSubjectPrefix}bad`]);
+        for (const index of [1, 2, 3, 4]) {
+            const details = {
+                instanceId: `engine-${index}`,
+                begunSubjectIds: [`${requestSubjectPrefix}bad`],
+                waitingSubjectIds: [],
+            };
+            const observer = createTestFactStore(clock, "entry-2 1");
+            observer.publish(crashFactKind, `2.${index}`, details);
+            facts.merge(observer.getChanges(0, () => true).facts, "control");
+            await lose(`engine-${index}`, ["sound"]);
+        }
+        await clock.advance(2_001);
+        expect(quarantine.isQuarantined(createTestSubjects(["sound"]))).to.equal(false);
+    });
+
+    it("accuses no part without contact by crashes of engines at which its requests only waited", async () => {
+        const { clock, quarantine, lose } = createFixture();
+        for (const [index, hasBegun] of [true, false, true, true].entries()) {
+            await lose(`engine-${index}`, ["sound"], hasBegun);
+        }
+        await clock.advance(2_001);
+        expect(quarantine.isQuarantined(createTestSubjects(["sound"]))).to.equal(false);
+    });
+
     it("goes on refusing a request after a minute without contact to the control members", async () => {
         const { clock, quarantine, beginRun } = createFixture();
         const crashing = createTestSubjects([], "crashing");
--- a/tests/crashQuarantine/simulateCrashes.ts
+++ b/tests/crashQuarantine/simulateCrashes.ts
@@ -1,4 +1,10 @@
-import { createCrashObserver, createSubjectEvidence, InstanceState, ObservedRun } from "../../src/crashQuarantine";
+import {
+    createCrashObserver,
+    createSubjectEvidence,
+    EvidenceScope,
+    InstanceState,
+    ObservedRun,
+} from "../../src/crashQuarantine";
 import { createSilentLogger } from "../../src/logging";
 import { createMetrics } from "../../src/metrics";
 import { createRandomSource } from "../../src/runtime";
@@ -76,7 +82,7 @@
             signal,
         });
     const observers = Array.from({ length: entryCount }, createObserver);
-    const ownEvidences = observers.map(() => createSubjectEvidence(clock));
+    const ownEvidences = observers.map(() => createSubjectEvidence(clock, EvidenceScope.SomeEntries));
     const ownGuilty = observers.map(() => new Set<string>());
     const lateSound = { sent: 0, begun: 0 };
     let evidence = createSubjectEvidence(clock);
@@ -191,7 +197,7 @@
 
     function restartEntry(index: number): void {
         observers[index] = createObserver();
-        ownEvidences[index] = createSubjectEvidence(clock);
+        ownEvidences[index] = createSubjectEvidence(clock, EvidenceScope.SomeEntries);
         ownGuilty[index]!.clear();
     }
 
--- a/tests/crashQuarantine/simulateCrashingRequests.ts
+++ b/tests/crashQuarantine/simulateCrashingRequests.ts
@@ -155,13 +155,14 @@
         const common = { clock, logger: createSilentLogger(), metrics: createMetrics(), signal };
         const state = createFeedState({ ...common, decode: decodeTestDocument });
         const { link } = servers;
+        const facts = createTestFactStore(clock, `${entryId} ${startMilliseconds}`);
         const crashQuarantine = createCrashQuarantine({
             ...common,
             state,
+            facts,
             incarnation: `${entryId}.${startMilliseconds}`,
             checkInstance: link.checkInstance,
         });
-        const facts = createTestFactStore(clock, `${entryId} ${startMilliseconds}`);
         const entryRandom = createRandomSource(options.seed + index);
         void runFeed({
             ...common,
