Explain crashes of parts by guilty requests that don't hold them

Cause: a1 was at four crashes: two of a request that control had found guilty from three crashes, and two of a guilty part. A request explained a part's crashes only where it was at three of the part's own ones. The request had been at two crashes without a1, so that a1 is not among its parts, and at two with it.

Change: a request that was at crashes without the part counts with all its crashes. Where it may hold the part, only the shared crashes count, as before, so that a guilty part whose request comes again is found.

--- a/src/crashQuarantine/createSubjectEvidence.ts
+++ b/src/crashQuarantine/createSubjectEvidence.ts
@@ -171,19 +171,24 @@
 
     /**
      * Returns whether too few crashes accuse a part beside those at which it was in flight together with one and the same
-     * request, which was at enough of them to be guilty itself.
+     * request, which is guilty itself. A request without the part is so by all its crashes, one that may hold it by those
+     * of the part: the others may have had another cause.
      */
     function isDueToRequest({ subjectId, crashes: partCrashes }: Accusation): boolean {
         if (getSubjectKind(subjectId) !== SubjectKind.PromptPart) {
             return false;
         }
-        const crashesByRequest = groupCrashes(partCrashes, SubjectKind.Request);
-        const { guiltyCrashes } = getSubjectLimits(SubjectKind.Request);
+        const requestLimits = getSubjectLimits(SubjectKind.Request);
         const { guiltyCrashes: partGuiltyCrashes } = getSubjectLimits(SubjectKind.PromptPart);
-        return [...crashesByRequest].some(([requestId, shared]) =>
-            shared.length >= guiltyCrashes && partCrashes.length - shared.length < partGuiltyCrashes
-            && !hasCompletedOften(requestId, SubjectKind.Request, shared)
-        );
+        const allByRequest = groupCrashes(crashes, SubjectKind.Request);
+        return [...groupCrashes(partCrashes, SubjectKind.Request)].some(([requestId, shared]) => {
+            const all = allByRequest.get(requestId) ?? shared;
+            const mayHoldPart = all.every(crash => getCandidates(crash).has(subjectId));
+            const accusing = mayHoldPart ? shared : all;
+            return accusing.length >= requestLimits.guiltyCrashes
+                && partCrashes.length - shared.length < partGuiltyCrashes
+                && !hasCompletedOften(requestId, SubjectKind.Request, accusing);
+        });
     }
 
     /**
--- a/tests/crashQuarantine/createSubjectEvidence.tests.ts
+++ b/tests/crashQuarantine/createSubjectEvidence.tests.ts
@@ -97,6 +97,21 @@
         expect(getGuiltyIds()).to.deep.equal([]);
     });
 
+    it("accuses no sound part that was at some crashes of a guilty request without it, and at some of a guilty part", async () => {
+        const request = `${requestSubjectPrefix}bad`;
+        const crashes = [[request, "own"], [request, "own"], [request, "own", "x"], [request, "own", "x"], [
+            "x",
+            "bad",
+        ]];
+        expect(await getGuilty([...crashes, ["x", "bad"]])).to.deep.equal([request]);
+    });
+
+    it("finds a guilty part of a request that was at few crashes without it", async () => {
+        const request = `${requestSubjectPrefix}sound`;
+        const crashes = [[request, "bad"], [request, "bad"], ["y", "bad"], ["z", "bad"], ["bad"], ["bad"]];
+        expect(await getGuilty([...crashes, [request, "other"]])).to.include("bad");
+    });
+
     describe("with whole requests", () => {
         /** Adds crashes with the requests in flight and the times between them; gets the guilty requests at the end. */
         async function doTest(
