Compare how often parts complete with the other parts at the same crashes

Cause: engines crashed about three times a second under a guilty request and a guilty part. a2 was at 7 crashes, 3 of them of the request. It completed 6 times, where 7 were needed to clear it, since no part completed much oftener than it crashed.

The completions are counted from the logs; whether the leader had all of them at the verdict was not checked.

Change: a part needs as many completions for each crash as before, or half of what the others at the crashes have, if that is less; never less than half of a completion for each crash.

Result: a test that failed before (a accused), one that guards a guilty part that completes rarely.

--- a/src/crashQuarantine/createSubjectEvidence.ts
+++ b/src/crashQuarantine/createSubjectEvidence.ts
@@ -7,10 +7,14 @@
  */
 import { LRUCache } from "lru-cache";
 import { Clock } from "../runtime";
+import { Crash } from "./Crash";
 import { CrashObservation } from "./CrashObservation";
 import { EvidenceScope } from "./EvidenceScope";
+import { getCrashCandidates } from "./getCrashCandidates";
+import { getSeparateTimes } from "./getSeparateTimes";
 import { getSubjectKind } from "./getSubjectKind";
 import { getSubjectLimits } from "./getSubjectLimits";
+import { groupCrashesBySubject } from "./groupCrashesBySubject";
 import { GuiltySubject } from "./GuiltySubject";
 import { SubjectEvidence } from "./SubjectEvidence";
 import { SubjectKind } from "./SubjectKind";
@@ -26,6 +30,13 @@
  * may begin to crash backend servers with a change of theirs.
  */
 const earlierCompletionMilliseconds = 3_000;
+/**
+ * The share of the other parts' completions for each crash that shows a part to be sound, where these are few themselves:
+ * while backend servers keep crashing, any part completes rarely.
+ */
+const soundShareOfOthers = 0.5;
+/** The minimum of the completions for each crash of a sound part, as a share of what its kind needs usually. */
+const minimumSoundShare = 0.5;
 /** Observations of a backend server's crash that lie closer together are of the same crash, in milliseconds. */
 const sameCrashMilliseconds = 1_500;
 /** How long observations of a crash may take to arrive, in milliseconds: the wait of a poll and some delay. */
@@ -39,17 +50,6 @@
 /** The maximum number of reporters; beyond it, the completions of the one that has reported least recently are dropped. */
 const maximumReporters = 2_048;
 
-/** A crash of one backend server. */
-interface Crash {
-    instanceId: string;
-    timeMilliseconds: number;
-    reportIds: Set<string>;
-    begunSubjectIds: Set<string>;
-    waitingSubjectIds: Set<string>;
-    /** The kinds of subjects that the crash accuses no longer. */
-    explainedKinds: Set<SubjectKind>;
-}
-
 /** A subject with the unexplained crashes at which it was in flight. */
 interface Accusation {
     subjectId: string;
@@ -151,7 +151,7 @@
 
     function explainCrashes(subjectIds: ReadonlySet<string>): void {
         for (const crash of crashes) {
-            const kinds = [...getCandidates(crash)].filter(id => subjectIds.has(id)).map(getSubjectKind);
+            const kinds = [...getCrashCandidates(crash)].filter(id => subjectIds.has(id)).map(getSubjectKind);
             if (kinds.includes(SubjectKind.PromptPart)) {
                 crash.explainedKinds.add(SubjectKind.PromptPart);
             }
@@ -180,10 +180,10 @@
         }
         const requestLimits = getSubjectLimits(SubjectKind.Request);
         const { guiltyCrashes: partGuiltyCrashes } = getSubjectLimits(SubjectKind.PromptPart);
-        const allByRequest = groupCrashes(crashes, SubjectKind.Request);
-        return [...groupCrashes(partCrashes, SubjectKind.Request)].some(([requestId, shared]) => {
+        const allByRequest = groupCrashesBySubject(crashes, SubjectKind.Request);
+        return [...groupCrashesBySubject(partCrashes, SubjectKind.Request)].some(([requestId, shared]) => {
             const all = allByRequest.get(requestId) ?? shared;
-            const mayHoldPart = all.every(crash => getCandidates(crash).has(subjectId));
+            const mayHoldPart = all.every(crash => getCrashCandidates(crash).has(subjectId));
             const accusing = mayHoldPart ? shared : all;
             return accusing.length >= requestLimits.guiltyCrashes
                 && partCrashes.length - shared.length < partGuiltyCrashes
@@ -203,38 +203,74 @@
             !crash.explainedKinds.has(kind) && !explained.has(crash)
             && now - crash.timeMilliseconds < evidenceLifetimeMilliseconds
         );
-        return [...groupCrashes(openCrashes.filter(crash => canAccuse(crash, kind)), kind)]
+        const accusations = [...groupCrashesBySubject(openCrashes.filter(crash => canAccuse(crash, kind)), kind)]
             .map(([subjectId, ownCrashes]) => ({
                 subjectId,
                 crashes: ownCrashes,
                 times: getSeparateTimes(ownCrashes, commonCauseMilliseconds),
             }))
-            .filter(({ times }) => times.length >= minimumSuspectCrashes)
-            .filter(accusation => !isSound(accusation, kind, openCrashes))
+            .filter(({ times }) => times.length >= minimumSuspectCrashes);
+        return accusations
+            .filter(accusation => !isSound(accusation, kind, openCrashes, getSoundShare(accusation, kind, accusations)))
             .sort(compareGravity);
     }
 
+    /**
+     * Gets how many completions for each crash show a subject to be sound, as a share of what its kind needs usually. Parts
+     * are compared with the others that were at crashes, since they have many requests each.
+     */
+    function getSoundShare(accusation: Accusation, kind: SubjectKind, all: readonly Accusation[]): number {
+        const others = all.filter(other => other !== accusation);
+        if (kind !== SubjectKind.PromptPart || others.length === 0) {
+            return 1;
+        }
+        const { soundCompletionsPerCrash } = getSubjectLimits(kind);
+        const shares = others
+            .map(({ subjectId, times }) =>
+                getCompletionCount(subjectId, times) / (soundCompletionsPerCrash * times.length)
+            )
+            .sort((left, right) => left - right);
+        const median = shares[Math.floor(shares.length / 2)]!;
+        return Math.min(1, Math.max(minimumSoundShare, soundShareOfOthers * median));
+    }
+
     /** Returns whether the candidates of a crash may be guilty; a part makes an engine crash once its request begins. */
     function canAccuse({ begunSubjectIds }: Crash, kind: SubjectKind): boolean {
         return scope === EvidenceScope.AllEntries || kind !== SubjectKind.PromptPart || begunSubjectIds.size > 0;
     }
 
-    function isSound(accusation: Accusation, kind: SubjectKind, openCrashes: readonly Crash[]): boolean {
+    function isSound(
+        accusation: Accusation,
+        kind: SubjectKind,
+        openCrashes: readonly Crash[],
+        soundShare: number,
+    ): boolean {
         const { subjectId, crashes: ownCrashes, times } = accusation;
         const { commonCauseMilliseconds, minimumCrashShare } = getSubjectLimits(kind);
         const laterCrashes = openCrashes.filter(crash => crash.timeMilliseconds >= times[0]!);
         const crashCount = getSeparateTimes(laterCrashes, commonCauseMilliseconds).length;
-        return hasCompletedOften(subjectId, kind, ownCrashes) || times.length < minimumCrashShare * crashCount;
+        return hasCompletedOften(subjectId, kind, ownCrashes, soundShare)
+            || times.length < minimumCrashShare * crashCount;
     }
 
-    function hasCompletedOften(subjectId: string, kind: SubjectKind, ownCrashes: readonly Crash[]): boolean {
+    /** Returns whether requests with a subject have completed as often as its kind needs for these crashes, or a share of it. */
+    function hasCompletedOften(
+        subjectId: string,
+        kind: SubjectKind,
+        ownCrashes: readonly Crash[],
+        soundShare = 1,
+    ): boolean {
         const { commonCauseMilliseconds, soundCompletionsPerCrash } = getSubjectLimits(kind);
         const times = getSeparateTimes(ownCrashes, commonCauseMilliseconds);
-        const completionCount = [...completionsByReporter.values()]
+        return getCompletionCount(subjectId, times) >= soundShare * soundCompletionsPerCrash * times.length;
+    }
+
+    /** Gets how often requests with a subject have completed since shortly before its first crash. */
+    function getCompletionCount(subjectId: string, times: readonly number[]): number {
+        return [...completionsByReporter.values()]
             .flatMap(completions => completions.get(subjectId) ?? [])
             .filter(time => time >= times[0]! - earlierCompletionMilliseconds)
             .length;
-        return completionCount >= soundCompletionsPerCrash * times.length;
     }
 }
 
@@ -251,33 +287,3 @@
             other !== accusation && other.crashes.some(crash => accusation.crashes.includes(crash))
         );
 }
-
-/**
- * Gets the subjects that may have caused a crash: those of the requests whose responses had just begun, and where there
- * are none, those of the waiting requests.
- */
-function getCandidates({ begunSubjectIds, waitingSubjectIds }: Crash): ReadonlySet<string> {
-    return begunSubjectIds.size > 0 ? begunSubjectIds : waitingSubjectIds;
-}
-
-/** Gets the times of crashes in order, without those that follow another one too closely to have a cause of their own. */
-function getSeparateTimes(crashes: readonly Crash[], commonCauseMilliseconds: number): readonly number[] {
-    const times = crashes.map(({ timeMilliseconds }) => timeMilliseconds).sort((left, right) => left - right);
-    return times.reduce<number[]>(
-        (separate, time) =>
-            time - (separate.at(-1) ?? -Infinity) >= commonCauseMilliseconds ? [...separate, time] : separate,
-        [],
-    );
-}
-
-/** Gets the crashes at which each subject of a kind was a candidate. */
-function groupCrashes(crashes: readonly Crash[], kind: SubjectKind): ReadonlyMap<string, readonly Crash[]> {
-    const groups = new Map<string, Crash[]>();
-    for (const crash of crashes) {
-        for (const subjectId of [...getCandidates(crash)].filter(id => getSubjectKind(id) === kind)) {
-            groups.set(subjectId, groups.get(subjectId) ?? []);
-            groups.get(subjectId)!.push(crash);
-        }
-    }
-    return groups;
-}
--- a/tests/crashQuarantine/createSubjectEvidence.tests.ts
+++ b/tests/crashQuarantine/createSubjectEvidence.tests.ts
@@ -60,6 +60,22 @@
         expect(getGuiltyIds()).to.deep.equal(["a"]);
     });
 
+    it("accuses no sound part that completes about as often as the others while engines keep crashing", async () => {
+        const crashes = [["a", "bad"], ["a", "b"], ["a", "b"], ["a", "bad"], ["a", "b"], ["a", "b"], ["a"]];
+        const { evidence, getGuiltyIds } = await createEvidence(crashes);
+        const ages = [500, 1_500, 2_500, 3_500, 4_500, 5_500];
+        evidence.setCompletions("entry-1", new Map([["a", ages], ["b", ages.slice(0, 5)]]));
+        expect(getGuiltyIds()).to.deep.equal([]);
+    });
+
+    it("accuses a part that completes more rarely than the others", async () => {
+        const crashes = [["a", "bad"], ["b", "bad"], ["a", "bad"], ["b", "bad"], ["a", "bad"]];
+        const { evidence, getGuiltyIds } = await createEvidence(crashes);
+        const ages = [500, 1_000, 1_500, 2_000, 2_500, 3_000, 3_500, 4_000];
+        evidence.setCompletions("entry-1", new Map([["a", ages], ["b", ages], ["bad", [700, 1_700, 2_700]]]));
+        expect(getGuiltyIds()).to.deep.equal(["bad"]);
+    });
+
     it("does not let completions from before the crashes clear a part", async () => {
         const { evidence, getGuiltyIds } = await createEvidence([["a"], ["a"], ["a"], ["a"]]);
         evidence.setCompletions("entry-1", new Map([["a", [8_000, 8_100, 8_200, 8_300, 8_400]]]));
