Return to engines that hold a prefix, count what they have left to prefill, and split the attempt dispatcher

Two parts of it: a prefix whose owners were overloaded went to two random engines each time, also where another engine had got it a moment before; and a prompt counted in full until its first token at an engine that had most of it cached, so that owners looked loaded that were not.

Change: engines to which an entry process has sent a prefix lately are candidates beside its owners; a prompt counts with the tokens that its engine probably prefills.

Result: one test failed before (the prefix went to several engines instead of one). The cause is only partly mended.

--- a/src/forwarding/EnginePlacement.ts
+++ b/src/forwarding/EnginePlacement.ts
@@ -24,6 +24,19 @@
         desiredWeights: readonly DesiredWeights[],
         memoryTokens: number,
     ): FleetInstance | undefined;
+    /**
+     * Gets the tokens of a prompt that an engine prefills, if it has the shared prefix cached where that is likely.
+     * @param prompt - The prompt.
+     * @param scope - The workspace within which its parts may be shared; empty where all workspaces share them.
+     * @param chosen - The engine.
+     * @param instances - The engines of its service.
+     */
+    getExpectedPrefillTokens(
+        prompt: PromptDescriptor,
+        scope: string,
+        chosen: FleetInstance,
+        instances: readonly FleetInstance[],
+    ): number;
     /** Records that a prompt is sent to an engine, which then prefills the parts that it has not cached. */
     recordSent(requestId: string, prompt: PromptDescriptor, scope: string, instance: FleetInstance): void;
     /** Records that the prefill of a request's prompt has ended, or will not take place. */
--- a/src/forwarding/ForwardingTask.ts
+++ b/src/forwarding/ForwardingTask.ts
@@ -37,6 +37,8 @@
     readonly triedInstanceIds: Set<string>;
     /** Whether it has waited for the prefill of another request; a request waits once. */
     hasWaitedForPrefill: boolean;
+    /** The tokens that the engine of the last attempt probably prefills; 0 once it has, and where there is no prompt. */
+    prefillTokens: number;
     /** The last attempt's backend server and the load by which it was chosen. */
     placement: PlacementRecord | undefined;
     /** The last attempt as the crash observer follows it; undefined before the first attempt. */
--- a/src/forwarding/LoadTracker.ts
+++ b/src/forwarding/LoadTracker.ts
@@ -6,10 +6,13 @@
 
 /** Tracks the load of backend servers. */
 export interface LoadTracker {
-    /** Records that an attempt was sent, with the prompt tokens that the backend server has to prefill at most. */
-    recordSent(instanceId: string, promptTokens: number): void;
-    /** Records that the prefill of an attempt's prompt has ended: its first event was received, or none will be. */
-    recordPrefillEnd(instanceId: string, promptTokens: number): void;
+    /** Records that an attempt was sent, with the tokens of its prompt and those that the engine probably prefills. */
+    recordSent(instanceId: string, promptTokens: number, prefillTokens: number): void;
+    /**
+     * Records that the prefill of an attempt's prompt has ended: its first event was received, or none will be.
+     * @param prefillTokens - The tokens that the engine was expected to prefill.
+     */
+    recordPrefillEnd(instanceId: string, prefillTokens: number): void;
     /** Records that an attempt has ended, with the tokens of its prompt. */
     recordAttemptEnd(instanceId: string, promptTokens: number): void;
     /** Records the load that a backend server reports. */
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -4,15 +4,13 @@
  * allow it. Every attempt after one that was sent takes a retry from the budget that all entry processes share.
  */
 import { RouteKind } from "../documents";
-import { assertNever } from "../errors";
-import { getWeightsVersion } from "../fleet";
-import { HistogramName, RetryReason } from "../metrics";
 import { FleetInstance, RefusalReason } from "../protocol";
 import { createNodeRanking } from "../routing";
 import { createFleetLoads } from "../serverLoads";
+import { allowsAnotherRun } from "./allowsAnotherRun";
 import { AttemptDispatcher } from "./AttemptDispatcher";
-import { AttemptEnd } from "./AttemptEnd";
 import { AttemptResult } from "./AttemptResult";
+import { createAttemptRecorder } from "./createAttemptRecorder";
 import { createEnginePlacement } from "./createEnginePlacement";
 import { createInstanceSelector } from "./createInstanceSelector";
 import { createLivenessMonitor } from "./createLivenessMonitor";
@@ -21,11 +19,9 @@
 import { createRetryBudgets } from "./createRetryBudgets";
 import { discardBody } from "./discardBody";
 import { DispatchOutcome } from "./DispatchOutcome";
-import { endObservedRun } from "./endObservedRun";
 import { ForwarderOptions } from "./ForwarderOptions";
 import { ForwardingTask } from "./ForwardingTask";
 import { getAttemptParameters } from "./getAttemptParameters";
-import { getSharedPartIds } from "./getSharedPartIds";
 import { getTaskRefusal } from "./getTaskRefusal";
 import { recordStreamOrigin } from "./recordStreamOrigin";
 import { Refusal } from "./Refusal";
@@ -44,7 +40,7 @@
  * @param options - The options of the forwarder.
  */
 export function createAttemptDispatcher(options: ForwarderOptions): AttemptDispatcher {
-    const { state, link, serverLimits, dataCentre, clock, random, metrics } = options;
+    const { state, link, serverLimits, dataCentre, clock, random } = options;
     const liveness = createLivenessMonitor(options);
     const fleetLoads = createFleetLoads(options.facts, clock);
     const loads = createLoadTracker(clock, liveness.isUnresponsive, fleetLoads);
@@ -66,11 +62,12 @@
         dataCentre,
         random,
     });
+    const recorder = createAttemptRecorder({ ...options, loads, liveness, scheduler, canRunAgain });
     const retryBudgets = createRetryBudgets(options.retryShare, options.retryReserve, state.getEntryCount);
     return {
         dispatch,
-        recordPrefillEnd,
-        recordAttemptEnd,
+        recordPrefillEnd: recorder.recordPrefillEnd,
+        recordAttemptEnd: recorder.recordAttemptEnd,
         canRunAgain,
         reportLoads: () => fleetLoads.reportOwn(loads.getOwnLoads()),
     };
@@ -98,7 +95,7 @@
                 continue;
             }
             const result = await send(task, instance, lastEventId ?? request.lastEventId);
-            const isFinal = recordResult(task, instance, result);
+            const isFinal = recorder.recordResult(task, instance, result);
             if (result.kind === "answered" && isFinal) {
                 return { kind: "opened", instance, response: result };
             }
@@ -169,7 +166,7 @@
                 options.streamOrigins,
             );
         }
-        loads.recordSent(instanceId, getPromptTokens(task));
+        loads.recordSent(instanceId, task.request.prompt?.promptTokens ?? 0, task.prefillTokens);
         liveness.recordSent(instance, task.admission.service);
         task.observedRun = options.crashQuarantine.beginRun(instance, task.admission.service, task.subjects);
         const result = await link.send({
@@ -183,8 +180,8 @@
             ...parameters,
         });
         if (result.kind !== "answered") {
-            recordPrefillEnd(task, instanceId);
-            recordAttemptEnd(task, instanceId, result.kind === "lost" ? "lost" : "other");
+            recorder.recordPrefillEnd(task, instanceId);
+            recorder.recordAttemptEnd(task, instanceId, result.kind === "lost" ? "lost" : "other");
         }
         return result;
     }
@@ -196,7 +193,7 @@
      * that must not run twice needs its outcome.
      */
     function getUnresponsiveSignal(task: ForwardingTask, instanceId: string): AbortSignal | undefined {
-        if (allowsAnotherRun(task, 1)) {
+        if (allowsAnotherRun(task, options.crashQuarantine, 1)) {
             return createTakeoverSignal(task, instanceId);
         }
         return task.admission.route.kind === RouteKind.Stream ? liveness.getGoneSignal(instanceId) : undefined;
@@ -215,115 +212,8 @@
         return takeover.signal;
     }
 
-    /** Records the result of an attempt; returns whether no further attempt follows. */
-    function recordResult(task: ForwardingTask, instance: FleetInstance, result: AttemptResult): boolean {
-        const { instanceId } = instance;
-        switch (result.kind) {
-            case "notSent":
-                task.sentCount -= 1;
-                serverLimits.giveBack(instanceId);
-                loads.recordFailure(instanceId);
-                recordFailedAttempt(task, instance, RetryReason.Unreachable, result.reason);
-                return false;
-            case "notRun":
-                if (result.isMisdirected && result.answeredBy !== undefined && result.answeredBy !== instanceId) {
-                    loads.recordReplaced(instanceId);
-                }
-                if (!result.isMisdirected) {
-                    serverLimits.recordLimit(instanceId, result.requestLimit);
-                }
-                if (result.load) {
-                    loads.recordReport(instanceId, result.load);
-                }
-                recordFailedAttempt(
-                    task,
-                    instance,
-                    result.isMisdirected ? RetryReason.WrongVersion : RetryReason.Overloaded,
-                    `status ${result.status}`,
-                );
-                return false;
-            case "lost":
-                task.runCount += 1;
-                if (!task.signal.aborted) {
-                    loads.recordFailure(instanceId);
-                }
-                recordFailedAttempt(task, instance, RetryReason.LinkLost, result.reason);
-                return !canRunAgain(task);
-            case "answered":
-                task.runCount += 1;
-                task.observedRun?.recordBegin();
-                return recordResponse(task, instance, result);
-            default:
-                return assertNever(result);
-        }
-    }
-
-    function recordResponse(
-        task: ForwardingTask,
-        instance: FleetInstance,
-        { head, load, requestLimit }: Extract<AttemptResult, { kind: "answered"; }>,
-    ): boolean {
-        serverLimits.recordLimit(instance.instanceId, requestLimit);
-        if (load) {
-            loads.recordReport(instance.instanceId, load);
-        }
-        metrics.recordMilliseconds(
-            HistogramName.TimeToFirstToken,
-            clock.getMonotonicMilliseconds() - task.request.arrivalMilliseconds,
-        );
-        if (head.status < 500 || !canRunAgain(task)) {
-            return true;
-        }
-        recordPrefillEnd(task, instance.instanceId);
-        recordAttemptEnd(task, instance.instanceId, "other");
-        recordFailedAttempt(task, instance, RetryReason.BackendRefused, `status ${head.status}`);
-        return false;
-    }
-
-    function recordFailedAttempt(
-        task: ForwardingTask,
-        instance: FleetInstance,
-        reason: RetryReason,
-        detail: string,
-    ): void {
-        metrics.countRetry(reason);
-        task.logger.info({
-            instanceId: instance.instanceId,
-            reason,
-            detail,
-            promptParts: getSharedPartIds(task.request.prompt),
-            requestSubject: reason === RetryReason.LinkLost ? task.subjects.getRequestSubjectId() : undefined,
-            sentCount: task.sentCount,
-            weightsVersion: task.request.prompt && getWeightsVersion(instance, task.request.prompt.model),
-            fleetRevision: state.getFleetRevision(),
-        }, "attempt failed");
-    }
-
-    /** Records that the prefill of a request's prompt has ended, or will not take place. */
-    function recordPrefillEnd(task: ForwardingTask, instanceId: string): void {
-        loads.recordPrefillEnd(instanceId, getPromptTokens(task));
-        scheduler.recordPrefillEnd(task);
-    }
-
-    function recordAttemptEnd(task: ForwardingTask, instanceId: string, end: AttemptEnd): void {
-        loads.recordAttemptEnd(instanceId, getPromptTokens(task));
-        liveness.recordAttemptEnd(instanceId);
-        task.attemptEnded?.abort();
-        endObservedRun(task, end);
-    }
-
     function canRunAgain(task: ForwardingTask): boolean {
-        return allowsAnotherRun(task, 0);
-    }
-
-    /** Returns whether a request may be sent again after a number of additional runs. */
-    function allowsAnotherRun(task: ForwardingTask, additionalRuns: number): boolean {
-        const { route } = task.admission;
-        const isIdempotent = route.kind === RouteKind.Idempotent
-            || route.kind === RouteKind.Stream && route.isResumable;
-        const isSuspected = options.crashQuarantine.isSuspected(task.subjects);
-        return isIdempotent && !isSuspected && !task.signal.aborted
-            && task.runCount + additionalRuns < route.maximumAttempts;
+        return allowsAnotherRun(task, options.crashQuarantine, 0);
     }
 
     function getRemainingMilliseconds(task: ForwardingTask): number {
@@ -331,11 +221,6 @@
     }
 }
 
-/** Gets the prompt tokens that an engine prefills for an attempt at most. */
-function getPromptTokens(task: ForwardingTask): number {
-    return task.request.prompt?.promptTokens ?? 0;
-}
-
 /** Gets the refusal of a request for which there is no backend server, retry or capacity left. */
 function getNoCapacityRefusal(task: ForwardingTask, retryAfterMilliseconds: number | undefined): Refusal {
     const reason = task.sentCount === 0 ? RefusalReason.NO_REPLICA : RefusalReason.OVERLOADED;
--- /dev/null
+++ b/src/forwarding/createAttemptRecorder.ts
@@ -0,0 +1,133 @@
+/*
+ * Records the results of attempts: the load and the failures of backend servers, the limits that they name, and the retries.
+ */
+import { assertNever } from "../errors";
+import { getWeightsVersion } from "../fleet";
+import { HistogramName, RetryReason } from "../metrics";
+import { FleetInstance } from "../protocol";
+import { AttemptEnd } from "./AttemptEnd";
+import { AttemptRecorder } from "./AttemptRecorder";
+import { AttemptResult } from "./AttemptResult";
+import { endObservedRun } from "./endObservedRun";
+import { ForwarderOptions } from "./ForwarderOptions";
+import { ForwardingTask } from "./ForwardingTask";
+import { getSharedPartIds } from "./getSharedPartIds";
+import { LivenessMonitor } from "./LivenessMonitor";
+import { LoadTracker } from "./LoadTracker";
+import { PromptScheduler } from "./PromptScheduler";
+
+interface AttemptRecorderOptions extends Pick<ForwarderOptions, "state" | "serverLimits" | "clock" | "metrics"> {
+    /** The load of the backend servers. */
+    loads: LoadTracker;
+    /** Finds silent backend servers. */
+    liveness: Pick<LivenessMonitor, "recordAttemptEnd">;
+    /** The prefills in flight. */
+    scheduler: Pick<PromptScheduler, "recordPrefillEnd">;
+    /** Returns whether a request may be sent again. */
+    canRunAgain(task: ForwardingTask): boolean;
+}
+
+/**
+ * Creates the recorder of an entry process.
+ * @param options - What the results change.
+ */
+export function createAttemptRecorder(options: AttemptRecorderOptions): AttemptRecorder {
+    const { state, serverLimits, clock, metrics, loads, liveness, scheduler, canRunAgain } = options;
+    return { recordResult, recordPrefillEnd, recordAttemptEnd };
+
+    function recordResult(task: ForwardingTask, instance: FleetInstance, result: AttemptResult): boolean {
+        const { instanceId } = instance;
+        switch (result.kind) {
+            case "notSent":
+                task.sentCount -= 1;
+                serverLimits.giveBack(instanceId);
+                loads.recordFailure(instanceId);
+                recordFailedAttempt(task, instance, RetryReason.Unreachable, result.reason);
+                return false;
+            case "notRun":
+                if (result.isMisdirected && result.answeredBy !== undefined && result.answeredBy !== instanceId) {
+                    loads.recordReplaced(instanceId);
+                }
+                if (!result.isMisdirected) {
+                    serverLimits.recordLimit(instanceId, result.requestLimit);
+                }
+                if (result.load) {
+                    loads.recordReport(instanceId, result.load);
+                }
+                recordFailedAttempt(
+                    task,
+                    instance,
+                    result.isMisdirected ? RetryReason.WrongVersion : RetryReason.Overloaded,
+                    `status ${result.status}`,
+                );
+                return false;
+            case "lost":
+                task.runCount += 1;
+                if (!task.signal.aborted) {
+                    loads.recordFailure(instanceId);
+                }
+                recordFailedAttempt(task, instance, RetryReason.LinkLost, result.reason);
+                return !canRunAgain(task);
+            case "answered":
+                task.runCount += 1;
+                task.observedRun?.recordBegin();
+                return recordResponse(task, instance, result);
+            default:
+                return assertNever(result);
+        }
+    }
+
+    function recordResponse(
+        task: ForwardingTask,
+        instance: FleetInstance,
+        { head, load, requestLimit }: Extract<AttemptResult, { kind: "answered"; }>,
+    ): boolean {
+        serverLimits.recordLimit(instance.instanceId, requestLimit);
+        if (load) {
+            loads.recordReport(instance.instanceId, load);
+        }
+        metrics.recordMilliseconds(
+            HistogramName.TimeToFirstToken,
+            clock.getMonotonicMilliseconds() - task.request.arrivalMilliseconds,
+        );
+        if (head.status < 500 || !canRunAgain(task)) {
+            return true;
+        }
+        recordPrefillEnd(task, instance.instanceId);
+        recordAttemptEnd(task, instance.instanceId, "other");
+        recordFailedAttempt(task, instance, RetryReason.BackendRefused, `status ${head.status}`);
+        return false;
+    }
+
+    function recordFailedAttempt(
+        task: ForwardingTask,
+        instance: FleetInstance,
+        reason: RetryReason,
+        detail: string,
+    ): void {
+        metrics.countRetry(reason);
+        task.logger.info({
+            instanceId: instance.instanceId,
+            reason,
+            detail,
+            promptParts: getSharedPartIds(task.request.prompt),
+            requestSubject: reason === RetryReason.LinkLost ? task.subjects.getRequestSubjectId() : undefined,
+            sentCount: task.sentCount,
+            weightsVersion: task.request.prompt && getWeightsVersion(instance, task.request.prompt.model),
+            fleetRevision: state.getFleetRevision(),
+        }, "attempt failed");
+    }
+
+    function recordPrefillEnd(task: ForwardingTask, instanceId: string): void {
+        loads.recordPrefillEnd(instanceId, task.prefillTokens);
+        task.prefillTokens = 0;
+        scheduler.recordPrefillEnd(task);
+    }
+
+    function recordAttemptEnd(task: ForwardingTask, instanceId: string, end: AttemptEnd): void {
+        loads.recordAttemptEnd(instanceId, task.request.prompt?.promptTokens ?? 0);
+        liveness.recordAttemptEnd(instanceId);
+        task.attemptEnded?.abort();
+        endObservedRun(task, end);
+    }
+}
--- a/src/forwarding/createEnginePlacement.ts
+++ b/src/forwarding/createEnginePlacement.ts
@@ -75,7 +75,14 @@
     random: RandomSource,
 ): EnginePlacement {
     const prefills = createPrefillTracker(clock);
-    return { choose, recordSent, recordPrefillEnd: prefills.recordPrefillEnd, getPrefillInFlight, getPrefixSources };
+    return {
+        choose,
+        getExpectedPrefillTokens,
+        recordSent,
+        recordPrefillEnd: prefills.recordPrefillEnd,
+        getPrefillInFlight,
+        getPrefixSources,
+    };
 
     function choose(
         prompt: PromptDescriptor,
@@ -89,9 +96,10 @@
         const longestPrefixByVersion = new Map<number | undefined, PromptPrefix | undefined>();
         let best: FleetInstance | undefined;
         let bestCost = Infinity;
-        for (const candidate of getConsideredCandidates(candidates, ownerRanks)) {
+        const isKnownHolder = (candidate: FleetInstance) => isLikelyCachedAt(candidate, getLongestPrefix(candidate));
+        for (const candidate of getConsideredCandidates(candidates, ownerRanks, isKnownHolder)) {
             const rank = ownerRanks.get(candidate);
-            const isHolder = rank === 0 || isLikelyCachedAt(candidate, getLongestPrefix(candidate));
+            const isHolder = rank === 0 || isKnownHolder(candidate);
             const prefillCost = isHolder
                 ? 0
                 : missedPrefillWeight * sharedTokens / prefillTokensPerMillisecond + prefixMissMilliseconds;
@@ -115,10 +123,14 @@
         }
     }
 
-    /** Gets the owners, and some random engines; those that load weights or failed only where there are no others. */
+    /**
+     * Gets the owners, the engines to which the prefix was sent, and some random ones; engines that load weights or failed
+     * only where there are no others.
+     */
     function getConsideredCandidates(
         candidates: readonly FleetInstance[],
         ownerRanks: ReadonlyMap<FleetInstance, number>,
+        isKnownHolder: (candidate: FleetInstance) => boolean,
     ): Iterable<FleetInstance> {
         const usable = candidates.filter(isUsable);
         const others = usable.length > 0 ? usable : candidates;
@@ -126,13 +138,24 @@
             { length: Math.min(randomCandidates, others.length) },
             () => others[random.getInteger(others.length)]!,
         );
-        return new Set([...ownerRanks.keys(), ...chosen]);
+        return new Set([...ownerRanks.keys(), ...usable.filter(isKnownHolder), ...chosen]);
     }
 
     function isUsable({ instanceId, isLoading }: FleetInstance): boolean {
         return !isLoading && !loads.isSuspected(instanceId);
     }
 
+    function getExpectedPrefillTokens(
+        prompt: PromptDescriptor,
+        scope: string,
+        chosen: FleetInstance,
+        instances: readonly FleetInstance[],
+    ): number {
+        const [longest] = getPrefixesAtInstance(prompt, scope, chosen);
+        const isHolder = isLikelyCachedAt(chosen, longest) || getOwnerRanks(prompt, scope, instances).get(chosen) === 0;
+        return isHolder ? Math.max(0, prompt.promptTokens - getSharedTokens(prompt)) : prompt.promptTokens;
+    }
+
     function recordSent(requestId: string, prompt: PromptDescriptor, scope: string, instance: FleetInstance): void {
         const keys = getPrefixesAtInstance(prompt, scope, instance).map(prefix => prefix.key);
         prefills.recordPrefillStart(requestId, keys, instance.instanceId);
--- a/src/forwarding/createForwarder.ts
+++ b/src/forwarding/createForwarder.ts
@@ -90,6 +90,7 @@
             originRecord: undefined,
             triedInstanceIds: new Set(),
             hasWaitedForPrefill: false,
+            prefillTokens: 0,
             placement: undefined,
             observedRun: undefined,
             attemptEnded: undefined,
--- a/src/forwarding/createLoadTracker.ts
+++ b/src/forwarding/createLoadTracker.ts
@@ -90,18 +90,18 @@
         return load;
     }
 
-    function recordSent(instanceId: string, promptTokens: number): void {
+    function recordSent(instanceId: string, promptTokens: number, prefillTokens: number): void {
         const load = getLoad(instanceId);
         load.ownAttempts += 1;
         load.netAttemptsSinceReport += 1;
         load.isEngine ||= promptTokens > 0;
-        load.pendingPrefillTokens += promptTokens;
+        load.pendingPrefillTokens += prefillTokens;
         load.promptTokens += promptTokens;
     }
 
-    function recordPrefillEnd(instanceId: string, promptTokens: number): void {
+    function recordPrefillEnd(instanceId: string, prefillTokens: number): void {
         const load = getLoad(instanceId);
-        load.pendingPrefillTokens = Math.max(0, load.pendingPrefillTokens - promptTokens);
+        load.pendingPrefillTokens = Math.max(0, load.pendingPrefillTokens - prefillTokens);
     }
 
     function recordAttemptEnd(instanceId: string, promptTokens: number): void {
--- a/src/forwarding/createPromptScheduler.ts
+++ b/src/forwarding/createPromptScheduler.ts
@@ -63,8 +63,11 @@
         if (!prompt) {
             return undefined;
         }
-        const sources = placement.getPrefixSources(prompt, getScope(task), instance, state.getFleet()?.instances ?? []);
-        placement.recordSent(requestId, prompt, getScope(task), instance);
+        const scope = getScope(task);
+        const instances = (state.getFleet()?.instances ?? []).filter(({ service }) => service === instance.service);
+        const sources = placement.getPrefixSources(prompt, scope, instance, instances);
+        task.prefillTokens = placement.getExpectedPrefillTokens(prompt, scope, instance, instances);
+        placement.recordSent(requestId, prompt, scope, instance);
         return sources;
     }
 }
--- a/tests/forwarding/createEnginePlacement.tests.ts
+++ b/tests/forwarding/createEnginePlacement.tests.ts
@@ -81,11 +81,31 @@
         expect(placement.choose(createPrompt(1), "", engines, [])).to.not.equal(owner);
     });
 
+    it("returns to the engine that got a prefix while its owners were overloaded, instead of spreading the prefix", () => {
+        const { placement, loads } = createTrial();
+        const ranked = [...engines];
+        const owners = new Set<string>();
+        while (owners.size < 2) {
+            const owner = placement.choose(
+                createPrompt(1),
+                "",
+                ranked.filter(engine => !owners.has(engine.instanceId)),
+                [],
+            )!;
+            owners.add(owner.instanceId);
+        }
+        owners.forEach(id => loads.recordReport(id, { running: 64, waiting: 20, slots: 64 }));
+        const substitute = placement.choose(createPrompt(1), "", engines, [])!;
+        placement.recordSent("request-1", createPrompt(1), "", substitute);
+        const chosen = Array.from({ length: 10 }, () => placement.choose(createPrompt(1), "", engines, [])!.instanceId);
+        expect(new Set(chosen)).to.deep.equal(new Set([substitute.instanceId]));
+    });
+
     it("leaves a prefix's owner once the prompts in flight there fill its memory", () => {
         const { placement, loads } = createTrial();
         const owner = placement.choose(createPrompt(1), "", engines, [])!;
         const sendSummary = () => {
-            loads.recordSent(owner.instanceId, 12_000);
+            loads.recordSent(owner.instanceId, 12_000, 12_000);
             loads.recordPrefillEnd(owner.instanceId, 12_000);
         };
         Array.from({ length: 6 }, sendSummary);
@@ -136,6 +156,26 @@
         expect(placement.choose(createPrompt(1), "", mixed, desiredWeights(8_600))).to.equal(mixed[1]);
     });
 
+    describe("getExpectedPrefillTokens", () => {
+        function doTest(
+            getEngine: (owner: FleetInstance, other: FleetInstance) => FleetInstance,
+            isSent: boolean,
+            expected: number,
+        ) {
+            const { placement } = createTrial();
+            const owner = placement.choose(createPrompt(1), "", engines, [])!;
+            const engine = getEngine(owner, engines.find(other => other !== owner)!);
+            if (isSent) {
+                placement.recordSent("request-1", createPrompt(1), "", engine);
+            }
+            expect(placement.getExpectedPrefillTokens(createPrompt(1), "", engine, engines)).to.equal(expected);
+        }
+
+        it("leaves out the prefix at its primary owner", () => doTest(owner => owner, false, 1_000));
+        it("leaves out the prefix at an engine that got it before", () => doTest((...[, other]) => other, true, 1_000));
+        it("counts the whole prompt elsewhere", () => doTest((...[, other]) => other, false, 6_400));
+    });
+
     describe("getPrefixSources", () => {
         const [first, second] = engines as [FleetInstance, FleetInstance];
 
--- a/tests/serverLoads/simulatePlacement.ts
+++ b/tests/serverLoads/simulatePlacement.ts
@@ -27,6 +27,8 @@
     lateShare: number;
     /** The share of the requests that came to an engine whose memory they overfilled, so that others are preempted. */
     overfullShare: number;
+    /** The share of the tokens of shared prefixes that an engine read although one had read them before. */
+    rereadShare: number;
     /** The largest number of requests at one engine, in relation to the mean. */
     imbalance: number;
 }
@@ -36,6 +38,7 @@
     entry: number;
     instanceId: string;
     promptTokens: number;
+    prefillTokens: number;
 }
 
 const endMilliseconds = 12_000;
@@ -43,7 +46,6 @@
 const exchangeMilliseconds = 250;
 const tokensPerMillisecond = 56;
 const memoryTokens = 147_000;
-const cacheMilliseconds = 2_500;
 /** The share of the missed prefixes that an engine fetches from another one or a store. */
 const fetchedShare = 0.6;
 const endIntervalMilliseconds = 5;
@@ -69,7 +71,9 @@
     const entries = Array.from({ length: entryCount }, (...[, index]) => createEntry(index));
     const leaderFacts = createTestFactStore(clock, "control", [ownLoadFactKind, fleetLoadFactKind]);
     const freeAt = new Map<string, number>();
-    const cachedAt = new Map<string, number>();
+    const cachedTokens = new Map<string, number>();
+    /** The tokens of the prefixes that each engine has cached, the least recently used first. */
+    const caches = new Map(engines.map(({ instanceId }) => [instanceId, new Map<string, number>()]));
     const requestCounts = new Map<string, number>();
     const usedTokens = new Map<string, number>();
     const prefills: Pending[] = [];
@@ -80,6 +84,8 @@
     let count = 0;
     let lateCount = 0;
     let overfullCount = 0;
+    let sharedTokens = 0;
+    let rereadTokens = 0;
     while (now < endMilliseconds) {
         now += -Math.log(1 - random.getFraction()) / rate;
         if (now >= nextEnd) {
@@ -96,6 +102,7 @@
     return {
         lateShare: lateCount / count,
         overfullShare: overfullCount / count,
+        rereadShare: rereadTokens / sharedTokens,
         imbalance: Math.max(...sentCounts) / (sentCounts.reduce((sum, value) => sum + value, 0) / engineCount),
     };
 
@@ -137,28 +144,52 @@
         const { loads, placement } = entries[index]!;
         const engine = placement.choose(prompt, "", engines, [], memoryTokens)!;
         const { instanceId } = engine;
-        loads.recordSent(instanceId, prompt.promptTokens);
+        const prefillTokens = placement.getExpectedPrefillTokens(prompt, "", engine, engines);
+        loads.recordSent(instanceId, prompt.promptTokens, prefillTokens);
         placement.recordSent(`request-${count}`, prompt, "", engine);
         usedTokens.set(instanceId, (usedTokens.get(instanceId) ?? 0) + prompt.promptTokens);
         requestCounts.set(instanceId, (requestCounts.get(instanceId) ?? 0) + 1);
-        const key = `${instanceId} ${prefix}`;
-        const isCached = now - (cachedAt.get(key) ?? -Infinity) < cacheMilliseconds;
-        const readsShared = !isCached && random.getFraction() >= fetchedShare;
-        cachedAt.set(key, now);
+        const readsShared = !useCache(instanceId, prefix, kind.sharedTokens) && random.getFraction() >= fetchedShare;
         const readTokens = kind.ownTokens + (readsShared ? kind.sharedTokens : 0);
         const end = Math.max(now, freeAt.get(instanceId) ?? 0) + readTokens / tokensPerMillisecond;
         freeAt.set(instanceId, end);
-        prefills.push({ firstTokenMilliseconds: end, entry: index, instanceId, promptTokens: prompt.promptTokens });
+        prefills.push({
+            firstTokenMilliseconds: end,
+            entry: index,
+            instanceId,
+            promptTokens: prompt.promptTokens,
+            prefillTokens,
+        });
         if (now > warmUpMilliseconds) {
             count += 1;
+            sharedTokens += kind.sharedTokens;
+            rereadTokens += readsShared ? kind.sharedTokens : 0;
             overfullCount += usedTokens.get(instanceId)! > memoryTokens ? 1 : 0;
             lateCount += end - now > kind.objectiveMilliseconds ? 1 : 0;
         }
     }
 
+    /** Caches a prefix in the memory that the prompts in flight leave; returns whether it was cached before. */
+    function useCache(instanceId: string, prefix: string, tokens: number): boolean {
+        const cache = caches.get(instanceId)!;
+        const wasCached = cache.delete(prefix);
+        cache.set(prefix, tokens);
+        let sum = (cachedTokens.get(instanceId) ?? 0) + (wasCached ? 0 : tokens);
+        const freeTokens = memoryTokens - usedTokens.get(instanceId)!;
+        for (const [evicted, evictedTokens] of cache) {
+            if (sum <= freeTokens) {
+                break;
+            }
+            cache.delete(evicted);
+            sum -= evictedTokens;
+        }
+        cachedTokens.set(instanceId, sum);
+        return wasCached;
+    }
+
     function endPrefills(): void {
         for (const pending of takeUntil(prefills, now)) {
-            entries[pending.entry]!.loads.recordPrefillEnd(pending.instanceId, pending.promptTokens);
+            entries[pending.entry]!.loads.recordPrefillEnd(pending.instanceId, pending.prefillTokens);
             decodes.push(pending);
         }
         for (const { entry, instanceId, promptTokens } of takeUntil(decodes, now - decodeMilliseconds)) {
