Reset broken-off responses whose end is the end of their connection

What callers saw, as an operator of a similar system reports it: an answer that broke off halfway reached the caller as a complete success. Here it could happen to HTTP/1.0 callers.

Cause: their responses have neither length nor chunks and end where the connection closes. A broken-off one was closed the same way as a complete one.

Change: where a response that has begun is not chunked, breaking it off resets the connection. The same on the product's own path.

Result: a test that failed before ('end' instead of ECONNRESET), one that shows that complete streams still close.

--- a/src/entry/sendServiceResponse.ts
+++ b/src/entry/sendServiceResponse.ts
@@ -4,6 +4,7 @@
 import { ServerResponse } from "node:http";
 import { assertNever } from "../errors";
 import { Header } from "../protocol";
+import { breakOffResponse } from "../runtime";
 import { EntryOptions } from "./EntryOptions";
 import { Refusal } from "./Refusal";
 import { ResponseEvent } from "./ResponseEvent";
@@ -61,7 +62,7 @@
     /** Sends a refusal; where the response has started, disconnects, so that the caller detects the truncation. */
     function refuse(refusal: Refusal): void {
         if (response.headersSent) {
-            response.destroy();
+            breakOffResponse(response);
             return;
         }
         response.getHeaderNames().forEach(name => response.removeHeader(name));
--- a/src/entry/startEntry.ts
+++ b/src/entry/startEntry.ts
@@ -10,6 +10,7 @@
 import { CounterName, GaugeName } from "../metrics";
 import { getRunState } from "../outcome";
 import { RefusalReason } from "../protocol";
+import { breakOffResponse } from "../runtime";
 import { createHttpServer } from "../security";
 import { createRequestHandler } from "./createRequestHandler";
 import { Entry } from "./Entry";
@@ -104,7 +105,7 @@
         }
         catch (error) {
             logger.error({ requestId, problem: getErrorMessage(error) }, "request failed unexpectedly");
-            response.destroy();
+            breakOffResponse(response);
         }
         finally {
             await waitForFinish(clock, response, current.connectionClosed.signal);
--- a/src/entry/waitForFinish.ts
+++ b/src/entry/waitForFinish.ts
@@ -2,7 +2,7 @@
  * Waits until responses have been handed over to the operating system.
  */
 import { ServerResponse } from "node:http";
-import { Clock } from "../runtime";
+import { breakOffResponse, Clock } from "../runtime";
 
 const maximumFinishMilliseconds = 30_000;
 
@@ -29,6 +29,6 @@
     connectionClosed.addEventListener("abort", finish, { once: true });
     await clock.sleep(maximumFinishMilliseconds, finished.signal);
     if (!finished.signal.aborted) {
-        response.destroy();
+        breakOffResponse(response);
     }
 }
--- a/src/entry/writeWithBackpressure.ts
+++ b/src/entry/writeWithBackpressure.ts
@@ -3,7 +3,7 @@
  */
 import { ServerResponse } from "node:http";
 import { CounterName, Metrics } from "../metrics";
-import { Clock } from "../runtime";
+import { breakOffResponse, Clock } from "../runtime";
 
 const maximumStallMilliseconds = 30_000;
 
@@ -28,7 +28,7 @@
     await Promise.race([waitForDrain(response, progress), stalled]);
     if (!progress.signal.aborted) {
         options.metrics.addCount(CounterName.SlowCallers);
-        response.destroy();
+        breakOffResponse(response);
     }
 }
 
--- a/src/runtime/index.ts
+++ b/src/runtime/index.ts
@@ -2,6 +2,7 @@
  * Basic abstractions for all folders: clocks, random numbers, queues, notifications between tasks, and shutdown.
  */
 export * from "./AsyncQueue";
+export * from "./breakOffResponse";
 export * from "./Clock";
 export * from "./createAsyncQueue";
 export * from "./createRandomSource";
--- a/tests/platform/callers/startCallerServer.tests.ts
+++ b/tests/platform/callers/startCallerServer.tests.ts
@@ -56,6 +56,33 @@
         ]);
     });
 
+    describe("to an HTTP/1.0 caller, for whom a response ends with its connection", () => {
+        async function doTest(respond: (reply: CallerReply) => void | Promise<void>, expected: string): Promise<void> {
+            const address = await start((...[, reply]) => respond(reply));
+            const [host, port] = address.split(":") as [string, string];
+            const socket = connect(Number(port), host);
+            socket.resume();
+            socket.write("GET / HTTP/1.0\r\nhost: one.example\r\nbasilwing-request-id: 1\r\n\r\n");
+            const end = await once(socket, "end").then(() => "end", (error: NodeJS.ErrnoException) => error.code);
+            socket.destroy();
+            expect(end).to.equal(expected);
+        }
+
+        it("resets a stream that is broken off, which would look complete otherwise", () =>
+            doTest(async reply => {
+                reply.start({ status: 200, headers: [] });
+                await reply.write(Buffer.from("first event"));
+                reply.abort();
+            }, "ECONNRESET"));
+
+        it("closes after a complete stream", () =>
+            doTest(async reply => {
+                reply.start({ status: 200, headers: [] });
+                await reply.write(Buffer.from("first event"));
+                reply.end();
+            }, "end"));
+    });
+
     it("reads no request after a response that began before a planned stop and ended during it", async () => {
         let isStopping = false;
         const replies: CallerReply[] = [];
