Take crashes of a guilty request from the accusation of parts that it does not hold

Cause: a4 was at six crashes: four of a guilty part and two of a guilty request that was at others without a4. Only parts left with fewer than four crashes were let off, so that a4 counted with six, more than the guilty part, and was taken for the cause of all of them.

Change: the crashes of such a request no longer accuse the part; among parts with as many crashes, the one that completed least is judged first, and explains the crashes of the others.

Result: a test that failed before (x instead of bad).

--- a/src/crashQuarantine/createSubjectEvidence.ts
+++ b/src/crashQuarantine/createSubjectEvidence.ts
@@ -56,6 +56,8 @@
     crashes: readonly Crash[];
     /** The times of the crashes, those of a common cause once. */
     times: readonly number[];
+    /** How often requests with a part have completed since shortly before the first crash; 0 for whole requests. */
+    completionCount: number;
 }
 
 /**
@@ -135,7 +137,7 @@
             if (!gravest) {
                 return guilty;
             }
-            const equals = [gravest, ...others.filter(other => other.times.length === gravest.times.length)];
+            const equals = [gravest, ...others.filter(other => compareGravity(gravest, other) === 0)];
             const convicted = equals.filter(accusation =>
                 isSettled(accusation, kind) && !isAmbiguous(accusation, equals)
             );
@@ -171,24 +173,37 @@
 
     /**
      * Returns whether too few crashes accuse a part beside those at which it was in flight together with one and the same
-     * request, which is guilty itself. A request without the part is so by all its crashes, one that may hold it by those
-     * of the part: the others may have had another cause.
+     * request, which was at enough of them to be guilty itself.
      */
     function isDueToRequest({ subjectId, crashes: partCrashes }: Accusation): boolean {
         if (getSubjectKind(subjectId) !== SubjectKind.PromptPart) {
             return false;
         }
-        const requestLimits = getSubjectLimits(SubjectKind.Request);
         const { guiltyCrashes: partGuiltyCrashes } = getSubjectLimits(SubjectKind.PromptPart);
-        const allByRequest = groupCrashesBySubject(crashes, SubjectKind.Request);
-        return [...groupCrashesBySubject(partCrashes, SubjectKind.Request)].some(([requestId, shared]) => {
-            const all = allByRequest.get(requestId) ?? shared;
-            const mayHoldPart = all.every(crash => getCrashCandidates(crash).has(subjectId));
-            const accusing = mayHoldPart ? shared : all;
-            return accusing.length >= requestLimits.guiltyCrashes
-                && partCrashes.length - shared.length < partGuiltyCrashes
-                && !hasCompletedOften(requestId, SubjectKind.Request, accusing);
-        });
+        return getGuiltyRequests(partCrashes).some(shared => partCrashes.length - shared.length < partGuiltyCrashes);
+    }
+
+    /** Gets the crashes of each request that was at enough of them to be guilty, and has not completed. */
+    function getGuiltyRequests(among: readonly Crash[]): readonly (readonly Crash[])[] {
+        const { guiltyCrashes } = getSubjectLimits(SubjectKind.Request);
+        return [...groupCrashesBySubject(among, SubjectKind.Request)]
+            .filter(([requestId, ownCrashes]) =>
+                ownCrashes.length >= guiltyCrashes
+                && !hasCompletedOften(requestId, SubjectKind.Request, ownCrashes)
+            )
+            .map(([, ownCrashes]) => ownCrashes);
+    }
+
+    /** Gets the crashes that accuse a part: not those of guilty requests that were at others without it. */
+    function getAccusingCrashes(
+        partId: string,
+        partCrashes: readonly Crash[],
+        guiltyRequests: readonly (readonly Crash[])[],
+    ): readonly Crash[] {
+        const explaining = guiltyRequests.filter(ownCrashes =>
+            ownCrashes.some(crash => !getCrashCandidates(crash).has(partId))
+        );
+        return partCrashes.filter(crash => !explaining.some(ownCrashes => ownCrashes.includes(crash)));
     }
 
     /**
@@ -203,12 +218,19 @@
             !crash.explainedKinds.has(kind) && !explained.has(crash)
             && now - crash.timeMilliseconds < evidenceLifetimeMilliseconds
         );
+        const isPart = kind === SubjectKind.PromptPart;
+        const guiltyRequests = isPart ? getGuiltyRequests(crashes) : [];
         const accusations = [...groupCrashesBySubject(openCrashes.filter(crash => canAccuse(crash, kind)), kind)]
-            .map(([subjectId, ownCrashes]) => ({
-                subjectId,
-                crashes: ownCrashes,
-                times: getSeparateTimes(ownCrashes, commonCauseMilliseconds),
-            }))
+            .map(([subjectId, ownCrashes]) => {
+                const accusing = getAccusingCrashes(subjectId, ownCrashes, guiltyRequests);
+                const times = getSeparateTimes(accusing, commonCauseMilliseconds);
+                return {
+                    subjectId,
+                    crashes: accusing,
+                    times,
+                    completionCount: isPart ? getCompletionCount(subjectId, times) : 0,
+                };
+            })
             .filter(({ times }) => times.length >= minimumSuspectCrashes);
         return accusations
             .filter(accusation => !isSound(accusation, kind, openCrashes, getSoundShare(accusation, kind, accusations)))
@@ -226,9 +248,7 @@
         }
         const { soundCompletionsPerCrash } = getSubjectLimits(kind);
         const shares = others
-            .map(({ subjectId, times }) =>
-                getCompletionCount(subjectId, times) / (soundCompletionsPerCrash * times.length)
-            )
+            .map(({ completionCount, times }) => completionCount / (soundCompletionsPerCrash * times.length))
             .sort((left, right) => left - right);
         const median = shares[Math.floor(shares.length / 2)]!;
         return Math.min(1, Math.max(minimumSoundShare, soundShareOfOthers * median));
@@ -274,9 +294,9 @@
     }
 }
 
-/** Orders accusations by their crashes, the most first. */
+/** Orders accusations by their crashes, the most first; among equals, parts that completed least come first. */
 function compareGravity(left: Accusation, right: Accusation): number {
-    return right.times.length - left.times.length;
+    return right.times.length - left.times.length || left.completionCount - right.completionCount;
 }
 
 /** Returns whether another subject is accused as often, of some of the same crashes, which are few. */
--- a/tests/crashQuarantine/createSubjectEvidence.tests.ts
+++ b/tests/crashQuarantine/createSubjectEvidence.tests.ts
@@ -122,6 +122,17 @@
         expect(await getGuilty([...crashes, ["x", "bad"]])).to.deep.equal([request]);
     });
 
+    it("accuses no sound part that was at most crashes of a guilty part, and at some of a guilty request without it", async () => {
+        const request = `${requestSubjectPrefix}bad`;
+        const crashes = [["x", "bad"], [request], [request, "x"], ["x", "bad"], ["x", "bad"], [request], [
+            request,
+            "x",
+        ]];
+        const { evidence, getGuiltyIds } = await createEvidence([...crashes, ["x", "bad"]]);
+        evidence.setCompletions("entry-1", new Map([["x", [2_500]]]));
+        expect(getGuiltyIds()).to.deep.equal(["bad", request]);
+    });
+
     it("finds a guilty part of a request that was at few crashes without it", async () => {
         const request = `${requestSubjectPrefix}sound`;
         const crashes = [[request, "bad"], [request, "bad"], ["y", "bad"], ["z", "bad"], ["bad"], ["bad"]];
