--- a/src/crashQuarantine/createSubjectEvidence.ts
+++ b/src/crashQuarantine/createSubjectEvidence.ts
@@ -7,6 +7,8 @@
  */
 import { LRUCache } from "lru-cache";
 import { Clock } from "../runtime";
+import { Accusation } from "./Accusation";
+import { compareAccusations } from "./compareAccusations";
 import { Crash } from "./Crash";
 import { CrashObservation } from "./CrashObservation";
 import { EvidenceScope } from "./EvidenceScope";
@@ -16,6 +18,8 @@
 import { getSubjectLimits } from "./getSubjectLimits";
 import { groupCrashesBySubject } from "./groupCrashesBySubject";
 import { GuiltySubject } from "./GuiltySubject";
+import { hasLead } from "./hasLead";
+import { isAmbiguous } from "./isAmbiguous";
 import { SubjectEvidence } from "./SubjectEvidence";
 import { SubjectKind } from "./SubjectKind";
 
@@ -50,16 +54,6 @@
 /** The maximum number of reporters; beyond it, the completions of the one that has reported least recently are dropped. */
 const maximumReporters = 2_048;
 
-/** A subject with the unexplained crashes at which it was in flight. */
-interface Accusation {
-    subjectId: string;
-    crashes: readonly Crash[];
-    /** The times of the crashes, those of a common cause once. */
-    times: readonly number[];
-    /** How often requests with a part have completed since shortly before the first crash; 0 for whole requests. */
-    completionCount: number;
-}
-
 /**
  * Creates evidence without crashes.
  * @param clock - Measures the age of crashes.
@@ -119,7 +113,7 @@
     function getSuspects(): readonly string[] {
         return Object.values(SubjectKind)
             .flatMap(kind => getAccusations(kind, new Set()))
-            .sort(compareGravity)
+            .sort(compareAccusations)
             .slice(0, maximumSuspects)
             .map(({ subjectId }) => subjectId);
     }
@@ -137,9 +131,10 @@
             if (!gravest) {
                 return guilty;
             }
-            const equals = [gravest, ...others.filter(other => compareGravity(gravest, other) === 0)];
+            const equals = [gravest, ...others.filter(other => compareAccusations(gravest, other) === 0)];
             const convicted = equals.filter(accusation =>
                 isSettled(accusation, kind) && !isAmbiguous(accusation, equals)
+                && (scope === EvidenceScope.AllEntries || hasLead(accusation, accusations))
             );
             if (convicted.length === 0) {
                 return guilty;
@@ -234,7 +229,7 @@
             .filter(({ times }) => times.length >= minimumSuspectCrashes);
         return accusations
             .filter(accusation => !isSound(accusation, kind, openCrashes, getSoundShare(accusation, kind, accusations)))
-            .sort(compareGravity);
+            .sort(compareAccusations);
     }
 
     /**
@@ -293,17 +288,3 @@
             .length;
     }
 }
-
-/** Orders accusations by their crashes, the most first; among equals, parts that completed least come first. */
-function compareGravity(left: Accusation, right: Accusation): number {
-    return right.times.length - left.times.length || left.completionCount - right.completionCount;
-}
-
-/** Returns whether another subject is accused as often, of some of the same crashes, which are few. */
-function isAmbiguous(accusation: Accusation, equals: readonly Accusation[]): boolean {
-    const { ambiguousGuiltyCrashes } = getSubjectLimits(getSubjectKind(accusation.subjectId));
-    return accusation.times.length < ambiguousGuiltyCrashes
-        && equals.some(other =>
-            other !== accusation && other.crashes.some(crash => accusation.crashes.includes(crash))
-        );
-}
--- a/tests/crashQuarantine/createCrashQuarantine.tests.ts
+++ b/tests/crashQuarantine/createCrashQuarantine.tests.ts
@@ -139,6 +139,20 @@
         expect(quarantine.isQuarantined(createTestSubjects(["sound"]))).to.equal(false);
     });
 
+    it("accuses a part without contact only by more crashes than the others that were at them", async () => {
+        const { clock, quarantine, lose } = createFixture();
+        const isAccused = async () => {
+            await clock.advance(2_001);
+            return quarantine.isQuarantined(createTestSubjects(["sound"]));
+        };
+        for (const index of [1, 2, 3, 4, 5]) {
+            await lose(`engine-${index}`, ["sound", "other"]);
+        }
+        const isAccusedAtFive = await isAccused();
+        await lose("engine-6", ["sound", "other"]);
+        expect([isAccusedAtFive, await isAccused()]).to.deep.equal([false, true]);
+    });
+
     it("goes on refusing a request after a minute without contact to the control members", async () => {
         const { clock, quarantine, beginRun } = createFixture();
         const crashing = createTestSubjects([], "crashing");
--- a/tests/platform/soak/soakRegressions.ts
+++ b/tests/platform/soak/soakRegressions.ts
@@ -22,6 +22,10 @@
 
 const newLeader =
     "a sound part of prompts was quarantined, as a new leader decided before all entry processes had reported to it";
+const explainedCrashes =
+    "a sound part of prompts was quarantined, as crashes of a guilty request without it counted beside those of a guilty part";
+const missingEvidence =
+    "a sound part of prompts was quarantined, as an entry process that was killed or paused had not reported what it had seen";
 const noTakeover =
     "a stream was cut, as it was taken from a silent server although the others were silent too or had used up their limits";
 
@@ -45,4 +49,6 @@
     { seed: 11021, cause: newLeader },
     { seed: 11030, cause: newLeader },
     { seed: 11046, cause: newLeader },
+    { seed: 12006, cause: explainedCrashes },
+    { seed: 12050, cause: missingEvidence },
 ];
