--- a/src/crashQuarantine/createCrashQuarantine.ts
+++ b/src/crashQuarantine/createCrashQuarantine.ts
@@ -16,9 +16,12 @@
 import { publishCrashReport } from "./publishCrashReport";
 import { readCrashFacts } from "./readCrashFacts";
 import { RunSubjects } from "./RunSubjects";
+import { SubjectSet } from "./SubjectSet";
 
 /** How long the feed may be without a confirmation before the entry process decides by itself, in milliseconds. */
 const maximumFeedAgeMilliseconds = 2_000;
+/** How long a decision of the entry process itself is used, in milliseconds: the evidence takes time to evaluate. */
+const ownDecisionMilliseconds = 100;
 
 interface CrashQuarantineOptions extends Omit<CrashObserverOptions, "getSuspectedRequestIds"> {
     /** Provides the decisions of the control members. */
@@ -38,6 +41,8 @@
     let view: FleetView | undefined;
     let quarantined = createSubjectSet([]);
     let suspected = createSubjectSet([]);
+    let ownDecision = createSubjectSet([]);
+    let ownDecisionTimeMilliseconds = -Infinity;
     return { isQuarantined, isSuspected, beginRun: observer.beginRun, getReport };
 
     function isQuarantined(subjects: RunSubjects): boolean {
@@ -46,7 +51,16 @@
             return true;
         }
         const isCutOff = state.getDocumentAgeMilliseconds() > maximumFeedAgeMilliseconds;
-        return isCutOff && createSubjectSet(getKnownGuiltyIds()).hasAny(subjects);
+        return isCutOff && getOwnDecision().hasAny(subjects);
+    }
+
+    function getOwnDecision(): SubjectSet {
+        const now = clock.getMonotonicMilliseconds();
+        if (now - ownDecisionTimeMilliseconds >= ownDecisionMilliseconds) {
+            ownDecision = createSubjectSet(getKnownGuiltyIds());
+            ownDecisionTimeMilliseconds = now;
+        }
+        return ownDecision;
     }
 
     function isSuspected(subjects: RunSubjects): boolean {
