Log when requests were sent and how long their connections had been open, and measure the event loop's delay

On call, nothing told whether a request whose caller had left had waited in its connection, in a blocked process, or at one of the process's own waits. The last line of each request now has the age of its connection and the time until its first attempt; a gauge has the delay of the event loop, counters the connections and the callers that left before and after sending.

--- a/src/forwarding/AttemptRecorder.ts
+++ b/src/forwarding/AttemptRecorder.ts
@@ -8,6 +8,8 @@
 
 /** Records the results of attempts for the choice of the next ones. */
 export interface AttemptRecorder {
+    /** Records that an attempt is about to be sent. */
+    recordSending(task: ForwardingTask): void;
     /**
      * Records the result of an attempt.
      * @param task - The request.
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -31,6 +31,11 @@
     resumedRequestId: string | undefined;
     /** When the request's head was received, on the monotonic clock, in milliseconds. */
     arrivalMilliseconds: number;
+    /**
+     * How long the caller's connection had been open when the head was received, in milliseconds; undefined where the
+     * connection has carried a request before.
+     */
+    connectionMilliseconds: number | undefined;
     /** Aborted once the caller has disconnected. */
     signal: AbortSignal;
 }
--- a/src/forwarding/ForwardingTask.ts
+++ b/src/forwarding/ForwardingTask.ts
@@ -49,6 +49,8 @@
     hasReservedRetry: boolean;
     /** How the last response ended; undefined before the end of the first one. */
     responseEnd: ResponseEnd | undefined;
+    /** The time from the request's arrival to its first attempt, in milliseconds; undefined before that. */
+    sentAfterMilliseconds: number | undefined;
     /** The number of attempts that were sent, whether they ran or not. */
     sentCount: number;
     /** The number of attempts that ran or may have run. */
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -144,6 +144,7 @@
         const { instanceId } = instance;
         task.triedInstanceIds.add(instanceId);
         task.sentCount += 1;
+        recorder.recordSending(task);
         const parameters = getAttemptParameters(task, instance, {
             entryCount: state.getEntryCount(),
             sources: scheduler.startPrefill(task, instance),
--- a/src/forwarding/createAttemptRecorder.ts
+++ b/src/forwarding/createAttemptRecorder.ts
@@ -33,7 +33,15 @@
  */
 export function createAttemptRecorder(options: AttemptRecorderOptions): AttemptRecorder {
     const { state, serverLimits, clock, metrics, loads, liveness, scheduler, canRunAgain } = options;
-    return { recordResult, recordPrefillEnd, recordAttemptEnd };
+    return { recordSending, recordResult, recordPrefillEnd, recordAttemptEnd };
+
+    function recordSending(task: ForwardingTask): void {
+        if (task.sentAfterMilliseconds === undefined) {
+            const milliseconds = clock.getMonotonicMilliseconds() - task.request.arrivalMilliseconds;
+            task.sentAfterMilliseconds = Math.round(milliseconds);
+            metrics.recordMilliseconds(HistogramName.SendingDelay, milliseconds);
+        }
+    }
 
     function recordResult(task: ForwardingTask, instance: FleetInstance, result: AttemptResult): boolean {
         const { instanceId } = instance;
@@ -63,10 +71,13 @@
                 return false;
             case "lost":
                 task.runCount += 1;
-                if (!task.signal.aborted) {
+                if (task.signal.aborted) {
+                    logCancelledAttempt(task, instanceId);
+                }
+                else {
                     loads.recordFailure(instanceId);
+                    recordFailedAttempt(task, instance, RetryReason.LinkLost, result.reason);
                 }
-                recordFailedAttempt(task, instance, RetryReason.LinkLost, result.reason);
                 return !canRunAgain(task);
             case "answered":
                 task.runCount += 1;
@@ -118,6 +129,18 @@
         }, "attempt failed");
     }
 
+    /** Logs an attempt that the end of its request has ended; neither the backend server nor the link has failed. */
+    function logCancelledAttempt(task: ForwardingTask, instanceId: string): void {
+        task.logger.info({
+            instanceId,
+            reason: task.request.signal.aborted ? "callerLeft" : "deadline",
+            promptParts: getSharedPartIds(task.request.prompt),
+            requestSubject: task.subjects.getRequestSubjectId(),
+            sentCount: task.sentCount,
+            sentAfterMilliseconds: task.sentAfterMilliseconds,
+        }, "attempt cancelled");
+    }
+
     function recordPrefillEnd(task: ForwardingTask, instanceId: string): void {
         loads.recordPrefillEnd(instanceId, task.prefillTokens);
         task.prefillTokens = 0;
--- a/src/forwarding/createForwarder.ts
+++ b/src/forwarding/createForwarder.ts
@@ -96,6 +96,7 @@
             attemptEnded: undefined,
             hasReservedRetry: false,
             responseEnd: undefined,
+            sentAfterMilliseconds: undefined,
             sentCount: 0,
             runCount: 0,
         };
@@ -126,6 +127,8 @@
             service: service.name,
             workspace: workspace?.name,
             milliseconds: Math.round(milliseconds),
+            connectionMilliseconds: request.connectionMilliseconds,
+            sentAfterMilliseconds: task.sentAfterMilliseconds,
             hasWaited: task.hasWaitedForPrefill,
             promptParts: getSharedPartIds(request.prompt),
             placement: task.placement,
@@ -161,6 +164,9 @@
                 );
                 break;
             case "callerLeft":
+                metrics.addCount(
+                    task.sentCount > 0 ? CounterName.CallersLeftAfterSending : CounterName.CallersLeftBeforeSending,
+                );
                 task.logger.info(fields, "caller left");
                 break;
             default:
--- a/src/metrics/CounterName.ts
+++ b/src/metrics/CounterName.ts
@@ -8,6 +8,12 @@
 export enum CounterName {
     Requests = "basilwing_requests_total",
     CompletedRequests = "basilwing_requests_completed_total",
+    /** Connections of callers that were accepted. */
+    CallerConnections = "basilwing_caller_connections_total",
+    /** Requests whose caller left before any attempt was sent. */
+    CallersLeftBeforeSending = "basilwing_callers_left_before_sending_total",
+    /** Requests whose caller left after an attempt was sent. */
+    CallersLeftAfterSending = "basilwing_callers_left_after_sending_total",
     PromptTokens = "basilwing_prompt_tokens_total",
     CachedPromptTokens = "basilwing_cached_prompt_tokens_total",
     CompletionTokens = "basilwing_completion_tokens_total",
--- a/src/metrics/GaugeName.ts
+++ b/src/metrics/GaugeName.ts
@@ -5,6 +5,8 @@
 /** The gauges, by metric name; their values are read when metrics are requested. */
 export enum GaugeName {
     RequestsInFlight = "basilwing_requests_in_flight",
+    /** The longest delay since the gauge was last read. */
+    EventLoopDelay = "basilwing_event_loop_delay_milliseconds",
     QueueLength = "basilwing_queue_length",
     IndexedBlocks = "basilwing_indexed_pieces",
     ConfigurationRevision = "basilwing_configuration_revision",
--- a/tests/forwarding/createTestRequest.ts
+++ b/tests/forwarding/createTestRequest.ts
@@ -16,6 +16,7 @@
         lastEventId: undefined,
         resumedRequestId: undefined,
         arrivalMilliseconds: 0,
+        connectionMilliseconds: undefined,
         signal: new AbortController().signal,
         ...changes,
     };
--- a/tests/platform/callers/decodeRequest.tests.ts
+++ b/tests/platform/callers/decodeRequest.tests.ts
@@ -10,6 +10,7 @@
             target,
             headers: [...baseHeaders, ...headers],
             arrivalMilliseconds: 7,
+            connectionMilliseconds: undefined,
             signal: new AbortController().signal,
         }, Buffer.from("body"));
     }
@@ -95,6 +96,7 @@
             target: "/",
             headers: ["Host", "x"],
             arrivalMilliseconds: 0,
+            connectionMilliseconds: undefined,
             signal: new AbortController().signal,
         }, Buffer.alloc(0))).to.equal("the request has no id");
     });
--- a/tests/platform/callers/startCallerServer.tests.ts
+++ b/tests/platform/callers/startCallerServer.tests.ts
@@ -5,6 +5,7 @@
 import { CallerServer, startCallerServer } from "../../../platform/callers";
 import { CallerReply, ForwardedRequest } from "../../../src/forwarding";
 import { createSilentLogger } from "../../../src/logging";
+import { createMetrics } from "../../../src/metrics";
 import { RefusalReason } from "../../../src/protocol";
 import { createSystemClock } from "../../../src/runtime";
 import { createTestFeedState } from "../../feed/createTestFeed";
@@ -31,6 +32,7 @@
             state: createTestFeedState(clock, []),
             isStopping: typeof isStopping === "boolean" ? () => isStopping : isStopping,
             clock,
+            metrics: createMetrics(),
             logger: createSilentLogger(),
         });
         return `127.0.0.1:${(callerServer.server.address() as AddressInfo).port}`;
