Queue requests before work on them, so that none is started for a caller that has left

Users saw requests sent on after their callers had left (GONE), and callers of a process that had just started got no answer in time. The server accepted one connection in each turn of the event loop and worked on its request in the same turn. Where requests came faster than a process could work on them, connections waited in the listening socket, first in, first out; the end of a connection was read a turn or two after its request had been sent on.

Requests are now read and queued. Connections are accepted before requests are started, one request is started in each turn, after a turn in which the end of its connection would have been read. Under overload the latest comes first, and a request that has waited for a third of its caller's time is refused as not run.

--- /dev/null
+++ b/src/requestQueue/createRequestQueue.ts
@@ -0,0 +1,152 @@
+/*
+ * Starts requests in the time that the event loop has to spare. The sockets in which requests wait show neither their age
+ * nor whether their callers have left, so an overloaded process that started each request as it is read would work for
+ * callers that have left, and the more the longer they wait. Here, connections are accepted and requests are read before
+ * others are started, one in each turn of the event loop. A request is started only after a turn in which the end of its
+ * connection would have been read.
+ *
+ * While requests wait longer than usual, the latest is started first, since its caller has the most time left. A request
+ * that has waited for a third of its caller's time is refused, so that the caller can retry at another entry process.
+ */
+import { QueuedRequest } from "./QueuedRequest";
+import { RequestQueue } from "./RequestQueue";
+import { RequestQueueOptions } from "./RequestQueueOptions";
+
+/** How long accepting connections may delay the start of requests, in milliseconds. */
+const maximumAcceptMilliseconds = 25;
+/** The number of turns after which the end of a request's connection has been read, had it come with the request. */
+const turnsBeforeStart = 2;
+/** The wait from which the latest request is started first, in milliseconds: longer than bursts of connections take. */
+const overloadMilliseconds = 100;
+/** The share of its caller's time for which a request waits. */
+const waitShareOfCallerTime = 0.33;
+/** The maximum wait of a request that states no time, in milliseconds. */
+const maximumWaitMilliseconds = 5_000;
+/** The maximum number of requests that wait; their bodies are held in memory. */
+const maximumLength = 1_024;
+/** The bounds of the delay after which a refused caller may retry, in milliseconds. */
+const minimumRetryAfterMilliseconds = 100;
+const maximumRetryAfterMilliseconds = 1_000;
+/** The weight of the last interval in the mean interval between starts. */
+const intervalWeight = 0.1;
+
+/** A request in the queue. */
+interface Entry {
+    request: QueuedRequest;
+    /** When it was added, on the monotonic clock, in milliseconds. */
+    addedMilliseconds: number;
+    /** The first turn in which it may be started. */
+    firstTurn: number;
+}
+
+/**
+ * Creates the queue of an entry process.
+ * @param options - The event loop and the clock.
+ */
+export function createRequestQueue({ waitForTurn, clock }: RequestQueueOptions): RequestQueue {
+    /** The requests that wait, the oldest one first. */
+    let entries: Entry[] = [];
+    let turn = 0;
+    let isRunning = false;
+    let hasAccepted = false;
+    /** Since when connections are accepted without a start, on the monotonic clock, in milliseconds. */
+    let acceptStartMilliseconds: number | undefined;
+    let lastStartMilliseconds: number | undefined;
+    let meanIntervalMilliseconds: number | undefined;
+    return { add, recordConnection: () => hasAccepted = true, getLength: () => entries.length };
+
+    function add(request: QueuedRequest): void {
+        const addedMilliseconds = clock.getMonotonicMilliseconds();
+        entries.push({ request, addedMilliseconds, firstTurn: turn + turnsBeforeStart });
+        if (entries.length > maximumLength) {
+            entries.shift()!.request.refuse(getRetryAfterMilliseconds());
+        }
+        if (!isRunning) {
+            isRunning = true;
+            hasAccepted = false;
+            lastStartMilliseconds = undefined;
+            void run();
+        }
+    }
+
+    /** Starts requests until none waits. */
+    async function run(): Promise<void> {
+        while (entries.length > 0) {
+            await waitForTurn();
+            turn += 1;
+            removeEnded();
+            if (!isAccepting()) {
+                startNext();
+            }
+        }
+        isRunning = false;
+    }
+
+    /** Removes the requests whose callers have left, and refuses those that have waited for too long. */
+    function removeEnded(): void {
+        const nowMilliseconds = clock.getMonotonicMilliseconds();
+        entries = entries.filter(entry => {
+            const { request } = entry;
+            if (request.signal.aborted) {
+                request.drop();
+                return false;
+            }
+            if (isExpired(entry, nowMilliseconds)) {
+                request.refuse(getRetryAfterMilliseconds());
+                return false;
+            }
+            return true;
+        });
+    }
+
+    /** Returns whether more connections may wait to be accepted, which come first for a limited time. */
+    function isAccepting(): boolean {
+        if (!hasAccepted) {
+            acceptStartMilliseconds = undefined;
+            return false;
+        }
+        hasAccepted = false;
+        const nowMilliseconds = clock.getMonotonicMilliseconds();
+        acceptStartMilliseconds ??= nowMilliseconds;
+        if (nowMilliseconds - acceptStartMilliseconds < maximumAcceptMilliseconds) {
+            return true;
+        }
+        acceptStartMilliseconds = undefined;
+        return false;
+    }
+
+    function startNext(): void {
+        const nowMilliseconds = clock.getMonotonicMilliseconds();
+        const isOverloaded =
+            nowMilliseconds - (entries[0]?.addedMilliseconds ?? nowMilliseconds) > overloadMilliseconds;
+        const isStartable = ({ firstTurn }: Entry) => firstTurn <= turn;
+        const index = isOverloaded ? entries.findLastIndex(isStartable) : entries.findIndex(isStartable);
+        if (index < 0) {
+            return;
+        }
+        const [{ request }] = entries.splice(index, 1) as [Entry];
+        recordStart(nowMilliseconds);
+        request.start();
+    }
+
+    function recordStart(nowMilliseconds: number): void {
+        if (lastStartMilliseconds !== undefined) {
+            const intervalMilliseconds = nowMilliseconds - lastStartMilliseconds;
+            meanIntervalMilliseconds ??= intervalMilliseconds;
+            meanIntervalMilliseconds += intervalWeight * (intervalMilliseconds - meanIntervalMilliseconds);
+        }
+        lastStartMilliseconds = nowMilliseconds;
+    }
+
+    /** Estimates the time in which the process can start the requests that wait. */
+    function getRetryAfterMilliseconds(): number {
+        const milliseconds = entries.length * (meanIntervalMilliseconds ?? 0);
+        return Math.min(Math.max(milliseconds, minimumRetryAfterMilliseconds), maximumRetryAfterMilliseconds);
+    }
+}
+
+function isExpired({ request, addedMilliseconds }: Entry, nowMilliseconds: number): boolean {
+    const { callerMilliseconds = Infinity } = request;
+    const limitMilliseconds = Math.min(waitShareOfCallerTime * callerMilliseconds, maximumWaitMilliseconds);
+    return nowMilliseconds - addedMilliseconds > limitMilliseconds;
+}
--- a/tests/platform/roles/drainEntry.tests.ts
+++ b/tests/platform/roles/drainEntry.tests.ts
@@ -26,7 +26,7 @@
         const drain = { hasExited: false, advancePolls };
         const finished = drainEntry({
             callerServer: { server, closeUnusedConnections: () => closeUnusedCount += 1 },
-            forwarder: { getActiveCount: () => 0 },
+            getRequestCount: () => 0,
             stopGraceMilliseconds: 8_000,
             clock,
             logger: createSilentLogger(),
