Poll all connections before each attempt, so that none is sent for a caller that has left

A caller could leave while its request waited for another prompt's prefill, for another attempt or behind a long turn of the event loop. Timers and the responses of backend servers are handled before the end of the caller's connection is read, so that the request was sent on or sent again all the same. Each attempt is now preceded by a poll of all connections.

--- a/src/forwarding/ForwarderOptions.ts
+++ b/src/forwarding/ForwarderOptions.ts
@@ -38,6 +38,8 @@
     retryShare: number;
     /** The number of retries that all entry processes together may send beyond that share. */
     retryReserve: number;
+    /** Waits until everything that has arrived has been read, so that callers that have left are known. */
+    pollConnections(): Promise<void>;
     /** Ends the forwarder's background tasks. */
     signal: AbortSignal;
     /** The clock. */
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -79,6 +79,7 @@
         }
         let retryAfterMilliseconds: number | undefined;
         while (true) {
+            await options.pollConnections();
             const refusal = getBlockingRefusal(task);
             if (refusal) {
                 return { kind: "givenUp", refusal };
--- a/src/runtime/index.ts
+++ b/src/runtime/index.ts
@@ -8,6 +8,7 @@
 export * from "./createRandomSource";
 export * from "./createSystemClock";
 export * from "./createWakeup";
+export * from "./pollConnections";
 export * from "./RandomSource";
 export * from "./runWithTimeout";
 export * from "./Stoppable";
--- a/tests/crashQuarantine/simulateCrashingRequests.ts
+++ b/tests/crashQuarantine/simulateCrashingRequests.ts
@@ -175,6 +175,7 @@
             random: entryRandom,
         });
         const forwarder = createForwarder({
+            pollConnections: () => Promise.resolve(),
             facts,
             ...common,
             state,
--- a/tests/forwarding/crashingParts.tests.ts
+++ b/tests/forwarding/crashingParts.tests.ts
@@ -54,6 +54,7 @@
         };
         const state = createTestFeedState(clock, instances, { workspaces: undefined });
         const forwarder = createForwarder({
+            pollConnections: () => Promise.resolve(),
             facts: createTestFactStore(clock),
             state,
             link,
--- a/tests/forwarding/createForwarder.tests.ts
+++ b/tests/forwarding/createForwarder.tests.ts
@@ -42,6 +42,7 @@
         getLimitWait?: (instanceId: string) => number;
         logger?: Logger;
         streamOrigins?: StreamOrigins;
+        pollConnections?: () => Promise<void>;
     }
 
     function createTrial(options: TrialOptions) {
@@ -54,6 +55,7 @@
             receiveState();
         }
         const forwarder = createForwarder({
+            pollConnections: options.pollConnections ?? (() => Promise.resolve()),
             facts: createTestFactStore(clock),
             state,
             link,
@@ -93,6 +95,29 @@
         return { text: reply.getText(), refusal: reply.getRefusal()?.kind, sent: trial.link.attempts.length };
     }
 
+    describe("a caller whose leaving is read in the last poll before an attempt", () => {
+        async function doTest(pollCount: number, expectedAttempts: number): Promise<void> {
+            const caller = new AbortController();
+            let count = 0;
+            const trial = createTrial({
+                respond: () => overloadedResult,
+                pollConnections: async () => {
+                    count += 1;
+                    if (count === pollCount) {
+                        caller.abort();
+                    }
+                    await Promise.resolve();
+                },
+            });
+            const { reply, ended } = await trial.forward({ ...read, signal: caller.signal });
+            await ended;
+            expect([trial.link.attempts.length, reply.getRefusal()]).to.deep.equal([expectedAttempts, undefined]);
+        }
+
+        it("has no request sent", () => doTest(1, 0));
+        it("has no request sent again", () => doTest(2, 1));
+    });
+
     const read = { path: "/reads/1", target: "/reads/1" };
     const release = { path: "/releases/1", target: "/releases/1" };
     const label = createTestRequest.createPrompt("/labels/1");
--- a/tests/forwarding/requestLimits.tests.ts
+++ b/tests/forwarding/requestLimits.tests.ts
@@ -61,6 +61,7 @@
             state.getEntryCount = () => entryCount;
             const serverLimits = createTestServerLimits(state, clock, `entry-${index}`);
             const forwarder = createForwarder({
+                pollConnections: () => Promise.resolve(),
                 facts: createTestFactStore(clock),
                 state,
                 link,
--- a/tests/platform/backends/endlessResponses.tests.ts
+++ b/tests/platform/backends/endlessResponses.tests.ts
@@ -52,6 +52,7 @@
         const state = createTestFeedState(clock, instances);
         const link = createBackendLink();
         const forwarder = createForwarder({
+            pollConnections: () => Promise.resolve(),
             facts: createTestFactStore(clock),
             state,
             link,
