--- a/tests/platform/backends/createBackendLink.tests.ts
+++ b/tests/platform/backends/createBackendLink.tests.ts
@@ -59,6 +59,10 @@
 
     const head = "HTTP/1.1 200 OK\r\nBasilwing-Request-Id: request-1\r\nBasilwing-Response-Seal: seal\r\n";
 
+    it("does not send a request to an address that is none", async () => {
+        expect((await send("10.0.0.1:70000")).kind).to.equal("notSent");
+    });
+
     describe("a response", () => {
         async function doTest(text: string, end: "keep" | "finish" | "reset", expected: string) {
             const server = await startServer(socket => {
