--- a/tests/platform/operators/startOperatorServer.tests.ts
+++ b/tests/platform/operators/startOperatorServer.tests.ts
@@ -30,8 +30,8 @@
         ));
         const address = await getFreeAddress();
         server = await startOperatorServer({ address, log, documents, logger: createSilentLogger() });
-        return async (method: "GET" | "DELETE", path: string) => {
-            const { statusCode, body } = await request(`http://${address}${path}`, { method });
+        return async (method: "GET" | "DELETE" | "POST", path: string, text?: string) => {
+            const { statusCode, body } = await request(`http://${address}${path}`, { method, body: text });
             return [statusCode, await body.json()];
         };
     }
@@ -51,4 +51,12 @@
         expect(await call("GET", path)).to.deep.equal([200, { subjects: [{ ...part, released: true }] }]);
         expect((await call("DELETE", `${path}/bad`))[0]).to.equal(404);
     });
+
+    ["4294967296", "1e21", "1e999", "0", "-1", "1.5"].forEach(version => {
+        it(`refuses weights of version ${version}, which can't be stored`, async () => {
+            const call = await createFixture();
+            const [status] = await call("POST", "/basilwing/version-put", `{"model":"large","version":${version}}`);
+            expect(status).to.equal(400);
+        });
+    });
 });
