--- a/tests/platform/backends/createBackendLink.tests.ts
+++ b/tests/platform/backends/createBackendLink.tests.ts
@@ -143,6 +143,19 @@
         expect(server.getConnectionCount()).to.equal(2);
     });
 
+    it("does not report a request as not run after an earlier refusal that arrives again on a kept connection", async () => {
+        let requestCount = 0;
+        const refusal = "HTTP/1.1 503 Full\r\nBasilwing-Request-Id: request-1\r\nBasilwing-Not-Executed: 1\r\n"
+            + "Content-Length: 0\r\n\r\n";
+        const server = await startServer(socket => {
+            requestCount += 1;
+            socket.write(requestCount === 1 ? refusal : refusal.replace("Basilwing-Request-Id: request-1\r\n", ""));
+        });
+        expect((await send(server.address)).kind).to.equal("notRun");
+        expect((await send(server.address, "request-2")).kind).to.equal("lost");
+        expect(server.getConnectionCount()).to.equal(1);
+    });
+
     it("reports that a request was not sent if the connection is refused", async () => {
         const server = await startServer(() => undefined);
         await server.stop();
--- a/tests/platform/backends/decodeResponseHead.tests.ts
+++ b/tests/platform/backends/decodeResponseHead.tests.ts
@@ -3,6 +3,7 @@
 import { ResponseFraming } from "../../../src/forwarding";
 
 describe("decodeResponseHead", () => {
+    const named = ["Basilwing-Request-Id", "request-1"];
     const sealed = ["Basilwing-Request-Id", "request-1", "Basilwing-Response-Seal", "seal"];
 
     function doTest(status: number, headers: readonly string[], expected: "response" | "notRun" | "invalid") {
@@ -17,8 +18,16 @@
     it("rejects a response without a request id", () => doTest(200, ["Basilwing-Response-Seal", "seal"], "invalid"));
     it("rejects an encoded body", () => doTest(200, [...sealed, "Content-Encoding", "gzip"], "invalid"));
     it("accepts the header that says that the request was not run", () =>
-        doTest(503, ["Basilwing-Not-Executed", "1"], "notRun"));
-    it("concludes that a misdirected request was not run", () => doTest(421, [], "notRun"));
+        doTest(503, [...named, "Basilwing-Not-Executed", "1"], "notRun"));
+    it("concludes that a misdirected request was not run", () => doTest(421, named, "notRun"));
+    describe("does not conclude from an earlier refusal, repeated on a kept connection, that a request was not run", () => {
+        [408, 421, 429, 503].forEach(status => {
+            it(`with status ${status} for another request`, () =>
+                doTest(status, ["Basilwing-Request-Id", "request-0", "Basilwing-Not-Executed", "1"], "invalid"));
+            it(`with status ${status} for an unnamed request`, () =>
+                doTest(status, ["Basilwing-Not-Executed", "1"], "invalid"));
+        });
+    });
     [408, 429, 503].forEach(status => {
         it(`rejects status ${status} without that header, since it would imply that the request was not run`, () =>
             doTest(status, sealed, "invalid"));
@@ -26,6 +35,7 @@
 
     it("decodes load, retry time and instance of a response to a request that was not run", () => {
         const outcome = decodeResponseHead(503, [
+            ...named,
             "Basilwing-Not-Executed",
             "1",
             "Retry-After",
--- a/tests/platform/backends/endlessResponses.tests.ts
+++ b/tests/platform/backends/endlessResponses.tests.ts
@@ -100,11 +100,15 @@
     it("gives an event without end up", () =>
         doTest({ start: `HTTP/1.1 200 OK\r\n${identity}\r\nid: 1\ndata: `, repeated: block }, label, "unknown"));
     it("closes the connection of a response that was not run and has no end", () =>
-        doTest({ start: "HTTP/1.1 503 Full\r\nBasilwing-Not-Executed: 1\r\n\r\n", repeated: block }, read, "notRun"));
+        doTest(
+            { start: `HTTP/1.1 503 Full\r\n${identity}Basilwing-Not-Executed: 1\r\n\r\n`, repeated: block },
+            read,
+            "notRun",
+        ));
     it("closes the connection of a response that was not run and ends too slowly", () =>
         doTest(
             {
-                start: "HTTP/1.1 503 Full\r\nBasilwing-Not-Executed: 1\r\n\r\n",
+                start: `HTTP/1.1 503 Full\r\n${identity}Basilwing-Not-Executed: 1\r\n\r\n`,
                 repeated: "x",
                 pauseMilliseconds: 20,
             },
--- a/tests/platform/soak/startSoakBackend.ts
+++ b/tests/platform/soak/startSoakBackend.ts
@@ -121,7 +121,11 @@
             expectedInstanceId !== undefined && expectedInstanceId !== getInstanceId()
             || expectedVersion !== undefined && Number(expectedVersion) !== weightsVersion
         ) {
-            response.writeHead(421, { "basilwing-not-executed": "1", "basilwing-instance-id": getInstanceId() }).end();
+            response.writeHead(421, {
+                "basilwing-request-id": String(request.headers["basilwing-request-id"]),
+                "basilwing-not-executed": "1",
+                "basilwing-instance-id": getInstanceId(),
+            }).end();
             return;
         }
         switch (request.url?.split("?")[0]) {
@@ -176,7 +180,8 @@
         if (random.getFraction() < endlessRefusalShare) {
             response.useChunkedEncodingByDefault = false;
             response.removeHeader("transfer-encoding");
-            response.writeHead(503, { "basilwing-not-executed": "1" }).flushHeaders();
+            response.writeHead(503, { "basilwing-request-id": requestId, "basilwing-not-executed": "1" })
+                .flushHeaders();
             await writeWithoutEnd(response.socket!, requestId, runTracker);
             return;
         }
