Send streams without the length that their first server named

A stream whose response had a length and broke off was continued by another server beyond that length: the caller got a cut stream that looked complete, or bytes that belong to no response.

--- a/tests/platform/callers/startCallerServer.tests.ts
+++ b/tests/platform/callers/startCallerServer.tests.ts
@@ -58,6 +58,17 @@
         ]);
     });
 
+    it("sends a stream that another backend server continues whole, not as long as the first one named", async () => {
+        const address = await start(async (...[, reply]) => {
+            reply.start({ status: 200, headers: ["Content-Length", "5"] });
+            await reply.write(Buffer.from("first"));
+            await reply.write(Buffer.from("second"));
+            reply.end();
+        });
+        const response = await request(`http://${address}/reads/1`, { headers });
+        expect(await response.body.text()).to.equal("firstsecond");
+    });
+
     describe("to an HTTP/1.0 caller, for whom a response ends with its connection", () => {
         async function doTest(respond: (reply: CallerReply) => void | Promise<void>, expected: string): Promise<void> {
             const address = await start((...[, reply]) => respond(reply));
