Never pass on what another engine sends instead of the rest of a stream

Other operators saw the text of an error in the middle of a stream, or a stream that ended as if it were complete, after the next server had answered with an error. Statuses of failure were kept apart here. A success of another type, an event without an id where all before had one, and a connection that ends at once without a length, chunks or events were taken for the rest. The rest of a stream now has to have the type of its beginning and an id at its first event, and an end of the connection alone completes no response. Otherwise the stream is broken off.

--- a/src/forwarding/forwardStream.ts
+++ b/src/forwarding/forwardStream.ts
@@ -3,6 +3,7 @@
  * that a broken stream can be resumed at another engine after the last event that the caller has received. The framing
  * of a response alone does not show that the stream is complete: an engine that crashes may close its connection
  * normally, and where the end of the connection marks the end of the response, only an incomplete event shows the break.
+ * What another engine sends instead of the remaining events, such as an error, is never passed on.
  */
 import { RefusalReason } from "../protocol";
 import { AttemptDispatcher } from "./AttemptDispatcher";
@@ -11,7 +12,9 @@
 import { createEventSplitter } from "./createEventSplitter";
 import { ForwardingTask } from "./ForwardingTask";
 import { ForwardOutcome } from "./ForwardOutcome";
+import { getContentType } from "./getContentType";
 import { getSharedPartIds } from "./getSharedPartIds";
+import { HttpResponseHead } from "./HttpResponseHead";
 import { refuseTask } from "./refuseTask";
 import { ResponseFraming } from "./ResponseFraming";
 import { StreamEvent } from "./StreamEvent";
@@ -29,26 +32,28 @@
 export async function forwardStream(task: ForwardingTask, dispatcher: AttemptDispatcher): Promise<ForwardOutcome> {
     const { request, reply } = task;
     let lastEventId = request.lastEventId === undefined ? undefined : Number(request.lastEventId);
-    let isResponseStarted = false;
+    /** The head of the response that the caller receives; undefined before its first event. */
+    let startedHead: HttpResponseHead | undefined;
     let isResumable = true;
     while (true) {
         const outcome = await dispatcher.dispatch(task, lastEventId === undefined ? undefined : String(lastEventId));
         if (outcome.kind === "givenUp") {
-            return isResponseStarted
+            return startedHead
                 ? abortResponse("no engine took the stream over", "")
                 : refuseTask(task, outcome.refusal);
         }
         const { response, instance: { instanceId, softwareVersion } } = outcome;
         const isSuccess = response.head.status >= 200 && response.head.status < 300;
-        if (!isSuccess && isResponseStarted) {
+        if (startedHead && (!isSuccess || getContentType(response.head) !== getContentType(startedHead))) {
             await collectBody(response);
+            dispatcher.recordPrefillEnd(task, instanceId);
             dispatcher.recordAttemptEnd(task, instanceId, "other");
             return abortResponse(`status ${response.head.status} instead of the remaining events`, instanceId);
         }
         if (!isSuccess) {
             return sendErrorResponse(response, instanceId);
         }
-        if (!isResponseStarted && !await isOriginCertain(task)) {
+        if (!startedHead && !await isOriginCertain(task)) {
             response.cancel();
             dispatcher.recordPrefillEnd(task, instanceId);
             dispatcher.recordAttemptEnd(task, instanceId, "other");
@@ -65,7 +70,7 @@
         }
         if (!isResumable || !dispatcher.canRunAgain(task)) {
             const reason = task.signal.aborted ? RefusalReason.DEADLINE : RefusalReason.OUTCOME_UNKNOWN;
-            return isResponseStarted
+            return startedHead
                 ? abortResponse("the engine broke off", instanceId)
                 : refuseTask(task, { kind: "unknown", reason });
         }
@@ -82,10 +87,14 @@
         softwareVersion: string,
     ): Promise<boolean> {
         const splitter = createEventSplitter();
-        const isResumed = lastEventId !== undefined;
         let isFirst = true;
         for await (const bytes of response.body) {
             for (const event of splitter.add(bytes)) {
+                if (isFirst && startedHead && event.id === undefined) {
+                    response.cancel();
+                    dispatcher.recordPrefillEnd(task, instanceId);
+                    return false;
+                }
                 if (isFirst) {
                     isFirst = false;
                     dispatcher.recordPrefillEnd(task, instanceId);
@@ -103,8 +112,7 @@
             dispatcher.recordPrefillEnd(task, instanceId);
         }
         const remaining = splitter.getRemainingBytes();
-        // An engine generates at least one event, unless the stream was resumed after its last one.
-        const endsBeforeFirstEvent = isFirst && !isResumed && response.framing === ResponseFraming.ConnectionEnd;
+        const endsBeforeFirstEvent = isFirst && response.framing === ResponseFraming.ConnectionEnd;
         const isComplete = response.isComplete() && remaining.length <= maximumEventBytes && !splitter.isInsideEvent()
             && !endsBeforeFirstEvent;
         task.responseEnd = { framing: response.framing, isComplete, bytesAfterLastEvent: remaining.length };
@@ -129,8 +137,8 @@
     }
 
     function startResponse(response: BackendResponse): void {
-        if (!isResponseStarted) {
-            isResponseStarted = true;
+        if (!startedHead) {
+            startedHead = response.head;
             reply.start(response.head);
         }
     }
--- a/tests/forwarding/createForwarder.tests.ts
+++ b/tests/forwarding/createForwarder.tests.ts
@@ -236,6 +236,31 @@
                 number === 0 ? createTestResponse(events.slice(0, 1), false) : overloadedResult;
             expect((await getResult({ respond }, label)).text).to.equal(`200 ${events[0]}broken off`);
         });
+        describe("that has begun does not contain what the next engine sends instead of the remaining events", () => {
+            async function doTest(next: AttemptResult): Promise<void> {
+                const respond = (...[, number]: [BackendAttempt, number]) =>
+                    number === 0 ? createTestResponse(events.slice(0, 1), false) : next;
+                expect((await getResult({ respond }, label)).text).to.equal(`200 ${events[0]}broken off`);
+            }
+
+            /** Gives a response the type of its body. */
+            function setType(response: AttemptResult, type: string): AttemptResult {
+                return response.kind === "answered"
+                    ? { ...response, head: { ...response.head, headers: ["Content-Type", type] } }
+                    : response;
+            }
+
+            it("with a status of failure", () => doTest(createTestResponse(["error\n\n"], true, 500)));
+            it("with a status of a request that was wrong", () => doTest(createTestResponse(["error\n\n"], true, 404)));
+            it("with success and another type", () =>
+                doTest(setType(createTestResponse(["error\n\n"]), "application/json")));
+            it("with success and another type, whole", () =>
+                doTest(setType(createTestResponse([events.slice(1).join("")]), "text/html")));
+            it("with success and an event without an id", () =>
+                doTest(createTestResponse(["event: error\ndata: no memory\n\n"])));
+            it("with a connection that ends at once", () =>
+                doTest(createTestResponse([], true, 200, ResponseFraming.ConnectionEnd)));
+        });
         it("that ends inside an event with its connection does not reach the caller as complete", async () => {
             const respond = () =>
                 createTestResponse([events[0]!, "id: 2\ndata:"], true, 200, ResponseFraming.ConnectionEnd);
