--- a/src/forwarding/ForwardingTask.ts
+++ b/src/forwarding/ForwardingTask.ts
@@ -49,6 +49,8 @@
     hasReservedRetry: boolean;
     /** How the last response ended; undefined before the end of the first one. */
     responseEnd: ResponseEnd | undefined;
+    /** When all connections were last polled before a step of the request, on the monotonic clock, in milliseconds. */
+    polledMilliseconds: number;
     /** The time from the request's arrival to its first attempt, in milliseconds; undefined before that. */
     sentAfterMilliseconds: number | undefined;
     /** The number of attempts that were sent, whether they ran or not. */
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -32,6 +32,8 @@
 const quarantinedRetryAfterMilliseconds = 3_600_000;
 /** The retry delay for callers whose request found no capacity: the time of a few requests. */
 const overloadRetryAfterMilliseconds = 1_000;
+/** The maximum age of the poll of all connections before an attempt, in milliseconds: far below callers' patience. */
+const maximumPollAgeMilliseconds = 25;
 /** The minimum remaining time that is worth another attempt. */
 const minimumAttemptMilliseconds = 20;
 
@@ -79,7 +81,7 @@
         }
         let retryAfterMilliseconds: number | undefined;
         while (true) {
-            await options.pollConnections();
+            await pollIfStale(task);
             const refusal = getBlockingRefusal(task);
             if (refusal) {
                 return { kind: "givenUp", refusal };
@@ -112,6 +114,14 @@
         }
     }
 
+    /** Polls all connections where the request has waited since the last poll, as its caller may have left meanwhile. */
+    async function pollIfStale(task: ForwardingTask): Promise<void> {
+        if (clock.getMonotonicMilliseconds() - task.polledMilliseconds > maximumPollAgeMilliseconds) {
+            await options.pollConnections();
+            task.polledMilliseconds = clock.getMonotonicMilliseconds();
+        }
+    }
+
     /**
      * Gets the refusal where nothing may be sent: the caller has disconnected, the time is over, the request crashes
      * backend servers, or the routing document is too old.
--- a/src/forwarding/createForwarder.ts
+++ b/src/forwarding/createForwarder.ts
@@ -53,6 +53,8 @@
     }
 
     async function admitAndForward(request: ForwardedRequest, reply: CallerReply): Promise<void> {
+        // Callers of the forwarder poll all connections before they hand a request over.
+        const polledMilliseconds = clock.getMonotonicMilliseconds();
         await waitForFirstState(request);
         const requestLogger = logger.child({ requestId: request.requestId }, true);
         const admission = await admitResumption(
@@ -96,6 +98,7 @@
             attemptEnded: undefined,
             hasReservedRetry: false,
             responseEnd: undefined,
+            polledMilliseconds,
             sentAfterMilliseconds: undefined,
             sentCount: 0,
             runCount: 0,
