--- a/src/entry/startEntry.ts
+++ b/src/entry/startEntry.ts
@@ -6,10 +6,12 @@
 import { IncomingMessage, Server, ServerResponse } from "node:http";
 import { AddressInfo, Socket } from "node:net";
 import { Duplex } from "node:stream";
-import { getErrorMessage } from "../errors";
+import { setImmediate } from "node:timers/promises";
+import { assertNever, getErrorMessage } from "../errors";
 import { CounterName, GaugeName } from "../metrics";
 import { getRunState } from "../outcome";
 import { RefusalReason } from "../protocol";
+import { createRequestQueue } from "../requestQueue";
 import { breakOffResponse } from "../runtime";
 import { createHttpServer } from "../security";
 import { createRequestHandler } from "./createRequestHandler";
@@ -33,6 +35,12 @@
     connectionClosed: AbortController;
 }
 
+/** How the wait of a request before it is handled ends. */
+type QueueOutcome =
+    | { kind: "started"; }
+    | { kind: "refused"; retryAfterMilliseconds: number; }
+    | { kind: "callerLeft"; };
+
 /** Starts an entry process; resolves when it accepts connections. */
 export async function startEntry(options: EntryOptions): Promise<Entry> {
     const { clock, listener, logger, metrics, settings } = options;
@@ -41,6 +49,7 @@
     const handler = createRequestHandler(options, refusalSender, inputLimiter);
     const inFlight = new Set<RequestInFlight>();
     const sockets = new Set<Socket>();
+    const queue = createRequestQueue({ waitForTurn: setImmediate, clock });
     let isDraining = false;
     let isClosing = false;
     const server = createServer();
@@ -76,13 +85,18 @@
         created.on("clientError", refuseMalformedInput);
         created.on(options.identity === undefined ? "connection" : "secureConnection", (socket: Socket) => {
             sockets.add(socket);
-            socket.on("close", () => handleSocketClose(socket));
+            queue.recordConnection();
+            socket.on("end", () => abortRequests(socket));
+            socket.on("close", () => {
+                sockets.delete(socket);
+                abortRequests(socket);
+            });
         });
         return created;
     }
 
-    function handleSocketClose(socket: Socket): void {
-        sockets.delete(socket);
+    /** Aborts the requests of a connection whose caller has ended it. */
+    function abortRequests(socket: Socket): void {
         for (const { connectionClosed, request } of inFlight) {
             if (request.socket === socket) {
                 connectionClosed.abort();
@@ -114,7 +128,8 @@
     }
 
     /** Serves a request, or refuses it where the entry no longer accepts requests. */
-    async function serveOrRefuse({ request, requestId, response }: RequestInFlight): Promise<void> {
+    async function serveOrRefuse(current: RequestInFlight): Promise<void> {
+        const { request, requestId, response } = current;
         if (isDraining) {
             response.setHeader("connection", "close");
         }
@@ -128,7 +143,36 @@
             refusalSender.send(request, response, requestId, details);
             return;
         }
-        await handler.handle(request, response, requestId);
+        const outcome = await waitInQueue(current);
+        switch (outcome.kind) {
+            case "started":
+                await handler.handle(request, response, requestId);
+                break;
+            case "refused": {
+                const message = "This entry is overloaded.";
+                const reason = RefusalReason.OVERLOADED;
+                const { retryAfterMilliseconds } = outcome;
+                refusalSender.send(request, response, requestId, { reason, message, retryAfterMilliseconds });
+                break;
+            }
+            case "callerLeft":
+                response.destroy();
+                break;
+            default:
+                assertNever(outcome);
+        }
+    }
+
+    function waitInQueue({ connectionClosed }: RequestInFlight): Promise<QueueOutcome> {
+        return new Promise(resolve =>
+            queue.add({
+                callerMilliseconds: undefined,
+                signal: connectionClosed.signal,
+                start: () => resolve({ kind: "started" }),
+                refuse: retryAfterMilliseconds => resolve({ kind: "refused", retryAfterMilliseconds }),
+                drop: () => resolve({ kind: "callerLeft" }),
+            })
+        );
     }
 
     /** Refuses input that the HTTP parser rejects; where a request is in flight on the connection, as its response. */
--- a/tests/entry/startEntry.tests.ts
+++ b/tests/entry/startEntry.tests.ts
@@ -2,9 +2,11 @@
 import fc from "fast-check";
 import { once } from "node:events";
 import { connect } from "node:net";
+import { setTimeout } from "node:timers/promises";
 import { Entry, startEntry } from "../../src/entry";
 import { createSystemClock } from "../../src/runtime";
 import { EntrySettings } from "../../src/settings";
+import { runCallersThatLeave } from "../support/runCallersThatLeave";
 import { createTestCluster } from "./createTestCluster";
 
 const settings: EntrySettings = {
@@ -284,4 +286,23 @@
         it("refuses deferred requests, and reports that they did not run", () => doTest("deferred", 503));
         it("accepts standard requests", () => doTest("standard", 200));
     });
+
+    it("handles no request of a caller that left while the process was busy", async () => {
+        await start("engine");
+        const { metrics } = cluster.entries[0]!.options;
+        const getHandledCount = () => Object.values(metrics.getRefusals()).reduce((sum, count) => sum + count, 0);
+        const countBefore = getHandledCount();
+        const endCallers = await runCallersThatLeave({
+            port: Number(entry.address.split(":")[1]),
+            leavingCount: 30,
+            stayingCount: 1,
+            isKept: false,
+            head: "GET /v1/models HTTP/1.1\r\nhost: one.example\r\nauthorization: Bearer ID\r\n\r\n",
+        });
+        while (getHandledCount() === countBefore) {
+            await setTimeout(10);
+        }
+        expect(getHandledCount() - countBefore).to.equal(1);
+        await endCallers();
+    });
 });
