Let one in nine callers of a soak leave early, and check that no work is done for them

The soak had no callers that leave, so that it could not show requests that are sent on after their callers had left. At most three may reach a backend server over half a second later, the users' bound.

--- a/tests/platform/soak/RunTracker.ts
+++ b/tests/platform/soak/RunTracker.ts
@@ -12,6 +12,8 @@
      * @param workspace - The workspace for which it runs.
      */
     recordRun(requestId: string, workspace: string): void;
+    /** Records that the caller of a request has left. */
+    recordLeaving(requestId: string): void;
     /** Records that a request is sent that must not run more than once. */
     recordSingleRunRequest(requestId: string): void;
     /** Records that a response reported that the request has not run and will not run. */
--- a/tests/platform/soak/createRunTracker.ts
+++ b/tests/platform/soak/createRunTracker.ts
@@ -9,6 +9,10 @@
 const crashesUntilDecided: Readonly<Record<CrashingSubject, number>> = { part: 5, request: 3 };
 /** How many requests with the subject may reach backend servers from then on. */
 const maximumLateCrashingArrivals = 3;
+/** How long after its caller has left a request may still reach a backend server, in milliseconds. */
+const leavingToleranceMilliseconds = 500;
+/** How many requests may reach backend servers later than that. */
+const maximumArrivalsAfterLeaving = 3;
 
 /** Creates an empty tracker. */
 export function createRunTracker(): RunTracker {
@@ -16,6 +20,8 @@
     const singleRunIds = new Set<string>();
     const reportedNotRunIds = new Set<string>();
     const brokenOffIds = new Set<string>();
+    const leavingTimes = new Map<string, number>();
+    const arrivalsAfterLeaving: string[] = [];
     const revocationTimes = new Map<string, number>();
     const breaches: string[] = [];
     const crashTimes: Record<CrashingSubject, number[]> = { part: [], request: [] };
@@ -23,6 +29,7 @@
     let isStable = () => false;
     return {
         recordRun,
+        recordLeaving: requestId => void leavingTimes.set(requestId, Date.now()),
         recordSingleRunRequest: requestId => void singleRunIds.add(requestId),
         recordReportedNotRun: requestId => void reportedNotRunIds.add(requestId),
         recordRevocation: (workspace, fromMilliseconds) => void revocationTimes.set(workspace, fromMilliseconds),
@@ -39,6 +46,10 @@
 
     function recordRun(requestId: string, workspace: string): void {
         runCounts.set(requestId, getRunCount(requestId) + 1);
+        const leavingMilliseconds = leavingTimes.get(requestId) ?? Infinity;
+        if (Date.now() > leavingMilliseconds + leavingToleranceMilliseconds && isStable()) {
+            arrivalsAfterLeaving.push(requestId);
+        }
         const [sentMilliseconds] = requestId.split("-");
         if (Number(sentMilliseconds) > (revocationTimes.get(workspace) ?? Infinity)) {
             breaches.push(`${requestId} ran for ${workspace}, whose key is gone`);
@@ -69,6 +80,9 @@
                     lateCrashingArrivals[subject].join(" ")
                 } reached backend servers though their ${subject} had crashed ${crashTimes[subject].length}`
             );
-        return [...breaches, ...repeated, ...misreported, ...repeatedCrashes];
+        const abandoned = arrivalsAfterLeaving.length > maximumArrivalsAfterLeaving
+            ? [`${arrivalsAfterLeaving.join(" ")} reached backend servers though their callers had left`]
+            : [];
+        return [...breaches, ...repeated, ...misreported, ...repeatedCrashes, ...abandoned];
     }
 }
--- a/tests/platform/soak/createSoakClient.ts
+++ b/tests/platform/soak/createSoakClient.ts
@@ -20,6 +20,10 @@
     promptParts: readonly string[];
     /** The body; by default one that names the request. */
     body?: string;
+    /** When the caller leaves, in milliseconds after it has sent the request; it waits until its deadline otherwise. */
+    leavesAfterMilliseconds?: number;
+    /** Called as the caller leaves. */
+    onLeaving?: () => void;
     /** More headers. */
     headers?: Record<string, string | number>;
 }
@@ -89,6 +93,13 @@
             clientRequest.setTimeout(deadlineMilliseconds, () => clientRequest.destroy());
             clientRequest.on("error", () => resolve(outcome));
             clientRequest.on("close", () => resolve(outcome));
+            if (request.leavesAfterMilliseconds !== undefined) {
+                const timer = setTimeout(() => {
+                    request.onLeaving?.();
+                    clientRequest.destroy();
+                }, request.leavesAfterMilliseconds);
+                clientRequest.on("close", () => clearTimeout(timer));
+            }
             clientRequest.end(request.body ?? JSON.stringify({ requestId }));
         });
     }
--- a/tests/platform/soak/startSoakCallers.ts
+++ b/tests/platform/soak/startSoakCallers.ts
@@ -16,6 +16,11 @@
 const sendIntervalMilliseconds = 12;
 /** Of this many requests, one holds the part that crashes engines. */
 const requestsPerCrashingPart = 40;
+/** Of this many requests, one has a caller that leaves early. */
+const requestsPerLeavingCaller = 9;
+/** The bounds of the time after which such a caller leaves, in milliseconds. */
+const minimumPatienceMilliseconds = 20;
+const patienceRangeMilliseconds = 300;
 /** How often a caller resumes a stream at most. */
 const maximumResumptions = 2;
 
@@ -72,8 +77,9 @@
         count += 1;
         const isCrashing = options.hasCrashingPart && random.getInteger(requestsPerCrashingPart) === 0;
         const requestId = `${Date.now()}-${count}`;
+        const isLeaving = count % requestsPerLeavingCaller === 0;
         const record = { time: Date.now(), isServed: false };
-        if (!isRevocable && !isCrashing) {
+        if (!isRevocable && !isCrashing && !isLeaving) {
             sentRequests.push(record);
         }
         if (!route.mayRepeat) {
@@ -88,6 +94,10 @@
             prefix: route.prefix,
             key: route.isPublic ? undefined : key,
             promptParts,
+            leavesAfterMilliseconds: isLeaving
+                ? minimumPatienceMilliseconds + count % patienceRangeMilliseconds
+                : undefined,
+            onLeaving: () => runTracker.recordLeaving(requestId),
         });
         if (soakNotRunStatuses.has(outcome.status)) {
             runTracker.recordReportedNotRun(requestId);
@@ -102,13 +112,13 @@
             record.isServed = true;
             checkResponse(requestId, outcome);
         }
-        const isCut = outcome.status === 0 || !outcome.isComplete;
+        const isCut = !isLeaving && (outcome.status === 0 || !outcome.isComplete);
         const isLate = Date.now() - record.time >= client.deadlineMilliseconds;
         const isOwnCut = isCut && !isLate && !runTracker.wasBrokenOff(requestId);
         if (isOwnCut && wasStable && isStable(entryIndex) && runTracker.getRunCount(requestId) > 0) {
             runTracker.addBreach(`${requestId} was cut (status ${outcome.status}) though nothing unplanned happened`);
         }
-        if (route.isStream && outcome.status === 200) {
+        if (route.isStream && outcome.status === 200 && !isLeaving) {
             await checkStream(requestId, outcome, route.mayRepeat && !isRevocable, promptParts);
         }
     }
