Show that a server is avoided after a caller that left (failing test)

A request that was not sent since its caller left while the connection was opened counts as a failure of the backend server, which this entry process then avoids for 0.5 to 4 s.

--- a/tests/forwarding/createForwarder.tests.ts
+++ b/tests/forwarding/createForwarder.tests.ts
@@ -137,6 +137,25 @@
     const label = createTestRequest.createPrompt("/labels/1");
     const summary = createTestRequest.createPrompt("/summaries/1");
 
+    it("does not avoid a backend server to which a request was not sent since its caller left", async () => {
+        const caller = new AbortController();
+        const trial = createTrial({
+            respond: (...[, number]) => {
+                if (number > 0) {
+                    return createTestResponse(["done"]);
+                }
+                caller.abort();
+                return { kind: "notSent", reason: "the request has ended" };
+            },
+        });
+        await (await trial.forward({ ...read, signal: caller.signal })).ended;
+        for (let count = 0; count < 30; count++) {
+            await (await trial.forward(read)).ended;
+        }
+        const [abandoned, ...others] = trial.link.attempts.map(({ instance }) => instance.instanceId);
+        expect(others).to.include(abandoned);
+    });
+
     describe("a request that must not run more than once", () => {
         it("is answered", async () => {
             expect(await getResult({ respond: () => createTestResponse(["done"]) }, release))
