--- a/src/requestQueue/createRequestQueue.ts
+++ b/src/requestQueue/createRequestQueue.ts
@@ -30,8 +30,8 @@
 /** The weight of the last interval in the mean interval between starts. */
 const intervalWeight = 0.1;
 
-/** A request in the queue. */
-interface Entry {
+/** A request with the times that decide when it is started. */
+interface WaitingRequest {
     request: QueuedRequest;
     /** When it was added, on the monotonic clock, in milliseconds. */
     addedMilliseconds: number;
@@ -45,7 +45,7 @@
  */
 export function createRequestQueue({ waitForTurn, clock }: RequestQueueOptions): RequestQueue {
     /** The requests that wait, the oldest one first. */
-    let entries: Entry[] = [];
+    let waiting: WaitingRequest[] = [];
     let turn = 0;
     let isRunning = false;
     let hasAccepted = false;
@@ -53,13 +53,13 @@
     let acceptStartMilliseconds: number | undefined;
     let lastStartMilliseconds: number | undefined;
     let meanIntervalMilliseconds: number | undefined;
-    return { add, recordConnection: () => hasAccepted = true, getLength: () => entries.length };
+    return { add, recordConnection: () => hasAccepted = true, getLength: () => waiting.length };
 
     function add(request: QueuedRequest): void {
         const addedMilliseconds = clock.getMonotonicMilliseconds();
-        entries.push({ request, addedMilliseconds, firstTurn: turn + turnsBeforeStart });
-        if (entries.length > maximumLength) {
-            entries.shift()!.request.refuse(getRetryAfterMilliseconds());
+        waiting.push({ request, addedMilliseconds, firstTurn: turn + turnsBeforeStart });
+        if (waiting.length > maximumLength) {
+            waiting.shift()!.request.refuse(getRetryAfterMilliseconds());
         }
         if (!isRunning) {
             isRunning = true;
@@ -71,7 +71,7 @@
 
     /** Starts requests until none waits. */
     async function run(): Promise<void> {
-        while (entries.length > 0) {
+        while (waiting.length > 0) {
             await waitForTurn();
             turn += 1;
             removeEnded();
@@ -85,13 +85,13 @@
     /** Removes the requests whose callers have left, and refuses those that have waited for too long. */
     function removeEnded(): void {
         const nowMilliseconds = clock.getMonotonicMilliseconds();
-        entries = entries.filter(entry => {
-            const { request } = entry;
+        waiting = waiting.filter(item => {
+            const { request } = item;
             if (request.signal.aborted) {
                 request.drop();
                 return false;
             }
-            if (isExpired(entry, nowMilliseconds)) {
+            if (isExpired(item, nowMilliseconds)) {
                 request.refuse(getRetryAfterMilliseconds());
                 return false;
             }
@@ -118,13 +118,13 @@
     function startNext(): void {
         const nowMilliseconds = clock.getMonotonicMilliseconds();
         const isOverloaded =
-            nowMilliseconds - (entries[0]?.addedMilliseconds ?? nowMilliseconds) > overloadMilliseconds;
-        const isStartable = ({ firstTurn }: Entry) => firstTurn <= turn;
-        const index = isOverloaded ? entries.findLastIndex(isStartable) : entries.findIndex(isStartable);
+            nowMilliseconds - (waiting[0]?.addedMilliseconds ?? nowMilliseconds) > overloadMilliseconds;
+        const isStartable = ({ firstTurn }: WaitingRequest) => firstTurn <= turn;
+        const index = isOverloaded ? waiting.findLastIndex(isStartable) : waiting.findIndex(isStartable);
         if (index < 0) {
             return;
         }
-        const [{ request }] = entries.splice(index, 1) as [Entry];
+        const [{ request }] = waiting.splice(index, 1) as [WaitingRequest];
         recordStart(nowMilliseconds);
         request.start();
     }
@@ -140,12 +140,12 @@
 
     /** Estimates the time in which the process can start the requests that wait. */
     function getRetryAfterMilliseconds(): number {
-        const milliseconds = entries.length * (meanIntervalMilliseconds ?? 0);
+        const milliseconds = waiting.length * (meanIntervalMilliseconds ?? 0);
         return Math.min(Math.max(milliseconds, minimumRetryAfterMilliseconds), maximumRetryAfterMilliseconds);
     }
 }
 
-function isExpired({ request, addedMilliseconds }: Entry, nowMilliseconds: number): boolean {
+function isExpired({ request, addedMilliseconds }: WaitingRequest, nowMilliseconds: number): boolean {
     const { callerMilliseconds = Infinity } = request;
     const limitMilliseconds = Math.min(waitShareOfCallerTime * callerMilliseconds, maximumWaitMilliseconds);
     return nowMilliseconds - addedMilliseconds > limitMilliseconds;
