--- /dev/null
+++ b/review/lib/startReplica.mjs
@@ -0,0 +1,136 @@
+/*
+ * A stand-in for a replica. It runs the requests that name it, answers each with a seal and the request's id, and tells
+ * whoever started it what it ran.
+ */
+import { createServer } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+
+/**
+ * Starts a replica.
+ * @param options - Its address, id, service, model and software version, how long it works on a request, and a function
+ * that is called with each request that it begins to run.
+ */
+export async function startReplica(options) {
+    const { ip, id, service, model, workMilliseconds, onRun } = options;
+    const slots = options.slots ?? 64;
+    let orderCount = 0;
+    let isDraining = false;
+    const server = createServer((request, response) => {
+        response.on("error", () => undefined);
+        void handle(request, response);
+    });
+    await new Promise(resolve => server.listen(0, ip, resolve));
+    const address = `${ip}:${server.address().port}`;
+    const born = Date.now();
+    const models = model === undefined ? [] : [{ name: model, version: 1, adapters: [] }];
+    return {
+        id,
+        address,
+        getListEntry: () => ({
+            id,
+            service,
+            address,
+            zone: "zone-a",
+            version: "v1",
+            slots,
+            state: isDraining ? "draining" : "ready",
+            cold_remaining_ms: 0,
+            born,
+            stage: "unified",
+            models,
+        }),
+        drain: () => isDraining = true,
+        stop: () => {
+            server.close();
+            server.closeAllConnections();
+        },
+    };
+
+    async function handle(request, response) {
+        const body = await readBody(request);
+        if (body === undefined) {
+            return;
+        }
+        const path = request.url.split("?")[0];
+        const expected = request.headers["basilwing-expect-instance"];
+        const expectedVersion = request.headers["basilwing-expect-version"];
+        const requestId = request.headers["basilwing-request-id"];
+        if (expected !== undefined && expected !== id || expectedVersion !== undefined && expectedVersion !== "1") {
+            response.writeHead(421, {
+                ...requestId === undefined ? {} : { "basilwing-request-id": requestId },
+                "basilwing-not-executed": "1",
+                "basilwing-instance-id": id,
+                "content-length": 0,
+            }).end();
+            return;
+        }
+        if (path === "/health") {
+            response.writeHead(isDraining ? 503 : 200, { "basilwing-instance-id": id, "content-length": 0 }).end();
+            return;
+        }
+        if (path === "/basilwing/report") {
+            send(response, 200, {}, {
+                stage: "unified",
+                models,
+                busy: false,
+                seq_no: orderCount,
+                queued: 0,
+                active: 0,
+                kv_used: 0,
+                kv_total: 229_838,
+                handles: 0,
+                born,
+            });
+            return;
+        }
+        if (path === "/basilwing/order") {
+            orderCount += 1;
+            send(response, 200, {}, { born });
+            return;
+        }
+        onRun({ requestId, path, body, headers: request.headers, replicaId: id });
+        await sleep(workMilliseconds);
+        const headers = {
+            "basilwing-request-id": requestId,
+            "basilwing-response-seal": `seal-${id}-${requestId}`,
+            "basilwing-instance-id": id,
+        };
+        if (model === undefined) {
+            send(response, 200, headers, { answered: requestId, by: id });
+            return;
+        }
+        response.writeHead(200, {
+            ...headers,
+            "basilwing-weight-versions": "1",
+            "content-type": "text/event-stream",
+        });
+        for (let number = 1; number <= 3; number += 1) {
+            response.write(`id: ${number}\ndata: ${requestId} ${number}\n\n`);
+            await sleep(5);
+        }
+        response.end();
+    }
+}
+
+function send(response, status, headers, content) {
+    const text = JSON.stringify(content);
+    response.writeHead(status, {
+        ...headers,
+        "content-type": "application/json",
+        "content-length": Buffer.byteLength(text),
+    });
+    response.end(text);
+}
+
+async function readBody(request) {
+    const chunks = [];
+    try {
+        for await (const chunk of request) {
+            chunks.push(chunk);
+        }
+    }
+    catch {
+        return undefined;
+    }
+    return Buffer.concat(chunks);
+}
