--- a/review/lib/startReplica.mjs
+++ b/review/lib/startReplica.mjs
@@ -11,7 +11,8 @@
  * that is called with each request that it begins to run.
  */
 export async function startReplica(options) {
-    const { ip, id, service, model, workMilliseconds, onRun } = options;
+    const { ip, service, model, workMilliseconds, onRun } = options;
+    const getId = options.getId ?? (() => options.id);
     const slots = options.slots ?? 64;
     let orderCount = 0;
     let isDraining = false;
@@ -21,13 +22,13 @@
     });
     await new Promise(resolve => server.listen(0, ip, resolve));
     const address = `${ip}:${server.address().port}`;
-    const born = Date.now();
+    const firstBorn = Date.now();
+    const getBorn = options.getBorn ?? (() => firstBorn);
     const models = model === undefined ? [] : [{ name: model, version: 1, adapters: [] }];
     return {
-        id,
         address,
         getListEntry: () => ({
-            id,
+            id: getId(),
             service,
             address,
             zone: "zone-a",
@@ -35,7 +36,7 @@
             slots,
             state: isDraining ? "draining" : "ready",
             cold_remaining_ms: 0,
-            born,
+            born: getBorn(),
             stage: "unified",
             models,
         }),
@@ -51,6 +52,7 @@
         if (body === undefined) {
             return;
         }
+        const id = getId();
         const path = request.url.split("?")[0];
         const expected = request.headers["basilwing-expect-instance"];
         const expectedVersion = request.headers["basilwing-expect-version"];
@@ -79,13 +81,13 @@
                 kv_used: 0,
                 kv_total: 229_838,
                 handles: 0,
-                born,
+                born: getBorn(),
             });
             return;
         }
         if (path === "/basilwing/order") {
             orderCount += 1;
-            send(response, 200, {}, { born });
+            send(response, 200, {}, { born: getBorn() });
             return;
         }
         onRun({ requestId, path, body, headers: request.headers, replicaId: id });
