--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -71,6 +71,7 @@
         entryAddresses: entryIps.map(ip => `${ip}:${ports.caller}`),
         record,
         putConfiguration: content => order("PUT", "/basilwing/config", content),
+        nameWeights: content => order("POST", "/basilwing/version-put", content),
         waitUntilReady,
         stop,
     };
--- a/review/lib/startReplica.mjs
+++ b/review/lib/startReplica.mjs
@@ -5,6 +5,9 @@
 import { createServer } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 
+/** How long new weights take a replica, in milliseconds. */
+const loadMilliseconds = 760;
+
 /**
  * Starts a replica.
  * @param options - Its address, id, service, model and software version, how long it works on a request, and a function
@@ -15,16 +18,25 @@
     const getId = options.getId ?? (() => options.id);
     const slots = options.slots ?? 64;
     let orderCount = 0;
+    let highestToken = 0;
+    let weightsVersion = 1;
+    let isLoading = false;
     let isDraining = false;
+    let isDown = false;
     const server = createServer((request, response) => {
         response.on("error", () => undefined);
         void handle(request, response);
     });
+    server.on("connection", socket => {
+        if (isDown) {
+            socket.resetAndDestroy();
+        }
+    });
     await new Promise(resolve => server.listen(0, ip, resolve));
     const address = `${ip}:${server.address().port}`;
     const firstBorn = Date.now();
     const getBorn = options.getBorn ?? (() => firstBorn);
-    const models = model === undefined ? [] : [{ name: model, version: 1, adapters: [] }];
+    const getModels = () => model === undefined ? [] : [{ name: model, version: weightsVersion, adapters: [] }];
     return {
         address,
         getListEntry: () => ({
@@ -38,15 +50,54 @@
             cold_remaining_ms: 0,
             born: getBorn(),
             stage: "unified",
-            models,
+            models: getModels(),
         }),
+        getWeightsVersion: () => weightsVersion,
         drain: () => isDraining = true,
+        /** Ends the replica: its channels are closed, and it takes no new ones. */
+        end: () => {
+            isDown = true;
+            server.closeAllConnections();
+        },
+        /** Starts it again under its id, with the weights that it had; it knows nothing else of before. */
+        startAgain: () => {
+            isDown = false;
+            isDraining = false;
+            isLoading = false;
+            orderCount = 0;
+            highestToken = 0;
+        },
         stop: () => {
             server.close();
             server.closeAllConnections();
         },
     };
 
+    /** Carries out an order to load weights as PROTOCOL.md describes it, and returns the status of the answer. */
+    function acceptOrder({ version, fencing_token: token, expect }) {
+        if (token < highestToken) {
+            return 412;
+        }
+        highestToken = token;
+        if (isLoading || expect !== undefined && expect !== orderCount) {
+            return 409;
+        }
+        if (version === weightsVersion) {
+            return 200;
+        }
+        isLoading = true;
+        orderCount += 1;
+        const bornAtOrder = getBorn();
+        setTimeout(() => {
+            if (!isDown && bornAtOrder === getBorn()) {
+                isLoading = false;
+                weightsVersion = version;
+                options.onLoaded?.(version);
+            }
+        }, loadMilliseconds).unref();
+        return 202;
+    }
+
     async function handle(request, response) {
         const body = await readBody(request);
         if (body === undefined) {
@@ -57,7 +108,10 @@
         const expected = request.headers["basilwing-expect-instance"];
         const expectedVersion = request.headers["basilwing-expect-version"];
         const requestId = request.headers["basilwing-request-id"];
-        if (expected !== undefined && expected !== id || expectedVersion !== undefined && expectedVersion !== "1") {
+        if (
+            expected !== undefined && expected !== id
+            || expectedVersion !== undefined && expectedVersion !== String(weightsVersion)
+        ) {
             response.writeHead(421, {
                 ...requestId === undefined ? {} : { "basilwing-request-id": requestId },
                 "basilwing-not-executed": "1",
@@ -73,8 +127,8 @@
         if (path === "/basilwing/report") {
             send(response, 200, {}, {
                 stage: "unified",
-                models,
-                busy: false,
+                models: getModels(),
+                busy: isLoading,
                 seq_no: orderCount,
                 queued: 0,
                 active: 0,
@@ -86,8 +140,7 @@
             return;
         }
         if (path === "/basilwing/order") {
-            orderCount += 1;
-            send(response, 200, {}, { born: getBorn() });
+            send(response, acceptOrder(JSON.parse(body.toString())), {}, { born: getBorn() });
             return;
         }
         onRun({ requestId, path, body, headers: request.headers, replicaId: id });
@@ -103,7 +156,7 @@
         }
         response.writeHead(200, {
             ...headers,
-            "basilwing-weight-versions": "1",
+            "basilwing-weight-versions": String(weightsVersion),
             "content-type": "text/event-stream",
         });
         for (let number = 1; number <= 3; number += 1) {
