--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -42,6 +42,13 @@
 
 const restartDelayMilliseconds = 500;
 const readinessTimeoutMilliseconds = 30_000;
+const startedChildren = new Set();
+const startedFolders = new Set();
+process.on("exit", () => {
+    startedChildren.forEach(child => child.kill("SIGKILL"));
+    startedFolders.forEach(folder => rmSync(folder, { recursive: true, force: true }));
+});
+["SIGINT", "SIGTERM", "SIGHUP"].forEach(signal => process.on(signal, () => process.exit(2)));
 const heapMegabytes = { entry: 120, control: 160 };
 
 /**
@@ -51,6 +58,9 @@
  */
 export async function startDeployment(recordPath, entryCount) {
     const folder = mkdtempSync(join(tmpdir(), "review-"));
+    if (process.env.KEEP_LOGS === undefined) {
+        startedFolders.add(folder);
+    }
     const network = `127.${30 + process.pid % 200}.${1 + Math.floor(process.pid / 200) % 250}`;
     const ports = await getFreePorts(network, entryCount);
     const startMilliseconds = Date.now();
@@ -102,7 +112,9 @@
                 },
             );
             state.child = child;
+            startedChildren.add(child);
             child.once("exit", (code, signal) => {
+                startedChildren.delete(child);
                 if (state.isStopping) {
                     return;
                 }
@@ -186,9 +198,6 @@
     async function stop() {
         await Promise.all([...controls, ...entryProcesses].map(item => item.stop()));
         list.stop();
-        if (process.env.KEEP_LOGS === undefined) {
-            rmSync(folder, { recursive: true, force: true });
-        }
     }
 }
 
