--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -12,7 +12,7 @@
 const hasTrouble = process.env.TROUBLE !== "0";
 const model = "daka510000";
 const key = "Bearer ctnfzs989anu6wsjnban";
-const seconds = 70;
+const seconds = 60;
 /** The requests a second of notebook-summary and of publish-run in SYSTEM.md. */
 const summariesPerSecond = 14.8;
 const actionsPerSecond = 11.2;
@@ -30,8 +30,9 @@
 /** The channels that one entry process gets from callers of publish-run, which keep them. */
 const actionChannels = 8;
 const maximumHeaderBytes = 16_384;
-/** The rule allows three. */
-const allowedLosses = 3;
+/** The rule: three own ends of a process in the day, on two machines at least (a tenth of the six in use is less). */
+const faultyEnds = 3;
+const faultyMachines = 2;
 
 await runCase(async () => {
     const deployment = await startDeployment(new URL("record.txt", import.meta.url).pathname, entryCount);
@@ -74,12 +75,15 @@
         ]);
         const answers = groups.flat();
         const outcomes = await Promise.all(answers);
-        const lost = outcomes.filter(({ requestId, hasBegun, isKept }) => isKept && !hasBegun && begun.has(requestId));
         const ownEnds = deployment.entryProcesses.map(item => item.exits.length);
+        const lost = outcomes.filter(({ requestId, hasBegun, isKept, isGivenUp }) =>
+            isKept && !hasBegun && !isGivenUp && begun.has(requestId)
+        );
         record(`sent ${outcomes.length}, answered 200 ${outcomes.filter(({ status }) => status === 200).length}`);
+        record(`given up by their callers at the time limit: ${outcomes.filter(({ isGivenUp }) => isGivenUp).length}`);
+        record(`run, and their kept channels closed without an answer: ${lost.length}`);
         record(`own ends of the entry processes by themselves: ${ownEnds.join(" ")}`);
-        record(`run, and their kept channels closed without an answer: ${lost.length} (${allowedLosses} are allowed)`);
-        return lost.length <= allowedLosses;
+        return ownEnds.filter(count => count >= faultyEnds).length < faultyMachines;
     }
     finally {
         Object.values(agents).forEach(agent => agent.destroy());
--- a/review/lib/sendCall.mjs
+++ b/review/lib/sendCall.mjs
@@ -21,6 +21,7 @@
             problem: undefined,
             isKept: false,
             hasBegun: false,
+            isGivenUp: false,
         };
         const sent = sendRequest({
             host,
@@ -47,7 +48,10 @@
             response.on("close", finish);
         });
         sent.on("socket", () => answer.isKept = sent.reusedSocket);
-        const timer = setTimeout(() => sent.destroy(new Error("the caller's time is over")), deadlineMilliseconds);
+        const timer = setTimeout(() => {
+            answer.isGivenUp = true;
+            sent.destroy(new Error("the caller's time is over"));
+        }, deadlineMilliseconds);
         sent.on("error", error => {
             answer.problem ??= error.message;
             finish();
