--- a/src/forwarding/PrefixHolders.ts
+++ b/src/forwarding/PrefixHolders.ts
@@ -2,12 +2,11 @@
  * The engines that may hold a shared prefix of a prompt.
  */
 import { FleetInstance } from "../protocol";
-import { PromptPart } from "./PromptPart";
 
 /** A prefix, and the engines to which this entry process sent it. */
 export interface PrefixHolders {
-    /** The parts of the prefix. */
-    parts: readonly PromptPart[];
+    /** The number of the prefix's parts. */
+    partCount: number;
     /** Another engine that received it recently enough to hold it still. */
     recent: FleetInstance | undefined;
     /**
--- a/src/forwarding/PromptPrefix.ts
+++ b/src/forwarding/PromptPrefix.ts
@@ -1,12 +1,11 @@
 /*
  * A prefix of a prompt that other prompts may share.
  */
-import { PromptPart } from "./PromptPart";
 
-/** The first parts of a prompt, under given weights and within the workspaces that may share them. */
+/** The first parts of a prompt. */
 export interface PromptPrefix {
-    /** Identifies the prefix; equal for all prompts that share it. */
-    key: string;
-    /** Its parts in order. */
-    parts: readonly PromptPart[];
+    /** Identifies the prefix by the ids of its parts; of bounded length, however many parts there are. */
+    digest: string;
+    /** The number of its parts. */
+    partCount: number;
 }
--- a/src/forwarding/createAttemptRecorder.ts
+++ b/src/forwarding/createAttemptRecorder.ts
@@ -11,7 +11,7 @@
 import { endObservedRun } from "./endObservedRun";
 import { ForwarderOptions } from "./ForwarderOptions";
 import { ForwardingTask } from "./ForwardingTask";
-import { getSharedPartIds } from "./getSharedPartIds";
+import { getPartLogFields } from "./getPartLogFields";
 import { LivenessMonitor } from "./LivenessMonitor";
 import { LoadTracker } from "./LoadTracker";
 import { PromptScheduler } from "./PromptScheduler";
@@ -121,7 +121,7 @@
             instanceId: instance.instanceId,
             reason,
             detail,
-            promptParts: getSharedPartIds(task.request.prompt),
+            ...getPartLogFields(task.request.prompt),
             requestSubject: reason === RetryReason.LinkLost ? task.subjects.getRequestSubjectId() : undefined,
             sentCount: task.sentCount,
             weightsVersion: task.request.prompt && getWeightsVersion(instance, task.request.prompt.model),
@@ -134,7 +134,7 @@
         task.logger.info({
             instanceId,
             reason: task.request.signal.aborted ? "callerLeft" : "deadline",
-            promptParts: getSharedPartIds(task.request.prompt),
+            ...getPartLogFields(task.request.prompt),
             requestSubject: task.subjects.getRequestSubjectId(),
             sentCount: task.sentCount,
             sentAfterMilliseconds: task.sentAfterMilliseconds,
--- a/src/forwarding/createEnginePlacement.ts
+++ b/src/forwarding/createEnginePlacement.ts
@@ -13,8 +13,6 @@
 import { Clock, RandomSource } from "../runtime";
 import { createPrefillTracker } from "./createPrefillTracker";
 import { EnginePlacement } from "./EnginePlacement";
-import { getSharedPartIds } from "./getSharedPartIds";
-import { getSharedPrefixes } from "./getSharedPrefixes";
 import { LoadTracker } from "./LoadTracker";
 import { prefillTokensPerMillisecond } from "./prefillTokensPerMillisecond";
 import { PrefixHolders } from "./PrefixHolders";
@@ -58,6 +56,13 @@
 /** The owners of each prefix: the primary one, and a second one for when the primary is overloaded. */
 const ownersPerPrefix = 2;
 
+/** A prefix as engines with certain weights cache it. */
+interface CachedPrefix {
+    /** Identifies the prefix together with its scope and the weights version. */
+    key: string;
+    partCount: number;
+}
+
 /**
  * Creates the engine placement of an entry process.
  * @param loads - The load of the engines.
@@ -93,10 +98,9 @@
     ): FleetInstance | undefined {
         const sharedTokens = getSharedTokens(prompt);
         const ownerRanks = getOwnerRanks(prompt, scope, candidates);
-        const longestPrefixByVersion = new Map<number | undefined, PromptPrefix | undefined>();
         let best: FleetInstance | undefined;
         let bestCost = Infinity;
-        const isKnownHolder = (candidate: FleetInstance) => isLikelyCachedAt(candidate, getLongestPrefix(candidate));
+        const isKnownHolder = (candidate: FleetInstance) => isLongestPrefixCached(prompt, scope, candidate);
         for (const candidate of getConsideredCandidates(candidates, ownerRanks, isKnownHolder)) {
             const rank = ownerRanks.get(candidate);
             const isHolder = rank === 0 || isKnownHolder(candidate);
@@ -113,14 +117,6 @@
             }
         }
         return best;
-
-        /** Gets the longest shared prefix under a candidate's weights, computed once for each weights version. */
-        function getLongestPrefix(candidate: FleetInstance): PromptPrefix | undefined {
-            const version = getWeightsVersion(candidate, prompt.model);
-            const longest = longestPrefixByVersion.get(version) ?? getSharedPrefixes(prompt, scope, version)[0];
-            longestPrefixByVersion.set(version, longest);
-            return longest;
-        }
     }
 
     /**
@@ -151,8 +147,8 @@
         chosen: FleetInstance,
         instances: readonly FleetInstance[],
     ): number {
-        const [longest] = getPrefixesAtInstance(prompt, scope, chosen);
-        const isHolder = isLikelyCachedAt(chosen, longest) || getOwnerRanks(prompt, scope, instances).get(chosen) === 0;
+        const isHolder = isLongestPrefixCached(prompt, scope, chosen)
+            || getOwnerRanks(prompt, scope, instances).get(chosen) === 0;
         return isHolder ? Math.max(0, prompt.promptTokens - getSharedTokens(prompt)) : prompt.promptTokens;
     }
 
@@ -175,8 +171,10 @@
         return undefined;
     }
 
-    function isLikelyCachedAt({ instanceId }: FleetInstance, prefix: PromptPrefix | undefined): boolean {
-        return prefix !== undefined && prefills.isLikelyCached(prefix.key, instanceId);
+    function isLongestPrefixCached(prompt: PromptDescriptor, scope: string, instance: FleetInstance): boolean {
+        const [longest] = prompt.prefixes;
+        return longest !== undefined
+            && prefills.isLikelyCached(getPrefixKey(longest, prompt.model, scope, instance), instance.instanceId);
     }
 
     function getPrefixSources(
@@ -199,8 +197,12 @@
         };
     }
 
-    function getPrefixHolders({ key, parts }: PromptPrefix, sources: readonly FleetInstance[]): PrefixHolders {
-        return { parts, recent: findHolder(recentPrefillMilliseconds), former: findHolder(formerPrefillMilliseconds) };
+    function getPrefixHolders({ key, partCount }: CachedPrefix, sources: readonly FleetInstance[]): PrefixHolders {
+        return {
+            partCount,
+            recent: findHolder(recentPrefillMilliseconds),
+            former: findHolder(formerPrefillMilliseconds),
+        };
 
         function findHolder(maximumAgeMilliseconds: number): FleetInstance | undefined {
             const holders = prefills.getHolders(key, maximumAgeMilliseconds);
@@ -228,7 +230,7 @@
         scope: string,
         engines: readonly FleetInstance[],
     ): readonly FleetInstance[] {
-        const key = `${scope} ${getSharedPartIds(prompt).join(",")}`;
+        const key = `${scope} ${prompt.prefixes[0]?.digest ?? ""}`;
         return ranking.getHighest(key, engines, engine => engine.instanceId, ownersPerPrefix);
     }
 
@@ -269,11 +271,19 @@
 
 /** Gets a prompt's shared prefixes under the weights of an engine, the longest first. */
 function getPrefixesAtInstance(
-    prompt: PromptDescriptor,
+    { prefixes, model }: PromptDescriptor,
     scope: string,
     instance: FleetInstance,
-): readonly PromptPrefix[] {
-    return getSharedPrefixes(prompt, scope, getWeightsVersion(instance, prompt.model));
+): readonly CachedPrefix[] {
+    return prefixes.map(prefix => ({
+        key: getPrefixKey(prefix, model, scope, instance),
+        partCount: prefix.partCount,
+    }));
+}
+
+/** Gets the key of a prefix under the weights of an engine. */
+function getPrefixKey({ digest }: PromptPrefix, model: string, scope: string, instance: FleetInstance): string {
+    return `${scope} ${getWeightsVersion(instance, model) ?? 0} ${digest}`;
 }
 
 function getSharedTokens({ parts }: PromptDescriptor): number {
--- a/src/forwarding/createForwarder.ts
+++ b/src/forwarding/createForwarder.ts
@@ -19,7 +19,7 @@
 import { ForwardingTask } from "./ForwardingTask";
 import { ForwardOutcome } from "./ForwardOutcome";
 import { forwardStream } from "./forwardStream";
-import { getSharedPartIds } from "./getSharedPartIds";
+import { getPartLogFields } from "./getPartLogFields";
 
 /**
  * How long after its start an entry process holds requests until it has the routing document and the fleet: the time of
@@ -133,7 +133,7 @@
             connectionMilliseconds: request.connectionMilliseconds,
             sentAfterMilliseconds: task.sentAfterMilliseconds,
             hasWaited: task.hasWaitedForPrefill,
-            promptParts: getSharedPartIds(request.prompt),
+            ...getPartLogFields(request.prompt),
             placement: task.placement,
             softwareVersion: task.softwareVersion,
             resumedRequestId: request.resumedRequestId,
--- a/src/forwarding/forwardStream.ts
+++ b/src/forwarding/forwardStream.ts
@@ -13,7 +13,7 @@
 import { ForwardingTask } from "./ForwardingTask";
 import { ForwardOutcome } from "./ForwardOutcome";
 import { getContentType } from "./getContentType";
-import { getSharedPartIds } from "./getSharedPartIds";
+import { getPartLogFields } from "./getPartLogFields";
 import { HttpResponseHead } from "./HttpResponseHead";
 import { refuseTask } from "./refuseTask";
 import { ResponseFraming } from "./ResponseFraming";
@@ -75,7 +75,7 @@
                 : refuseTask(task, { kind: "unknown", reason });
         }
         task.logger.info(
-            { instanceId, promptParts: getSharedPartIds(request.prompt), lastEventId, responseEnd: task.responseEnd },
+            { instanceId, ...getPartLogFields(request.prompt), lastEventId, responseEnd: task.responseEnd },
             "stream goes on elsewhere",
         );
     }
--- a/src/forwarding/getCacheAddresses.ts
+++ b/src/forwarding/getCacheAddresses.ts
@@ -24,16 +24,15 @@
  * @param context - The engines and stores that may hold the parts.
  */
 export function getCacheAddresses(
-    { parts }: PromptDescriptor,
+    { parts, prefixes }: PromptDescriptor,
     salt: string,
     storeAddresses: readonly string[],
     { sources, kvCacheStores, ranking }: CacheContext,
 ): Pick<BackendAttempt, "fetchAddress" | "saveAddress"> {
     const sharedParts = parts.slice(0, -1);
-    const sharedIds = sharedParts.map(part => part.id).join(",");
     const reachable = storeAddresses.filter(address => kvCacheStores.isReachable(address));
     const [preferredStore, ...otherStores] = ranking.getHighest(
-        sharedIds,
+        prefixes[0]?.digest ?? "",
         reachable,
         address => address,
         reachable.length,
@@ -41,6 +40,7 @@
     const missingParts = sharedParts.filter(part =>
         !preferredStore || !kvCacheStores.hasPart(preferredStore, salt, part.id)
     );
+    const heldCounts = new Map<string, number>();
     const ownTokens = parts.at(-1)?.tokens ?? 0;
     const isWorthSaving = missingParts.length > 0 && ownTokens <= ownTokensPerMissingToken * getTokens(missingParts);
     return {
@@ -48,12 +48,23 @@
         saveAddress: isWorthSaving ? preferredStore : undefined,
     };
 
-    /** Finds a store that holds all of the given parts; the one to which the prefix is assigned comes first. */
-    function findStore(requiredParts: readonly PromptPart[]): string | undefined {
+    /** Finds a store that holds the first parts; the one to which the prefix is assigned comes first. */
+    function findStore(partCount: number): string | undefined {
         return [preferredStore, ...otherStores].find(address =>
-            address !== undefined && requiredParts.every(part => kvCacheStores.hasPart(address, salt, part.id))
+            address !== undefined && getHeldCount(address) >= partCount
         );
     }
+
+    /** Gets the number of parts that a store holds without a gap, computed once for each store. */
+    function getHeldCount(address: string): number {
+        let heldCount = heldCounts.get(address);
+        if (heldCount === undefined) {
+            const firstMissing = sharedParts.findIndex(part => !kvCacheStores.hasPart(address, salt, part.id));
+            heldCount = firstMissing < 0 ? sharedParts.length : firstMissing;
+            heldCounts.set(address, heldCount);
+        }
+        return heldCount;
+    }
 }
 
 /**
@@ -63,11 +74,11 @@
  */
 function getFetchAddress(
     { prefixes, likelyHolder, isLikelyHolderPrimary }: PrefixSources,
-    findStore: (parts: readonly PromptPart[]) => string | undefined,
+    findStore: (partCount: number) => string | undefined,
 ): string | undefined {
     const primaryOwner = isLikelyHolderPrimary ? likelyHolder : undefined;
-    for (const { parts, recent, former } of prefixes) {
-        const address = recent?.address ?? findStore(parts) ?? former?.address ?? primaryOwner?.address;
+    for (const { partCount, recent, former } of prefixes) {
+        const address = recent?.address ?? findStore(partCount) ?? former?.address ?? primaryOwner?.address;
         if (address !== undefined) {
             return address;
         }
--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -17,6 +17,7 @@
 export * from "./createLivenessMonitor";
 export * from "./createLoadTracker";
 export * from "./createPrefillTracker";
+export * from "./createPromptDescriptor";
 export * from "./createRetryBudgets";
 export * from "./EnginePlacement";
 export * from "./EventSplitter";
--- a/tests/forwarding/crashingParts.tests.ts
+++ b/tests/forwarding/crashingParts.tests.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { InstanceState } from "../../src/crashQuarantine";
-import { BackendLink, createForwarder } from "../../src/forwarding";
+import { BackendLink, createForwarder, createPromptDescriptor } from "../../src/forwarding";
 import { createSilentLogger } from "../../src/logging";
 import { createMetrics } from "../../src/metrics";
 import { createRandomSource } from "../../src/runtime";
@@ -84,7 +84,10 @@
                 createTestRequest({
                     ...request,
                     requestId: `request-${count}`,
-                    prompt: { ...prompt!, parts: [...parts, `d${count}`].map(id => ({ id, tokens: 100 })) },
+                    prompt: createPromptDescriptor({
+                        ...prompt!,
+                        parts: [...parts, `d${count}`].map(id => ({ id, tokens: 100 })),
+                    }),
                     arrivalMilliseconds,
                 }),
                 reply,
--- a/tests/forwarding/createEnginePlacement.tests.ts
+++ b/tests/forwarding/createEnginePlacement.tests.ts
@@ -1,6 +1,11 @@
 import { expect } from "chai";
 import { DesiredWeights } from "../../src/feed";
-import { createEnginePlacement, createLoadTracker, PromptDescriptor } from "../../src/forwarding";
+import {
+    createEnginePlacement,
+    createLoadTracker,
+    createPromptDescriptor,
+    PromptDescriptor,
+} from "../../src/forwarding";
 import { FleetInstance } from "../../src/protocol";
 import { createNodeRanking } from "../../src/routing";
 import { createRandomSource } from "../../src/runtime";
@@ -18,12 +23,12 @@
 
     function createPrompt(prefix: number, ownPart = 0): PromptDescriptor {
         const parts = [{ id: `a${prefix % 3}`, tokens: 500 }, { id: `b${prefix}`, tokens: 4_900 }];
-        return {
+        return createPromptDescriptor({
             model: "large",
             parts: [...parts, { id: `c${ownPart}`, tokens: 1_000 }],
             promptTokens: 6_400,
             maximumOutputTokens: 80,
-        };
+        });
     }
 
     function createTrial(isUnresponsive: (instanceId: string) => boolean = () => false) {
@@ -189,7 +194,7 @@
             const { placement } = createTrial();
             placement.recordSent("request-1", createPrompt(1), "", first);
             const { prefixes } = placement.getPrefixSources(createPrompt(4), "", second, engines);
-            expect(prefixes.map(({ parts, recent }) => [parts.length, recent]))
+            expect(prefixes.map(({ partCount, recent }) => [partCount, recent]))
                 .to.deep.equal([[2, undefined], [1, first]]);
         });
         it("states whether the likely holder is the primary owner", () => {
--- a/tests/forwarding/createForwarder.tests.ts
+++ b/tests/forwarding/createForwarder.tests.ts
@@ -6,6 +6,7 @@
     AttemptResult,
     BackendAttempt,
     createForwarder,
+    createPromptDescriptor,
     ForwardedRequest,
     ResponseEnd,
     ResponseFraming,
@@ -527,7 +528,7 @@
         it("are sent immediately where their prefixes differ", async () => {
             const { prompt } = summary;
             const parts = prompt!.parts.map(part => ({ ...part, id: `other-${part.id}` }));
-            const { trial } = await createPair({ ...summary, prompt: { ...prompt!, parts } });
+            const { trial } = await createPair({ ...summary, prompt: createPromptDescriptor({ ...prompt!, parts }) });
             expect(trial.link.attempts.length).to.equal(2);
         });
         it("are not waited for once a whole response has ended the prefill", async () => {
@@ -716,7 +717,7 @@
             const streams = await Promise.all(
                 Array.from({ length: 12 }, (...[, index]) => {
                     const parts = [{ id: `part-${index}`, tokens: 500 }, { id: "own", tokens: 900 }];
-                    return trial.forward({ ...label, prompt: { ...label.prompt!, parts } });
+                    return trial.forward({ ...label, prompt: createPromptDescriptor({ ...label.prompt!, parts }) });
                 }),
             );
             expect(new Set(trial.link.attempts.map(attempt => attempt.instance.instanceId)).size).to.equal(2);
--- a/tests/forwarding/createTestRequest.ts
+++ b/tests/forwarding/createTestRequest.ts
@@ -1,4 +1,4 @@
-import { ForwardedRequest } from "../../src/forwarding";
+import { createPromptDescriptor, ForwardedRequest } from "../../src/forwarding";
 
 /** Creates a caller's request to an idempotent route. */
 export function createTestRequest(changes: Partial<ForwardedRequest> = {}): ForwardedRequest {
@@ -26,10 +26,10 @@
 createTestRequest.createPrompt = (path: string): Partial<ForwardedRequest> => ({
     path,
     target: path,
-    prompt: {
+    prompt: createPromptDescriptor({
         model: "large",
         parts: [{ id: "a1", tokens: 500 }, { id: "b2", tokens: 4_000 }, { id: "c3", tokens: 900 }],
         promptTokens: 5_400,
         maximumOutputTokens: 80,
-    },
+    }),
 });
--- a/tests/forwarding/getCacheAddresses.tests.ts
+++ b/tests/forwarding/getCacheAddresses.tests.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { PrefixSources, PromptDescriptor } from "../../src/forwarding";
+import { createPromptDescriptor, PrefixSources, PromptDescriptor } from "../../src/forwarding";
 import { getCacheAddresses } from "../../src/forwarding/getCacheAddresses";
 import { createNodeRanking } from "../../src/routing";
 import { createTestInstance } from "../feed/createTestFeed";
@@ -13,24 +13,27 @@
 
     function createPrompt(prefix: number, ownTokens: number): PromptDescriptor {
         const parts = [{ id: "a", tokens: 500 }, { id: `b${prefix}`, tokens: 4_000 }];
-        return {
+        return createPromptDescriptor({
             model: "large",
             parts: [...parts, { id: "own", tokens: ownTokens }],
             promptTokens: 4_500 + ownTokens,
             maximumOutputTokens: 80,
-        };
+        });
+    }
+
+    function getKey(prefix: number): string {
+        return createPrompt(prefix, 0).prefixes[0]!.digest;
     }
 
     function createSources(
         changes: Partial<PrefixSources["prefixes"][number]>,
         isLikelyHolderPrimary = false,
     ): PrefixSources {
-        const { parts } = createPrompt(0, 0);
         const nothing = { recent: undefined, former: undefined };
         return {
             prefixes: [
-                { ...nothing, parts: parts.slice(0, 2), ...changes },
-                { ...nothing, parts: parts.slice(0, 1) },
+                { ...nothing, partCount: 2, ...changes },
+                { ...nothing, partCount: 1 },
             ],
             likelyHolder: likely,
             isLikelyHolderPrimary,
@@ -55,7 +58,7 @@
         });
     }
 
-    const [store, otherStore] = ranking.getHighest("a,b0", stores, address => address, 3) as [string, string];
+    const [store, otherStore] = ranking.getHighest(getKey(0), stores, address => address, 3) as [string, string];
     const everything = [`${store} a`, `${store} b0`];
 
     describe("the store of a prefix", () => {
--- a/tests/forwarding/requestLimits.tests.ts
+++ b/tests/forwarding/requestLimits.tests.ts
@@ -2,7 +2,7 @@
 import { expect } from "chai";
 import { createDocumentState } from "../../src/documents";
 import { createFleetTracker } from "../../src/fleet";
-import { AttemptResult, createForwarder, Refusal } from "../../src/forwarding";
+import { AttemptResult, createForwarder, createPromptDescriptor, Refusal } from "../../src/forwarding";
 import { createSilentLogger } from "../../src/logging";
 import { readClocks } from "../../src/membership";
 import { createMetrics } from "../../src/metrics";
@@ -99,7 +99,7 @@
                 createTestRequest({
                     ...request,
                     requestId: `request-${count}`,
-                    prompt: { ...prompt!, parts },
+                    prompt: createPromptDescriptor({ ...prompt!, parts }),
                     arrivalMilliseconds: clock.getMonotonicMilliseconds(),
                 }),
                 reply,
--- a/tests/platform/callers/decodeRequest.tests.ts
+++ b/tests/platform/callers/decodeRequest.tests.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { decodeRequest } from "../../../platform/callers";
+import { createPromptDescriptor } from "../../../src/forwarding";
 
 describe("decodeRequest", () => {
     const baseHeaders = ["Host", "one.example:80", "Basilwing-Request-Id", "request-1"];
@@ -80,12 +81,12 @@
             target: "/reads/1?x=2",
             lastEventId: "4",
             resumedRequestId: "request-0",
-            prompt: {
+            prompt: createPromptDescriptor({
                 model: "large",
                 parts: [{ id: "5c1e07a2", tokens: 800 }, { id: "91bd3f06", tokens: 410 }],
                 promptTokens: 1_460,
                 maximumOutputTokens: 80,
-            },
+            }),
         });
     });
 
--- a/tests/serverLoads/simulatePlacement.ts
+++ b/tests/serverLoads/simulatePlacement.ts
@@ -1,4 +1,4 @@
-import { createEnginePlacement, createLoadTracker, PromptDescriptor } from "../../src/forwarding";
+import { createEnginePlacement, createLoadTracker, createPromptDescriptor } from "../../src/forwarding";
 import { createNodeRanking } from "../../src/routing";
 import { Clock, createRandomSource } from "../../src/runtime";
 import { addUpLoads, createFleetLoads, fleetLoadFactKind, ownLoadFactKind } from "../../src/serverLoads";
@@ -134,12 +134,12 @@
         const isHot = isSummary && random.getFraction() < hotShare;
         const subject = isHot ? 0 : random.getInteger(kind.subjectsPerEngine * engineCount);
         const prefix = `${isSummary ? "s" : "l"}${subject}`;
-        const prompt: PromptDescriptor = {
+        const prompt = createPromptDescriptor({
             model: "large",
             parts: [{ id: prefix, tokens: kind.sharedTokens }, { id: "own", tokens: kind.ownTokens }],
             promptTokens: kind.sharedTokens + kind.ownTokens,
             maximumOutputTokens: 80,
-        };
+        });
         const index = random.getInteger(entryCount);
         const { loads, placement } = entries[index]!;
         const engine = placement.choose(prompt, "", engines, [], memoryTokens)!;
