--- a/src/documents/RouteTable.ts
+++ b/src/documents/RouteTable.ts
@@ -20,6 +20,11 @@
     getService(name: string): BackendService | undefined;
     /** Gets the workspace to which an API key belongs. */
     getWorkspace(apiKey: string): DocumentWorkspace | undefined;
+    /**
+     * Gets the scope within which the cached parts of a workspace's prompts are shared.
+     * @param workspaceName - The workspace's name; undefined for requests without an API key.
+     */
+    getCacheScope(workspaceName: string | undefined): string;
     /** Gets the KV cache stores. */
     getKvCacheStores(): readonly Extract<BackendService, { kind: "keptCache"; }>[];
 }
--- a/src/documents/createRouteTable.ts
+++ b/src/documents/createRouteTable.ts
@@ -2,6 +2,7 @@
  * Indexes a routing document. The cost of a route lookup does not depend on the number of routes: for each slash of the
  * path, from the last to the first, the prefix that ends there is looked up in the map of the host.
  */
+import { createCacheScopes } from "./createCacheScopes";
 import { DocumentWorkspace } from "./DocumentWorkspace";
 import { Route } from "./Route";
 import { RouteTable } from "./RouteTable";
@@ -30,6 +31,7 @@
         getRoute,
         getService: name => services.get(name),
         getWorkspace: apiKey => workspacesByKey.get(apiKey),
+        getCacheScope: createCacheScopes(document.workspaces ?? []),
         getKvCacheStores: () => kvCacheStores,
     };
 
--- a/src/forwarding/EnginePlacement.ts
+++ b/src/forwarding/EnginePlacement.ts
@@ -11,7 +11,7 @@
     /**
      * Chooses the engine with the lowest expected cost.
      * @param prompt - The prompt.
-     * @param scope - The workspace within which its parts may be shared; empty where all workspaces share them.
+     * @param scope - The scope within which its parts are shared.
      * @param candidates - The engines that may be chosen.
      * @param desiredWeights - The versions of the model's weights that were named last.
      * @param memoryTokens - The tokens that an engine has memory for.
@@ -27,7 +27,7 @@
     /**
      * Gets the tokens of a prompt that an engine prefills, if it has the shared prefix cached where that is likely.
      * @param prompt - The prompt.
-     * @param scope - The workspace within which its parts may be shared; empty where all workspaces share them.
+     * @param scope - The scope within which its parts are shared.
      * @param chosen - The engine.
      * @param instances - The engines of its service.
      */
@@ -44,7 +44,7 @@
     /**
      * Gets a prefill in flight of a shared prefix that the chosen engine lacks.
      * @param prompt - The prompt.
-     * @param scope - The workspace within which its parts may be shared; empty where all workspaces share them.
+     * @param scope - The scope within which its parts are shared.
      * @param chosen - The engine that was chosen.
      * @returns A promise that resolves at the end of the prefill; undefined where there is none.
      */
@@ -52,7 +52,7 @@
     /**
      * Gets the engines from which the chosen one may fetch a prompt's shared prefixes.
      * @param prompt - The prompt.
-     * @param scope - The workspace within which its parts may be shared; empty where all workspaces share them.
+     * @param scope - The scope within which its parts are shared.
      * @param chosen - The engine that was chosen.
      * @param instances - The engines that may hold the prefixes.
      */
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -22,6 +22,7 @@
 import { ForwarderOptions } from "./ForwarderOptions";
 import { ForwardingTask } from "./ForwardingTask";
 import { getAttemptParameters } from "./getAttemptParameters";
+import { getCacheScope } from "./getCacheScope";
 import { getTaskRefusal } from "./getTaskRefusal";
 import { recordStreamOrigin } from "./recordStreamOrigin";
 import { Refusal } from "./Refusal";
@@ -158,6 +159,7 @@
         recorder.recordSending(task);
         const parameters = getAttemptParameters(task, instance, {
             entryCount: state.getEntryCount(),
+            cacheScope: getCacheScope(task, state),
             sources: scheduler.startPrefill(task, instance),
             kvCacheStores: options.kvCacheStores,
             ranking,
--- a/src/forwarding/createPromptScheduler.ts
+++ b/src/forwarding/createPromptScheduler.ts
@@ -6,6 +6,7 @@
 import { Clock, waitWithTimeout } from "../runtime";
 import { EnginePlacement } from "./EnginePlacement";
 import { ForwardingTask } from "./ForwardingTask";
+import { getCacheScope } from "./getCacheScope";
 import { PrefixSources } from "./PrefixSources";
 import { PromptScheduler } from "./PromptScheduler";
 
@@ -23,7 +24,7 @@
  */
 export function createPromptScheduler(
     placement: EnginePlacement,
-    state: Pick<FeedState, "getFleet" | "getDesiredWeights">,
+    state: Pick<FeedState, "getFleet" | "getDesiredWeights" | "getRouteTable">,
     clock: Clock,
 ): PromptScheduler {
     return {
@@ -38,7 +39,7 @@
         const memoryTokens = service.kind === "engine" ? service.kvCacheCapacityTokens : Infinity;
         return prompt && placement.choose(
             prompt,
-            getScope(task),
+            getCacheScope(task, state),
             candidates,
             state.getDesiredWeights(prompt.model),
             memoryTokens,
@@ -48,7 +49,7 @@
     async function waitForPrefill(task: ForwardingTask, instance: FleetInstance): Promise<boolean> {
         const { request: { prompt }, admission: { route } } = task;
         const prefill = prompt && task.sentCount === 0 && !task.hasWaitedForPrefill
-            ? placement.getPrefillInFlight(prompt, getScope(task), instance)
+            ? placement.getPrefillInFlight(prompt, getCacheScope(task, state), instance)
             : undefined;
         if (!prefill) {
             return false;
@@ -63,7 +64,7 @@
         if (!prompt) {
             return undefined;
         }
-        const scope = getScope(task);
+        const scope = getCacheScope(task, state);
         const instances = (state.getFleet()?.instances ?? []).filter(({ service }) => service === instance.service);
         const sources = placement.getPrefixSources(prompt, scope, instance, instances);
         task.prefillTokens = placement.getExpectedPrefillTokens(prompt, scope, instance, instances);
@@ -71,8 +72,3 @@
         return sources;
     }
 }
-
-/** Gets the workspace within which a request's cached parts may be shared; empty where all workspaces share them. */
-function getScope({ admission: { workspace } }: ForwardingTask): string {
-    return workspace?.isIsolated ? workspace.name : "";
-}
--- a/src/forwarding/getAttemptParameters.ts
+++ b/src/forwarding/getAttemptParameters.ts
@@ -2,7 +2,6 @@
  * Computes the parameters of an attempt: its connections, its priority, and where its prompt is cached.
  */
 import { createCacheSalt } from "../backends";
-import { DocumentWorkspace } from "../documents";
 import { getWeightsVersion } from "../fleet";
 import { FleetInstance } from "../protocol";
 import { BackendAttempt } from "./BackendAttempt";
@@ -23,6 +22,8 @@
 interface AttemptContext extends CacheContext {
     /** The number of entry processes that share the backend server's connections. */
     entryCount: number;
+    /** The scope within which the prompt's parts are shared. */
+    cacheScope: string;
 }
 
 const noCacheAddresses = { fetchAddress: undefined, saveAddress: undefined };
@@ -48,7 +49,9 @@
     const connectionShare = Math.floor(usedConnectionShare * service.maximumConnections / context.entryCount);
     const weightsVersion = prompt && getWeightsVersion(instance, prompt.model);
     const usesCache = service.kind === "engine" && weightsVersion !== undefined;
-    const cacheSalt = usesCache ? getCacheSalt(prompt!.model, weightsVersion, workspace) : undefined;
+    const cacheSalt = usesCache
+        ? createCacheSalt({ workspace: context.cacheScope, model: prompt!.model, version: String(weightsVersion) })
+        : undefined;
     return {
         maximumConnections: Math.max(minimumConnections, connectionShare),
         workspace: workspace?.name,
@@ -58,11 +61,3 @@
         ...cacheSalt === undefined ? noCacheAddresses : getCacheAddresses(prompt!, cacheSalt, storeAddresses, context),
     };
 }
-
-/**
- * Gets the salt under which parts are cached; each weights version and each isolated workspace has a salt of its own.
- */
-function getCacheSalt(model: string, weightsVersion: number, workspace: DocumentWorkspace | undefined): string {
-    const scope = workspace?.isIsolated ? workspace.name : "";
-    return createCacheSalt({ workspace: scope, model, version: String(weightsVersion) });
-}
