Never send a prompt without a cache salt

Callers' report: a request used KV memory that one of an isolated workspace had made, under the salt "". The header is absent there.

Cause: salt and weights version were optional parts of an attempt. Where the chosen server's weights for the model were not known, where the service was no engine service in the document, or where the request named no model, the request went out without both, and the engine shares the parts of all such requests.

Change: an attempt has a cache use, which always has a salt; parts are shared only under a salt together with its weights version. Engines whose weights for the model are not known are no candidates on any way to an attempt. Log lines show the cache use and the age of the fleet view.

--- a/src/forwarding/BackendAttempt.ts
+++ b/src/forwarding/BackendAttempt.ts
@@ -2,6 +2,7 @@
  * One attempt of a request at one backend server.
  */
 import { FleetInstance } from "../protocol";
+import { CacheUse } from "./CacheUse";
 import { ForwardedRequest } from "./ForwardedRequest";
 
 /** What is sent, to which backend server and under which conditions. */
@@ -18,14 +19,8 @@
     remainingMilliseconds: number;
     /** The priority of the request at an engine; 0 is the most urgent. */
     priority: number;
-    /** The only weights version under which the request may run; undefined where any may. */
-    weightsVersion: number | undefined;
-    /** The salt under which an engine caches the prompt's parts. */
-    cacheSalt: string | undefined;
-    /** The engine or KV cache store from which missing parts are fetched, as `ip:port`. */
-    fetchAddress: string | undefined;
-    /** The KV cache store to which the engine saves parts after their prefill, as `ip:port`. */
-    saveAddress: string | undefined;
+    /** How the request uses the cache of an engine. */
+    cache: CacheUse;
     /** The last event that the caller has received, where a stream is resumed. */
     lastEventId: string | undefined;
     /** Ends the attempt and the work at the backend server. */
--- a/src/forwarding/PlacementRecord.ts
+++ b/src/forwarding/PlacementRecord.ts
@@ -1,6 +1,7 @@
 /*
  * The placement of an attempt, as it is logged. The fields are logged under their own names.
  */
+import { CacheUse } from "./CacheUse";
 
 /** The chosen backend server and the load by which it was chosen. */
 export interface PlacementRecord {
@@ -12,8 +13,8 @@
     requestCount: number;
     /** The prompt tokens sent by this entry process that it had not prefilled yet. */
     unreadTokens: number;
-    /** The address from which the backend server fetches cached parts. */
-    fetchAddress: string | undefined;
-    /** The address to which the backend server saves parts. */
-    saveAddress: string | undefined;
+    /** How the attempt uses the cache. */
+    cache: CacheUse;
+    /** The age of the fleet view from which the backend server was chosen, in milliseconds. */
+    fleetAgeMilliseconds: number;
 }
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -159,7 +159,7 @@
         recorder.recordSending(task);
         const parameters = getAttemptParameters(task, instance, {
             entryCount: state.getEntryCount(),
-            cacheScope: getCacheScope(task, state),
+            scope: getCacheScope(task, state),
             sources: scheduler.startPrefill(task, instance),
             kvCacheStores: options.kvCacheStores,
             ranking,
@@ -169,8 +169,8 @@
             softwareVersion: instance.softwareVersion,
             requestCount: loads.getRequestCount(instanceId),
             unreadTokens: loads.getPendingPrefillTokens(instanceId),
-            fetchAddress: parameters.fetchAddress,
-            saveAddress: parameters.saveAddress,
+            cache: parameters.cache,
+            fleetAgeMilliseconds: Math.round(state.getFleetAgeMilliseconds()),
         };
         if (lastEventId === undefined) {
             task.originRecord = recordStreamOrigin(
--- a/src/forwarding/createInstanceSelector.ts
+++ b/src/forwarding/createInstanceSelector.ts
@@ -3,6 +3,7 @@
  * their limits.
  */
 import { FeedState } from "../feed";
+import { getWeightsVersion } from "../fleet";
 import { FleetInstance, RefusalReason } from "../protocol";
 import { RandomSource } from "../runtime";
 import { ServerLimits } from "../serverLimits";
@@ -43,6 +44,7 @@
         const { admission: { service }, triedInstanceIds } = task;
         return (state.getFleet()?.instances ?? []).filter(instance =>
             instance.service === service.name && !instance.isLeaving && !triedInstanceIds.has(instance.instanceId)
+            && hasKnownWeights(task, instance)
             && (task.softwareVersion === undefined || instance.softwareVersion === task.softwareVersion)
         );
     }
@@ -68,3 +70,17 @@
         );
     }
 }
+
+/**
+ * Returns whether it is known which weights would serve a request at an engine: the version of the requested model's. A
+ * request that names no model needs an engine that has any. Backend servers of plain services have no weights.
+ */
+function hasKnownWeights(
+    { request: { prompt }, admission: { service } }: ForwardingTask,
+    instance: FleetInstance,
+): boolean {
+    if (service.kind !== "engine") {
+        return true;
+    }
+    return prompt ? getWeightsVersion(instance, prompt.model) !== undefined : instance.weights.length > 0;
+}
--- a/src/forwarding/getAttemptParameters.ts
+++ b/src/forwarding/getAttemptParameters.ts
@@ -1,13 +1,11 @@
 /*
- * Computes the parameters of an attempt: its connections, its priority, and where its prompt is cached.
+ * Computes the parameters of an attempt: its connections, its priority, and how it uses the cache.
  */
-import { createCacheSalt } from "../backends";
-import { getWeightsVersion } from "../fleet";
 import { FleetInstance } from "../protocol";
 import { BackendAttempt } from "./BackendAttempt";
 import { CacheContext } from "./CacheContext";
 import { ForwardingTask } from "./ForwardingTask";
-import { getCacheAddresses } from "./getCacheAddresses";
+import { getCacheUse } from "./getCacheUse";
 
 /** The share of a backend server's connections that all entry processes together use. */
 const usedConnectionShare = 0.8;
@@ -22,16 +20,9 @@
 interface AttemptContext extends CacheContext {
     /** The number of entry processes that share the backend server's connections. */
     entryCount: number;
-    /** The scope within which the prompt's parts are shared. */
-    cacheScope: string;
 }
 
-const noCacheAddresses = { fetchAddress: undefined, saveAddress: undefined };
-
-type AttemptParameters = Pick<
-    BackendAttempt,
-    "maximumConnections" | "workspace" | "priority" | "weightsVersion" | "cacheSalt" | "fetchAddress" | "saveAddress"
->;
+type AttemptParameters = Pick<BackendAttempt, "maximumConnections" | "workspace" | "priority" | "cache">;
 
 /**
  * Gets the parameters of an attempt.
@@ -44,20 +35,12 @@
     instance: FleetInstance,
     context: AttemptContext,
 ): AttemptParameters {
-    const { request: { prompt }, admission: { service, route, workspace, table } } = task;
-    const storeAddresses = table.getKvCacheStores().map(cache => cache.address);
+    const { admission: { service, route, workspace } } = task;
     const connectionShare = Math.floor(usedConnectionShare * service.maximumConnections / context.entryCount);
-    const weightsVersion = prompt && getWeightsVersion(instance, prompt.model);
-    const usesCache = service.kind === "engine" && weightsVersion !== undefined;
-    const cacheSalt = usesCache
-        ? createCacheSalt({ workspace: context.cacheScope, model: prompt!.model, version: String(weightsVersion) })
-        : undefined;
     return {
         maximumConnections: Math.max(minimumConnections, connectionShare),
         workspace: workspace?.name,
         priority: Math.min(maximumPriority, (workspace?.priority ?? 0) * routePrioritiesPerWorkspace + route.priority),
-        weightsVersion: usesCache ? weightsVersion : undefined,
-        cacheSalt,
-        ...cacheSalt === undefined ? noCacheAddresses : getCacheAddresses(prompt!, cacheSalt, storeAddresses, context),
+        cache: getCacheUse(task, instance, context),
     };
 }
--- a/src/forwarding/getCacheAddresses.ts
+++ b/src/forwarding/getCacheAddresses.ts
@@ -3,8 +3,8 @@
  * that it prefills, for traffic whose shared parts exceed the engines' memory. Each shared prefix is assigned to one of
  * the stores, so that its parts are stored once.
  */
-import { BackendAttempt } from "./BackendAttempt";
 import { CacheContext } from "./CacheContext";
+import { CacheUse } from "./CacheUse";
 import { PrefixSources } from "./PrefixSources";
 import { PromptDescriptor } from "./PromptDescriptor";
 import { PromptPart } from "./PromptPart";
@@ -27,8 +27,8 @@
     { parts, prefixes }: PromptDescriptor,
     salt: string,
     storeAddresses: readonly string[],
-    { sources, kvCacheStores, ranking }: CacheContext,
-): Pick<BackendAttempt, "fetchAddress" | "saveAddress"> {
+    { sources, kvCacheStores, ranking }: Omit<CacheContext, "scope">,
+): Pick<Extract<CacheUse, { kind: "shared"; }>, "fetchAddress" | "saveAddress"> {
     const sharedParts = parts.slice(0, -1);
     const reachable = storeAddresses.filter(address => kvCacheStores.isReachable(address));
     const [preferredStore, ...otherStores] = ranking.getHighest(
--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -9,6 +9,7 @@
 export * from "./CacheChange";
 export * from "./CacheChanges";
 export * from "./CacheChangeSource";
+export * from "./CacheUse";
 export * from "./CallerReply";
 export * from "./chooseLeastLoadedInstance";
 export * from "./createEnginePlacement";
--- a/tests/forwarding/isolatedWorkspaces.tests.ts
+++ b/tests/forwarding/isolatedWorkspaces.tests.ts
@@ -1,14 +1,8 @@
 import { expect } from "chai";
-import { BackendAttempt, createForwarder } from "../../src/forwarding";
-import { createSilentLogger } from "../../src/logging";
-import { createMetrics } from "../../src/metrics";
-import { createRandomSource } from "../../src/runtime";
-import { createTestCrashQuarantine } from "../crashQuarantine/createTestCrashQuarantine";
-import { createTestFactStore } from "../facts/createTestFacts";
+import { BackendAttempt } from "../../src/forwarding";
 import { createEmptyTestFeedState, createTestInstance, updateTestFeedState } from "../feed/createTestFeed";
-import { createTestServerLimits } from "../serverLimits/createTestServerLimits";
-import { createTestStreamOrigins } from "../streamOrigins/createTestStreamOrigins";
 import { createManualClock } from "../support/createManualClock";
+import { createTestForwarder } from "./createTestForwarder";
 import { createTestLink, createTestResponse, overloadedResult } from "./createTestLink";
 import { createTestReply } from "./createTestReply";
 import { createTestRequest } from "./createTestRequest";
@@ -22,26 +16,7 @@
             return isFirstOverloaded && number === 0 ? overloadedResult : createTestResponse(["id: 1\ndata: x\n\n"]);
         });
         setIsolated(1, []);
-        const forwarder = createForwarder({
-            pollConnections: () => Promise.resolve(),
-            facts: createTestFactStore(clock),
-            state,
-            link,
-            streamOrigins: createTestStreamOrigins(),
-            crashQuarantine: createTestCrashQuarantine({ state, link, clock }),
-            serverLimits: createTestServerLimits(state, clock),
-            kvCacheStores: { isReachable: () => false, hasPart: () => false },
-            dataCentre: "west",
-            signal: new AbortController().signal,
-            maximumDocumentAgeMilliseconds: 3_500,
-            supersededWeightsGraceMilliseconds: 10_000,
-            retryShare: 0.2,
-            retryReserve: 50,
-            clock,
-            random: createRandomSource(1),
-            logger: createSilentLogger(),
-            metrics: createMetrics(),
-        });
+        const forwarder = createTestForwarder(state, link, clock);
         return { clock, link, setIsolated, forward };
 
         function setIsolated(version: number, isolatedNames: readonly string[]): void {
@@ -69,7 +44,7 @@
     }
 
     function getSalts(attempts: readonly BackendAttempt[], name: string): readonly (string | undefined)[] {
-        return attempts.filter(attempt => attempt.workspace === name).map(attempt => attempt.cacheSalt);
+        return attempts.filter(attempt => attempt.workspace === name).map(attempt => attempt.cache.salt);
     }
 
     // Review, case 4: parts that were cached before a workspace was isolated were found by others.
