--- a/tests/platform/callers/decodeRequest.tests.ts
+++ b/tests/platform/callers/decodeRequest.tests.ts
@@ -101,4 +101,12 @@
             signal: new AbortController().signal,
         }, Buffer.alloc(0))).to.equal("the request has no id");
     });
+
+    // The cache salt named the first model, and the engine could go by the second.
+    it("rejects a request with two values of a header that describes it", () => {
+        expect(decode(["Basilwing-Model", "large", "basilwing-model", "small"])).to.be.a("string");
+        expect(decode(["Basilwing-Prefix-Hash", "a:1", "Basilwing-Prefix-Hash", "b:1"])).to.be.a("string");
+        expect(decode(["Basilwing-Request-Id", "request-2"])).to.be.a("string");
+        expect(decode(["Basilwing-Model", "large", "basilwing-model", "large", "X", "1", "X", "2"])).to.be.an("object");
+    });
 });
