Continue streams for callers only with a fleet view that the leader has confirmed

Report of another operator: during a release, a process out of step continued streams of the new version at a server of another version. It can happen here.

Cause: that a service has a single version was decided by a view of any age, where the caller does not name the request that began the stream; and an origin that replaces one of another version counted as recorded once one of three members had it.

Change: the leader confirms the view in response to a poll that is sent, at once, after the request arrived. The view names the versions that left within 30 s. For a stream whose origin is known the view must be younger than 1 s or be confirmed. A replacing origin counts once all of its members have it.

Evidence: four new rows of createForwarder and one of createStreamOrigins failed before, and pass.

--- a/src/feed/FeedState.ts
+++ b/src/feed/FeedState.ts
@@ -18,6 +18,21 @@
     getFleetAgeMilliseconds(): number;
     /** Gets the revision of the fleet view; empty before the first one. */
     getFleetRevision(): string;
+    /**
+     * Gets the software versions of a service's backend servers, also of those that left a short time ago.
+     * @param service - The service's name.
+     */
+    getSoftwareVersions(service: string): readonly string[];
+    /**
+     * Waits until the leader has confirmed or replaced the fleet view in response to a recent poll.
+     * @param timeoutMilliseconds - How long to wait at most, in milliseconds.
+     * @param maximumAgeMilliseconds - How long before the call that poll may have been sent, in milliseconds; by default it
+     * must be sent after the call.
+     * @returns Whether it has.
+     */
+    confirmFleet(timeoutMilliseconds: number, maximumAgeMilliseconds?: number): Promise<boolean>;
+    /** Adds a listener that is called when a confirmation is needed at once. */
+    addConfirmationListener(listener: () => void): void;
     /** Gets the internal addresses of the control members; empty before the first response. */
     getMemberAddresses(): readonly string[];
     /** Gets the number of entry processes that share the limits of the system; at least 1. */
--- a/src/feed/createFeedState.ts
+++ b/src/feed/createFeedState.ts
@@ -5,10 +5,17 @@
 import { createRouteTable, RouteTable } from "../documents";
 import { ClockReading, getElapsedMilliseconds, readClocks } from "../membership";
 import { FleetView, PollResponse } from "../protocol";
+import { waitWithTimeout } from "../runtime";
 import { DesiredWeights } from "./DesiredWeights";
 import { FeedState } from "./FeedState";
 import { FeedStateOptions } from "./FeedStateOptions";
 
+/**
+ * How long software versions that were in a view are kept, in milliseconds: as long as callers resume streams that they
+ * began. A new leader does not know the former ones.
+ */
+const versionRetentionMilliseconds = 30_000;
+
 /**
  * Creates the state of an entry process that has received nothing yet.
  * @param options - The decoder, clock and logger of the state.
@@ -22,14 +29,22 @@
     let entryCount = 1;
     let memberAddresses: readonly string[] = [];
     let resolveInitialState: () => void = () => undefined;
+    /** When each software version was in a view last, on the monotonic clock, in milliseconds, by service. */
+    const versionTimes = new Map<string, Map<string, number>>();
+    const confirmations = new Set<{ requestMilliseconds: number; resolve: () => void; }>();
+    const confirmationListeners: (() => void)[] = [];
     const initialState = new Promise<void>(resolve => resolveInitialState = resolve);
     let documentConfirmed: ClockReading | undefined;
+    let fleetConfirmed: ClockReading | undefined;
     return {
         getRouteTable: () => table,
         getFleet: () => fleet,
         waitForInitialState: () => initialState,
         getFleetAgeMilliseconds: () => getElapsedMilliseconds(clock, fleetReceived),
         getFleetRevision: () => fleetRevision,
+        getSoftwareVersions,
+        confirmFleet,
+        addConfirmationListener: listener => void confirmationListeners.push(listener),
         getMemberAddresses: () => memberAddresses,
         getEntryCount: () => entryCount,
         getDocumentAgeMilliseconds: () =>
@@ -46,6 +61,11 @@
             fleetRevision = response.fleetRevision;
             fleetReceived = readClocks(clock);
         }
+        recordVersions();
+        if (fleet && response.fleetRevision !== "" && response.fleetRevision === fleetRevision) {
+            fleetConfirmed = sendTime;
+            resolveConfirmations(sendTime.monotonicMilliseconds);
+        }
         if (isCurrentVersion(Number(response.documentVersion)) || replaceTable(response)) {
             documentConfirmed = sendTime;
         }
@@ -54,6 +74,50 @@
         }
     }
 
+    async function confirmFleet(timeoutMilliseconds: number, maximumAgeMilliseconds = 0): Promise<boolean> {
+        if (fleetConfirmed && getElapsedMilliseconds(clock, fleetConfirmed) < maximumAgeMilliseconds) {
+            return true;
+        }
+        const requestMilliseconds = clock.getMonotonicMilliseconds();
+        let isConfirmed = false;
+        let resolveConfirmed: () => void = () => undefined;
+        const confirmed = new Promise<void>(resolve => resolveConfirmed = resolve);
+        const confirmation = {
+            requestMilliseconds,
+            resolve: () => {
+                isConfirmed = true;
+                resolveConfirmed();
+            },
+        };
+        confirmations.add(confirmation);
+        confirmationListeners.forEach(listener => listener());
+        await waitWithTimeout(clock, confirmed, timeoutMilliseconds);
+        confirmations.delete(confirmation);
+        return isConfirmed;
+    }
+
+    function resolveConfirmations(sendMilliseconds: number): void {
+        for (const confirmation of confirmations) {
+            if (confirmation.requestMilliseconds <= sendMilliseconds) {
+                confirmations.delete(confirmation);
+                confirmation.resolve();
+            }
+        }
+    }
+
+    function recordVersions(): void {
+        const now = clock.getMonotonicMilliseconds();
+        for (const { service, softwareVersion } of [...fleet?.instances ?? [], ...fleet?.formerVersions ?? []]) {
+            const times = versionTimes.get(service) ?? new Map<string, number>();
+            versionTimes.set(service, times.set(softwareVersion, now));
+        }
+    }
+
+    function getSoftwareVersions(service: string): readonly string[] {
+        const oldest = clock.getMonotonicMilliseconds() - versionRetentionMilliseconds;
+        return [...versionTimes.get(service) ?? []].filter(([, time]) => time > oldest).map(([version]) => version);
+    }
+
     /** Checks whether a response names the current version; a response with a lower version confirms nothing. */
     function isCurrentVersion(version: number): boolean {
         return table !== undefined && version === table.document.version;
--- a/src/feed/runFeed.ts
+++ b/src/feed/runFeed.ts
@@ -2,7 +2,7 @@
  * The entry process's task that polls the leader of the control members. When a poll fails or the member is not the
  * leader, the task polls another member. Each poll has a timeout of its own, so that an unresponsive connection delays
  * the task by at most one poll. A poll that waits for changes is replaced by one that does not as soon as this process has
- * a fact that the others need at once.
+ * a fact that the others need at once, or needs to know that its state is current.
  */
 import { create } from "@bufbuild/protobuf";
 import { readClocks } from "../membership";
@@ -30,13 +30,10 @@
     let position = random.getInteger(1_024);
     let isUrgent = false;
     let interruptWait: () => void = () => undefined;
-    factSync.addUrgentListener(() => {
-        isUrgent = true;
-        interruptWait();
-    });
+    factSync.addUrgentListener(pollAtOnce);
+    state.addConfirmationListener(pollAtOnce);
     while (!signal.aborted) {
         address ??= getNextAddress();
-        const sendTime = readClocks(clock);
         if (isConnected && isUrgent) {
             await clock.sleep(urgentDelayMilliseconds, signal);
         }
@@ -52,6 +49,7 @@
         });
         const timeoutMilliseconds = responseTimeoutMilliseconds + request.waitMilliseconds;
         const interruption = new AbortController();
+        const sendTime = readClocks(clock);
         interruptWait = waits ? () => interruption.abort() : () => undefined;
         const result = await client.poll(address, request, timeoutMilliseconds, interruption.signal);
         if (interruption.signal.aborted) {
@@ -78,6 +76,11 @@
         await clock.sleep(random.getFraction() * maximumRetryDelayMilliseconds, signal);
     }
 
+    function pollAtOnce(): void {
+        isUrgent = true;
+        interruptWait();
+    }
+
     /** Gets the next address of the known members and seeds, in round-robin order. */
     function getNextAddress(): string {
         const addresses = [...new Set([...members, ...options.getSeedAddresses()])];
--- a/src/fleet/createFleetTracker.ts
+++ b/src/fleet/createFleetTracker.ts
@@ -11,16 +11,21 @@
     FleetViewSchema,
     LoadedWeights,
     ServerLimitSchema,
+    ServiceVersion,
+    ServiceVersionSchema,
     WeightsTargetSchema,
 } from "../protocol";
 import { Clock } from "../runtime";
 import { FleetTracker } from "./FleetTracker";
 import { SharedLimit } from "./SharedLimit";
 
+/** How long a software version counts as a former one, in milliseconds: as long as callers resume streams that it began. */
+const formerVersionMilliseconds = 30_000;
+
 /**
  * Creates a tracker without a list.
  * @param documents - Provides the named weights versions and the quarantined subjects, which are part of the view.
- * @param clock - Provides the wall-clock time for the ages of named weights.
+ * @param clock - Provides the wall-clock time for the ages of named weights, and the time since versions were listed.
  * @param onChange - Called after each change of the view.
  */
 export function createFleetTracker(
@@ -31,6 +36,7 @@
     const leavingIds = new Set<string>();
     const loadingIds = new Set<string>();
     const reportedVersions = new Map<string, Map<string, number>>();
+    const listedVersions = new Map<string, { version: ServiceVersion; lastListedMilliseconds: number; }>();
     let instances: readonly FleetInstance[] | undefined;
     let term = 0n;
     let revisionCount = 0;
@@ -67,9 +73,27 @@
         listedInstances.filter(instance => instance.isLeaving).forEach(instance => leavingIds.add(instance.instanceId));
         [...leavingIds].filter(id => !listedIds.has(id)).forEach(id => leavingIds.delete(id));
         [...reportedVersions.keys()].filter(id => !listedIds.has(id)).forEach(id => reportedVersions.delete(id));
+        recordListedVersions(listedInstances);
         update();
     }
 
+    function recordListedVersions(listedInstances: readonly FleetInstance[]): void {
+        const lastListedMilliseconds = clock.getMonotonicMilliseconds();
+        for (const { service, softwareVersion } of listedInstances) {
+            const version = create(ServiceVersionSchema, { service, softwareVersion });
+            listedVersions.set(getVersionKey(version), { version, lastListedMilliseconds });
+        }
+    }
+
+    /** Gets the versions that were on the list a short time ago and are not now. */
+    function getFormerVersions(): ServiceVersion[] {
+        const listedKeys = new Set((instances ?? []).map(getVersionKey));
+        const oldest = clock.getMonotonicMilliseconds() - formerVersionMilliseconds;
+        return [...listedVersions]
+            .filter(([key, { lastListedMilliseconds }]) => !listedKeys.has(key) && lastListedMilliseconds > oldest)
+            .map(([, { version }]) => version);
+    }
+
     function recordWeights(instanceId: string, weights: readonly LoadedWeights[]): void {
         const versions = reportedVersions.get(instanceId) ?? new Map<string, number>();
         weights.forEach(({ model, weightsVersion }) => versions.set(model, weightsVersion));
@@ -145,6 +169,7 @@
                     holderIds: [...limit.holderIds],
                 })
             ),
+            formerVersions: getFormerVersions(),
         });
     }
 
@@ -159,6 +184,7 @@
             named,
             getQuarantinedIds(),
             suspectedSubjects,
+            getFormerVersions(),
             serverLimits.map(limit => ({ ...limit, timeMilliseconds: undefined })),
         ]);
         if (newDigest !== digest) {
@@ -168,3 +194,7 @@
         }
     }
 }
+
+function getVersionKey({ service, softwareVersion }: Pick<ServiceVersion, "service" | "softwareVersion">): string {
+    return JSON.stringify([service, softwareVersion]);
+}
--- a/src/forwarding/admitResumption.ts
+++ b/src/forwarding/admitResumption.ts
@@ -1,11 +1,12 @@
 /*
  * Admits a request that resumes a stream: it goes to the service and the software version that began the stream. Events
  * of two versions don't fit together, and backend servers don't check this. A caller that doesn't name the request that
- * began the stream is served only while its service has a single version.
+ * began the stream is served only while its service has a single version. An entry process that has been without contact
+ * may not have heard of a version that has begun streams since, so that the leader has to confirm this first.
  */
 import { RouteKind } from "../documents";
 import { FeedState } from "../feed";
-import { FleetInstance, RefusalReason } from "../protocol";
+import { RefusalReason } from "../protocol";
 import { StreamOrigins } from "../streamOrigins";
 import { Admission } from "./Admission";
 import { ForwardedRequest } from "./ForwardedRequest";
@@ -13,6 +14,13 @@
 
 /** The retry delay of a refused resumption: an origin that is not found now is hardly found later. */
 const retryAfterMilliseconds = 1_000;
+/** How long the leader may take to confirm the versions, in milliseconds: several round trips within a region. */
+const confirmationMilliseconds = 500;
+/**
+ * The maximum age of the fleet view for a stream whose version is known, in milliseconds: more than between two polls. A
+ * backend server may have started again with another version since.
+ */
+const maximumConfirmationAgeMilliseconds = 1_000;
 
 /**
  * Replaces the service of an admitted request that resumes a stream by that which began it, with its software version.
@@ -20,13 +28,13 @@
  * @param request - The request.
  * @param admission - Its admission as that of a new request.
  * @param streamOrigins - Finds the origin of the stream.
- * @param state - Provides the backend servers with their versions.
+ * @param state - Provides the versions of the backend servers.
  */
 export async function admitResumption(
     request: ForwardedRequest,
     admission: Admission,
     streamOrigins: StreamOrigins,
-    state: Pick<FeedState, "getFleet">,
+    state: Pick<FeedState, "getSoftwareVersions" | "confirmFleet">,
 ): Promise<Admission> {
     const { lastEventId, resumedRequestId } = request;
     if (admission.kind === "refused" || admission.route.kind !== RouteKind.Stream || lastEventId === undefined) {
@@ -34,7 +42,7 @@
     }
     const { route, service: admittedService, table } = admission;
     if (resumedRequestId === undefined) {
-        const softwareVersion = getOnlySoftwareVersion(state.getFleet()?.instances ?? [], admittedService.name);
+        const softwareVersion = await findOnlySoftwareVersion(state, admittedService.name);
         return softwareVersion === undefined
             ? refuse(RefusalReason.STREAM_ORIGIN_UNKNOWN)
             : { ...admission, softwareVersion };
@@ -43,6 +51,9 @@
     if (!origin) {
         return refuse(RefusalReason.STREAM_ORIGIN_UNKNOWN);
     }
+    if (!await state.confirmFleet(confirmationMilliseconds, maximumConfirmationAgeMilliseconds)) {
+        return refuse(RefusalReason.STALE_SETTINGS);
+    }
     const isServiceOfRoute = route.services.some(({ service }) => service === origin.service);
     const service = isServiceOfRoute ? table.getService(origin.service) : undefined;
     if (!service || service.kind === "keptCache") {
@@ -56,11 +67,14 @@
     return { kind: "refused", refusal };
 }
 
-/** Gets the software version that all backend servers of a service have; undefined where they differ or one is unknown. */
-function getOnlySoftwareVersion(instances: readonly FleetInstance[], service: string): string | undefined {
-    const versions = new Set(
-        instances.filter(instance => instance.service === service).map(instance => instance.softwareVersion),
-    );
-    const [version] = versions;
-    return versions.size === 1 && version !== "" ? version : undefined;
+/** Finds the software version that all backend servers of a service have; undefined where it is not certain. */
+async function findOnlySoftwareVersion(
+    state: Pick<FeedState, "getSoftwareVersions" | "confirmFleet">,
+    service: string,
+): Promise<string | undefined> {
+    if (state.getSoftwareVersions(service).length !== 1 || !await state.confirmFleet(confirmationMilliseconds)) {
+        return undefined;
+    }
+    const [version, ...others] = state.getSoftwareVersions(service);
+    return others.length === 0 && version !== "" ? version : undefined;
 }
--- a/src/forwarding/recordStreamOrigin.ts
+++ b/src/forwarding/recordStreamOrigin.ts
@@ -35,10 +35,7 @@
         attemptNumber: task.sentCount,
         lifetimeMilliseconds: Math.max(0, remainingMilliseconds) + returnMarginMilliseconds,
     });
-    return {
-        softwareVersion,
-        replacesOtherVersion: formerRecord !== undefined
-            && (formerRecord.replacesOtherVersion || formerRecord.softwareVersion !== softwareVersion),
-        recorded: streamOrigins.record(origin),
-    };
+    const replacesOtherVersion = formerRecord !== undefined
+        && (formerRecord.replacesOtherVersion || formerRecord.softwareVersion !== softwareVersion);
+    return { softwareVersion, replacesOtherVersion, recorded: streamOrigins.record(origin, replacesOtherVersion) };
 }
--- a/src/streamOrigins/StreamOrigins.ts
+++ b/src/streamOrigins/StreamOrigins.ts
@@ -7,9 +7,12 @@
 export interface StreamOrigins {
     /**
      * Records an origin. The stream's first event may be passed on once the promise is resolved.
-     * @returns Whether at least one control member holds the origin; false where none responded in time.
+     * @param origin - The origin.
+     * @param replacesOtherVersion - Whether members may hold the origin of an earlier attempt at another software version.
+     * @returns Whether a search finds the origin: at least one control member holds it, and none of its holders an earlier
+     * one of another version. False where the members did not respond in time.
      */
-    record(origin: StreamOrigin): Promise<boolean>;
+    record(origin: StreamOrigin, replacesOtherVersion: boolean): Promise<boolean>;
     /**
      * Finds the origin of a stream.
      * @param requestId - The id of the request that began the stream.
--- a/src/streamOrigins/createStreamOrigins.ts
+++ b/src/streamOrigins/createStreamOrigins.ts
@@ -27,6 +27,8 @@
 /** An origin that waits to be sent. */
 interface PendingOrigin {
     origin: StreamOrigin;
+    /** The number of members that have yet to record it before it counts as recorded. */
+    missingCount: number;
     resolve: (isRecorded: boolean) => void;
 }
 
@@ -42,10 +44,11 @@
     let isReachable = true;
     return { record, find };
 
-    function record(origin: StreamOrigin): Promise<boolean> {
+    function record(origin: StreamOrigin, replacesOtherVersion: boolean): Promise<boolean> {
         ownStore.add(origin);
         const isFirstOfBatch = pendingOrigins.length === 0;
-        const recorded = new Promise<boolean>(resolve => pendingOrigins.push({ origin, resolve }));
+        const missingCount = replacesOtherVersion ? getHolders(origin.requestId).length : 1;
+        const recorded = new Promise<boolean>(resolve => pendingOrigins.push({ origin, missingCount, resolve }));
         void recorded.then(isRecorded => {
             if (!isRecorded) {
                 metrics.addCount(CounterName.StreamOriginsUnrecorded);
@@ -70,17 +73,22 @@
         const replies = await Promise.all(
             [...batchByAddress].map(([address, pendings]) => sendTo(address, pendings)),
         );
-        // Only those that no member has recorded are still unresolved.
+        // Only those that too few members have recorded are still unresolved.
         batch.forEach(({ resolve }) => resolve(false));
         updateReachability(replies);
     }
 
-    /** Sends origins to one member; each is resolved as soon as its first holder responds. */
+    /** Sends origins to one member; each is resolved as soon as enough of its holders have responded. */
     async function sendTo(address: string, pendings: readonly PendingOrigin[]): Promise<StreamOriginReply> {
         const origins = pendings.map(({ origin }) => origin);
         const reply = await client.record(address, origins, callTimeoutMilliseconds);
         if (reply.kind === "recorded") {
-            pendings.forEach(({ resolve }) => resolve(true));
+            pendings.forEach(pending => {
+                pending.missingCount -= 1;
+                if (pending.missingCount <= 0) {
+                    pending.resolve(true);
+                }
+            });
             void restoreMember(address, reply.memberIncarnation);
         }
         return reply;
--- a/tests/feed/createFeedState.tests.ts
+++ b/tests/feed/createFeedState.tests.ts
@@ -6,7 +6,7 @@
 import { FleetViewSchema, PollOutcome, PollResponseSchema } from "../../src/protocol";
 import { createTestDocument } from "../documents/createTestDocument";
 import { createManualClock } from "../support/createManualClock";
-import { createTestFeedState, createTestInstance, decodeTestDocument } from "./createTestFeed";
+import { createTestFeedState, createTestInstance, decodeTestDocument, updateTestFeedState } from "./createTestFeed";
 
 describe("createFeedState", () => {
     function createResponse(version: number, text?: string) {
@@ -87,4 +87,48 @@
         expect(state.getDesiredWeights("large")).to.deep.equal([{ weightsVersion: 2, ageMilliseconds: 150 }]);
         expect(state.getDesiredWeights("small")).to.deep.equal([]);
     });
+
+    describe("confirmFleet", () => {
+        function doTest(fleetRevision: string, isSentLater: boolean, expected: boolean) {
+            return async () => {
+                const clock = createManualClock();
+                const state = createTestFeedState(clock, [createTestInstance()]);
+                const formerTime = readClocks(clock);
+                await clock.advance(1);
+                const confirmed = state.confirmFleet(500);
+                const response = create(PollResponseSchema, { outcome: PollOutcome.CURRENT, fleetRevision });
+                state.applyResponse(response, isSentLater ? readClocks(clock) : formerTime);
+                await clock.advance(500);
+                expect(await confirmed).to.equal(expected);
+            };
+        }
+
+        it("ends with a response to a later poll that names the revision", doTest("1.1", true, true));
+        it("does not end with a response to an earlier poll", doTest("1.1", false, false));
+        it("does not end with a response of a leader that has no list yet", doTest("", true, false));
+        it("ends at once where the last confirmation is recent enough", async () => {
+            const clock = createManualClock();
+            const state = createTestFeedState(clock, []);
+            await clock.advance(900);
+            expect(await state.confirmFleet(0, 1_000)).to.equal(true);
+        });
+        it("asks its listeners for a poll", () => {
+            const state = createTestFeedState(createManualClock(), []);
+            let count = 0;
+            state.addConfirmationListener(() => count += 1);
+            void state.confirmFleet(500);
+            expect(count).to.equal(1);
+        });
+    });
+
+    it("keeps software versions that have left while callers resume their streams", async () => {
+        const clock = createManualClock();
+        const state = createTestFeedState(clock, [createTestInstance({ softwareVersion: "v1" })]);
+        updateTestFeedState(state, clock, [createTestInstance({ softwareVersion: "v2" })]);
+        expect(state.getSoftwareVersions("models")).to.deep.equal(["v1", "v2"]);
+        await clock.advance(30_000);
+        updateTestFeedState(state, clock, [createTestInstance({ softwareVersion: "v2" })]);
+        expect(state.getSoftwareVersions("models")).to.deep.equal(["v2"]);
+        expect(state.getSoftwareVersions("others")).to.deep.equal([]);
+    });
 });
--- a/tests/feed/runFeed.tests.ts
+++ b/tests/feed/runFeed.tests.ts
@@ -9,7 +9,7 @@
 import { createTestFactKind } from "../facts/createTestFactKind";
 import { createTestFactStore } from "../facts/createTestFacts";
 import { createManualClock } from "../support/createManualClock";
-import { decodeTestDocument } from "./createTestFeed";
+import { decodeTestDocument, updateTestFeedState } from "./createTestFeed";
 
 describe("runFeed", () => {
     const seeds = ["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"];
@@ -118,6 +118,7 @@
                             response: {
                                 ...(current as Extract<PollResult, { kind: "answered"; }>).response,
                                 factStoreId: "1",
+                                fleetRevision: state.getFleetRevision(),
                             },
                         };
                     },
@@ -143,6 +144,19 @@
                 .to.deep.equal([[25, 1], [26, 0]]);
         });
 
+        it("is followed by the confirmation of the fleet, also where that is asked for while others are awaited", async () => {
+            const { clock, state, polls } = await createUrgentTrial();
+            const start = clock.getMonotonicMilliseconds();
+            updateTestFeedState(state, clock, []);
+            const confirmed: boolean[] = [];
+            void state.confirmFleet(500).then(isConfirmed => confirmed.push(isConfirmed));
+            await clock.advance(10);
+            void state.confirmFleet(500).then(isConfirmed => confirmed.push(isConfirmed));
+            await clock.advance(30);
+            expect(polls.map(({ milliseconds }) => milliseconds - start)).to.deep.equal([25, 26]);
+            expect(confirmed).to.deep.equal([true, true]);
+        });
+
         it("shares polls with others that follow closely, and lets the document grow no older than otherwise", async () => {
             const { clock, facts, state, polls } = await createUrgentTrial();
             for (let count = 0; count < 200; count++) {
--- a/tests/fleet/createFleetTracker.tests.ts
+++ b/tests/fleet/createFleetTracker.tests.ts
@@ -8,13 +8,14 @@
 describe("createFleetTracker", () => {
     function createFixture(term = 1n) {
         let changeCount = 0;
+        const clock = createManualClock();
         const tracker = createFleetTracker(
             { getNamedWeights: () => [], getQuarantinedSubjects: () => [], addListener: () => () => undefined },
-            createManualClock(),
+            clock,
             () => changeCount += 1,
         );
         tracker.reset(term);
-        return { tracker, getChangeCount: () => changeCount };
+        return { tracker, clock, getChangeCount: () => changeCount };
     }
 
     const getFirst = (instances: readonly FleetInstance[]) => instances[0]!;
@@ -62,6 +63,18 @@
         expect(getFirst(tracker.getInstances()).isLeaving).to.equal(false);
     });
 
+    it("names the software versions that left a short time ago", async () => {
+        const { tracker, clock } = createFixture();
+        tracker.setInstances([createTestInstance({ softwareVersion: "v1" })]);
+        const revision = tracker.getRevision();
+        tracker.setInstances([createTestInstance({ softwareVersion: "v2" })]);
+        const getFormer = () => tracker.getView().formerVersions.map(version => version.softwareVersion);
+        expect([getFormer(), tracker.getRevision() === revision]).to.deep.equal([["v1"], false]);
+        await clock.advance(30_000);
+        tracker.setInstances([createTestInstance({ softwareVersion: "v2" })]);
+        expect(getFormer()).to.deep.equal([]);
+    });
+
     it("prefers an engine's own report of newer weights to the list", () => {
         const { tracker } = createFixture();
         tracker.setInstances([createTestInstance()]);
--- a/tests/forwarding/createForwarder.tests.ts
+++ b/tests/forwarding/createForwarder.tests.ts
@@ -44,6 +44,8 @@
         logger?: Logger;
         streamOrigins?: StreamOrigins;
         pollConnections?: () => Promise<void>;
+        /** What the leader confirms as the fleet; by default that which is known already. */
+        confirmedInstances?: readonly FleetInstance[] | "none";
     }
 
     function createTrial(options: TrialOptions) {
@@ -52,6 +54,12 @@
         const instances = options.instances ?? [...services, ...engines];
         const state = createEmptyTestFeedState(clock);
         const receiveState = () => updateTestFeedState(state, clock, instances, options.document);
+        const { confirmedInstances = instances } = options;
+        if (confirmedInstances !== "none") {
+            state.addConfirmationListener(() =>
+                updateTestFeedState(state, clock, confirmedInstances, options.document)
+            );
+        }
         if (!options.isStarting) {
             receiveState();
         }
@@ -356,21 +364,26 @@
         });
 
         /** Resumes a stream that began at a version, and returns the refusal or the version that continues it. */
-        async function resume(softwareVersion: string, service = "models") {
+        async function resume(softwareVersion: string, service = "models", timeWithoutContact = 0) {
             const streamOrigins = createTestStreamOrigins();
             await streamOrigins.record(
                 create(StreamOriginSchema, { requestId: "request-0", service, softwareVersion }),
+                false,
             );
             const trial = createTrial({
                 respond: () => createTestResponse(events.slice(1)),
                 instances: [olderEngine, newerEngine],
                 streamOrigins,
+                confirmedInstances: "none",
             });
+            await trial.clock.advance(timeWithoutContact);
             const { reply, ended } = await trial.forward({
                 ...label,
                 lastEventId: "1",
                 resumedRequestId: "request-0",
+                arrivalMilliseconds: timeWithoutContact,
             });
+            await trial.clock.advance(500);
             await ended;
             return reply.getRefusal()?.kind ?? trial.link.attempts.map(attempt => attempt.instance.softwareVersion);
         }
@@ -381,6 +394,10 @@
         it("is continued for a caller at the newer version", async () => {
             expect(await resume("v2")).to.deep.equal(["v2"]);
         });
+        // Report of another operator: its servers may have started again with another version meanwhile.
+        it("is refused as not run by a process that has been without contact", async () => {
+            expect(await resume("v1", "models", 1_100)).to.equal("notRun");
+        });
         it("is refused as not run where no server of its version is left", async () => {
             expect(await resume("v0")).to.equal("notRun");
         });
@@ -396,6 +413,27 @@
             }
 
             it("is continued while the service has a single version", () => doTest([olderEngine], undefined));
+
+            /** Resumes a stream at a process that knows one version, and has been without contact. */
+            async function resumeWithoutContact(confirmedInstances: readonly FleetInstance[] | "none") {
+                const respond = () => createTestResponse(events.slice(1));
+                const trial = createTrial({ respond, instances: [olderEngine], confirmedInstances });
+                const { reply, ended } = await trial.forward({ ...label, lastEventId: "1" });
+                await trial.clock.advance(500);
+                await ended;
+                return [reply.getRefusal()?.kind, trial.link.attempts.length];
+            }
+
+            // Report of another operator: a process without contact continued streams of a version that it did not know.
+            it("is refused as not run where the leader knows another version", async () => {
+                expect(await resumeWithoutContact([olderEngine, newerEngine])).to.deep.equal(["notRun", 0]);
+            });
+            it("is refused as not run where the leader can't be asked", async () => {
+                expect(await resumeWithoutContact("none")).to.deep.equal(["notRun", 0]);
+            });
+            it("is refused as not run where the leader knows only another version", async () => {
+                expect(await resumeWithoutContact([newerEngine])).to.deep.equal(["notRun", 0]);
+            });
             it("is refused as not run while it has several", () => doTest([olderEngine, newerEngine], "notRun"));
             it("is refused as not run where the version is not known", () =>
                 doTest([createTestInstance({ softwareVersion: "" })], "notRun"));
--- a/tests/streamOrigins/createStreamOrigins.tests.ts
+++ b/tests/streamOrigins/createStreamOrigins.tests.ts
@@ -67,10 +67,15 @@
     type Trial = ReturnType<typeof createTrial>;
 
     /** Records an origin at one entry process; returns whether and when it was recorded. */
-    async function record({ clock }: Trial, entry: ReturnType<Trial["createEntry"]>, origin: StreamOrigin) {
+    async function record(
+        { clock }: Trial,
+        entry: ReturnType<Trial["createEntry"]>,
+        origin: StreamOrigin,
+        replacesOtherVersion = false,
+    ) {
         const startMilliseconds = clock.getMonotonicMilliseconds();
         let result = "";
-        void entry.record(origin).then(isRecorded => {
+        void entry.record(origin, replacesOtherVersion).then(isRecorded => {
             result = `${isRecorded} after ${clock.getMonotonicMilliseconds() - startMilliseconds} ms`;
         });
         for (let time = 0; time < 300; time++) {
@@ -126,6 +131,16 @@
         trial.silentMembers.clear();
         expect(await find(trial, "request-1")).to.match(/^v2/);
     });
+    // Report of another operator: a search found only the member with the origin of the earlier attempt.
+    it("is not recorded while a member may hold an earlier origin of another version", async () => {
+        const trial = createTrial();
+        const entry = trial.createEntry();
+        await record(trial, entry, createOrigin("request-1", "v1", 1));
+        trial.silentMembers.add("member-1");
+        expect(await record(trial, entry, createOrigin("request-1", "v2", 2), true)).to.equal("false after 255 ms");
+        trial.silentMembers.clear();
+        expect(await record(trial, entry, createOrigin("request-1", "v2", 3), true)).to.equal("true after 6 ms");
+    });
     it("waits for the first member only", async () => {
         const trial = createTrial();
         trial.silentMembers.add("member-1");
@@ -155,7 +170,7 @@
         const entry = trial.createEntry();
         await record(trial, entry, createOrigin("request-0"));
         trial.calls.length = 0;
-        void entry.record(createOrigin("request-1"));
+        void entry.record(createOrigin("request-1"), false);
         await record(trial, entry, createOrigin("request-2"));
         expect(trial.calls).to.have.members(members.map(address => `record ${address}`));
     });
