Answer requests in a planned stop, and refuse late ones that would outlast it

Report of another operator: in a planned stop in calm, late requests were passed on and cut at the end of the grace without an answer, among them requests that may not be repeated. It can happen here.

Cause: requests were admitted by their own time limit alone, and the end of the process closed all connections; a request whose body was still being read was not counted at all.

Change: from 2.5 s after the signal, a request whose time limit lies beyond the end is refused as not run. Shortly before the end, requests in progress end as at their time limit, and are answered. The drain counts requests from the receipt of their heads.

--- a/src/forwarding/ForwarderOptions.ts
+++ b/src/forwarding/ForwarderOptions.ts
@@ -11,6 +11,7 @@
 import { StreamOrigins } from "../streamOrigins";
 import { BackendLink } from "./BackendLink";
 import { KvCacheStoreView } from "./KvCacheStoreView";
+import { PlannedStop } from "./PlannedStop";
 
 /** The options of a forwarder. */
 export interface ForwarderOptions {
@@ -38,6 +39,8 @@
     retryShare: number;
     /** The number of retries that all entry processes together may send beyond that share. */
     retryReserve: number;
+    /** The planned stop of the process. */
+    plannedStop: Pick<PlannedStop, "signal" | "isTooLate">;
     /** Waits until everything that has arrived has been read, so that callers that have left are known. */
     pollConnections(): Promise<void>;
     /** Ends the forwarder's background tasks. */
--- a/src/forwarding/ForwardingTask.ts
+++ b/src/forwarding/ForwardingTask.ts
@@ -22,7 +22,7 @@
     readonly subjects: RunSubjects;
     /** The request's deadline, on the monotonic clock, in milliseconds. */
     readonly deadlineMilliseconds: number;
-    /** Aborted once the caller has disconnected or the deadline has passed. */
+    /** Aborted once the caller has disconnected, the deadline has passed or the process ends soon. */
     readonly signal: AbortSignal;
     /** Logs with the request's id. */
     readonly logger: Logger;
--- a/src/forwarding/RequestSignal.ts
+++ b/src/forwarding/RequestSignal.ts
@@ -4,7 +4,7 @@
 
 /** An abort signal and the resources behind it. */
 export interface RequestSignal {
-    /** Aborted once the caller has disconnected or the deadline has passed. */
+    /** Aborted once the caller has disconnected, the deadline has passed or the process ends soon. */
     readonly signal: AbortSignal;
     /** Releases the timer and the listener. */
     release(): void;
--- a/src/forwarding/createForwarder.ts
+++ b/src/forwarding/createForwarder.ts
@@ -12,6 +12,7 @@
 import { createAttemptDispatcher } from "./createAttemptDispatcher";
 import { createRequestSignal } from "./createRequestSignal";
 import { createRunSubjects } from "./createRunSubjects";
+import { drainingRetryAfterMilliseconds } from "./drainingRetryAfterMilliseconds";
 import { forwardBuffered } from "./forwardBuffered";
 import { ForwardedRequest } from "./ForwardedRequest";
 import { Forwarder } from "./Forwarder";
@@ -20,6 +21,7 @@
 import { ForwardOutcome } from "./ForwardOutcome";
 import { forwardStream } from "./forwardStream";
 import { getPartLogFields } from "./getPartLogFields";
+import { refuseTask } from "./refuseTask";
 
 /**
  * How long after its start an entry process holds requests until it has the routing document and the fleet: the time of
@@ -35,7 +37,7 @@
  * @param options - The options of the forwarder.
  */
 export function createForwarder(options: ForwarderOptions): Forwarder {
-    const { state, clock, random, logger, metrics } = options;
+    const { state, clock, random, logger, metrics, plannedStop } = options;
     const dispatcher = createAttemptDispatcher(options);
     const holdEndMilliseconds = clock.getMonotonicMilliseconds() + startupHoldMilliseconds;
     let activeCount = 0;
@@ -79,7 +81,7 @@
         const { route } = admission;
         const timeoutMilliseconds = Math.min(route.timeoutMilliseconds, request.callerMilliseconds ?? Infinity);
         const deadlineMilliseconds = request.arrivalMilliseconds + timeoutMilliseconds;
-        const requestSignal = createRequestSignal(request.signal, deadlineMilliseconds, clock);
+        const requestSignal = createRequestSignal([request.signal, plannedStop.signal], deadlineMilliseconds, clock);
         const task: ForwardingTask = {
             request,
             reply,
@@ -103,13 +105,21 @@
             sentCount: 0,
             runCount: 0,
         };
-        const outcome = route.kind === RouteKind.Stream
-            ? await forwardStream(task, dispatcher)
-            : await forwardBuffered(task, dispatcher);
+        const outcome = await forwardTask(task);
         requestSignal.release();
         logOutcome(task, outcome);
     }
 
+    function forwardTask(task: ForwardingTask): ForwardOutcome | Promise<ForwardOutcome> {
+        if (plannedStop.isTooLate(task.deadlineMilliseconds)) {
+            const reason = RefusalReason.DRAINING;
+            return refuseTask(task, { kind: "notRun", reason, retryAfterMilliseconds: drainingRetryAfterMilliseconds });
+        }
+        return task.admission.route.kind === RouteKind.Stream
+            ? forwardStream(task, dispatcher)
+            : forwardBuffered(task, dispatcher);
+    }
+
     /** Holds a request that arrived before a starting entry process had the routing document and the fleet. */
     async function waitForFirstState({ callerMilliseconds }: ForwardedRequest): Promise<void> {
         const holdMilliseconds = Math.min(
--- a/tests/crashQuarantine/simulateCrashingRequests.ts
+++ b/tests/crashQuarantine/simulateCrashingRequests.ts
@@ -1,7 +1,7 @@
 import { createCrashQuarantine, publishCrashReport } from "../../src/crashQuarantine";
 import { createFactSync } from "../../src/facts";
 import { createFeedState, runFeed } from "../../src/feed";
-import { createForwarder, ForwardedRequest, Forwarder } from "../../src/forwarding";
+import { createForwarder, createPlannedStop, ForwardedRequest, Forwarder } from "../../src/forwarding";
 import { createSilentLogger } from "../../src/logging";
 import { createMetrics } from "../../src/metrics";
 import { RefusalReason } from "../../src/protocol";
@@ -175,6 +175,7 @@
             random: entryRandom,
         });
         const forwarder = createForwarder({
+            plannedStop: createPlannedStop(clock),
             pollConnections: () => Promise.resolve(),
             facts,
             ...common,
--- a/tests/forwarding/crashingParts.tests.ts
+++ b/tests/forwarding/crashingParts.tests.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { InstanceState } from "../../src/crashQuarantine";
-import { BackendLink, createForwarder, createPromptDescriptor } from "../../src/forwarding";
+import { BackendLink, createForwarder, createPlannedStop, createPromptDescriptor } from "../../src/forwarding";
 import { createSilentLogger } from "../../src/logging";
 import { createMetrics } from "../../src/metrics";
 import { createRandomSource } from "../../src/runtime";
@@ -54,6 +54,7 @@
         };
         const state = createTestFeedState(clock, instances, { workspaces: undefined });
         const forwarder = createForwarder({
+            plannedStop: createPlannedStop(clock),
             pollConnections: () => Promise.resolve(),
             facts: createTestFactStore(clock),
             state,
--- a/tests/forwarding/createForwarder.tests.ts
+++ b/tests/forwarding/createForwarder.tests.ts
@@ -6,6 +6,7 @@
     AttemptResult,
     BackendAttempt,
     createForwarder,
+    createPlannedStop,
     createPromptDescriptor,
     ForwardedRequest,
     ResponseEnd,
@@ -64,6 +65,7 @@
             receiveState();
         }
         const forwarder = createForwarder({
+            plannedStop: createPlannedStop(clock),
             pollConnections: options.pollConnections ?? (() => Promise.resolve()),
             facts: createTestFactStore(clock),
             state,
--- a/tests/forwarding/createTestForwarder.ts
+++ b/tests/forwarding/createTestForwarder.ts
@@ -1,5 +1,5 @@
 import { FeedState } from "../../src/feed";
-import { createForwarder, ForwarderOptions } from "../../src/forwarding";
+import { createForwarder, createPlannedStop, ForwarderOptions } from "../../src/forwarding";
 import { createSilentLogger } from "../../src/logging";
 import { createMetrics } from "../../src/metrics";
 import { createRandomSource } from "../../src/runtime";
@@ -24,6 +24,7 @@
     changes: Partial<ForwarderOptions> = {},
 ) {
     return createForwarder({
+        plannedStop: createPlannedStop(clock),
         pollConnections: () => Promise.resolve(),
         facts: createTestFactStore(clock),
         state,
--- a/tests/forwarding/requestLimits.tests.ts
+++ b/tests/forwarding/requestLimits.tests.ts
@@ -2,7 +2,13 @@
 import { expect } from "chai";
 import { createDocumentState } from "../../src/documents";
 import { createFleetTracker } from "../../src/fleet";
-import { AttemptResult, createForwarder, createPromptDescriptor, Refusal } from "../../src/forwarding";
+import {
+    AttemptResult,
+    createForwarder,
+    createPlannedStop,
+    createPromptDescriptor,
+    Refusal,
+} from "../../src/forwarding";
 import { createSilentLogger } from "../../src/logging";
 import { readClocks } from "../../src/membership";
 import { createMetrics } from "../../src/metrics";
@@ -61,6 +67,7 @@
             state.getEntryCount = () => entryCount;
             const serverLimits = createTestServerLimits(state, clock, `entry-${index}`);
             const forwarder = createForwarder({
+                plannedStop: createPlannedStop(clock),
                 pollConnections: () => Promise.resolve(),
                 facts: createTestFactStore(clock),
                 state,
--- a/tests/platform/backends/endlessResponses.tests.ts
+++ b/tests/platform/backends/endlessResponses.tests.ts
@@ -2,7 +2,7 @@
 import { once } from "node:events";
 import type { Socket } from "node:net";
 import { createBackendLink } from "../../../platform/backends";
-import { createForwarder } from "../../../src/forwarding";
+import { createForwarder, createPlannedStop } from "../../../src/forwarding";
 import { createSilentLogger } from "../../../src/logging";
 import { createMetrics } from "../../../src/metrics";
 import { createRandomSource, createSystemClock } from "../../../src/runtime";
@@ -52,6 +52,7 @@
         const state = createTestFeedState(clock, instances);
         const link = createBackendLink();
         const forwarder = createForwarder({
+            plannedStop: createPlannedStop(clock),
             pollConnections: () => Promise.resolve(),
             facts: createTestFactStore(clock),
             state,
--- a/tests/platform/callers/callersThatLeft.tests.ts
+++ b/tests/platform/callers/callersThatLeft.tests.ts
@@ -2,6 +2,7 @@
 import { AddressInfo } from "node:net";
 import { setTimeout } from "node:timers/promises";
 import { CallerServer, startCallerServer } from "../../../platform/callers";
+import { createPlannedStop } from "../../../src/forwarding";
 import { createSilentLogger } from "../../../src/logging";
 import { createMetrics } from "../../../src/metrics";
 import { createSystemClock } from "../../../src/runtime";
@@ -34,7 +35,7 @@
                 reportLoads: () => undefined,
             },
             state: createTestFeedState(clock, []),
-            isStopping: () => false,
+            plannedStop: createPlannedStop(clock),
             clock,
             metrics: createMetrics(),
             logger: createSilentLogger(),
--- a/tests/platform/callers/startCallerServer.tests.ts
+++ b/tests/platform/callers/startCallerServer.tests.ts
@@ -20,6 +20,7 @@
     async function start(
         forward: (forwarded: ForwardedRequest, reply: CallerReply) => void | Promise<void>,
         isStopping: boolean | (() => boolean) = false,
+        stopSignal = new AbortController().signal,
     ): Promise<string> {
         const clock = createSystemClock();
         callerServer = await startCallerServer({
@@ -30,7 +31,10 @@
                 reportLoads: () => undefined,
             },
             state: createTestFeedState(clock, []),
-            isStopping: typeof isStopping === "boolean" ? () => isStopping : isStopping,
+            plannedStop: {
+                hasBegun: typeof isStopping === "boolean" ? () => isStopping : isStopping,
+                signal: stopSignal,
+            },
             clock,
             metrics: createMetrics(),
             logger: createSilentLogger(),
--- a/tests/platform/roles/drainEntry.tests.ts
+++ b/tests/platform/roles/drainEntry.tests.ts
@@ -3,6 +3,7 @@
 import { createServer, Server, ServerResponse } from "node:http";
 import { AddressInfo, createConnection } from "node:net";
 import { drainEntry } from "../../../platform/roles/drainEntry";
+import { createPlannedStop } from "../../../src/forwarding";
 import { createSilentLogger } from "../../../src/logging";
 import { createManualClock } from "../../support/createManualClock";
 
@@ -10,23 +11,31 @@
     let server: Server;
     let responses: ServerResponse[];
     let closeUnusedCount: number;
+    let openCount: number;
 
     beforeEach(async () => {
         responses = [];
         closeUnusedCount = 0;
-        server = createServer((...[, response]) => void responses.push(response));
+        openCount = 0;
+        server = createServer((...[, response]) => {
+            responses.push(response);
+            openCount += 1;
+            response.once("close", () => openCount -= 1);
+        });
         server.listen(0, "127.0.0.1");
         await once(server, "listening");
     });
     afterEach(() => server.closeAllConnections());
 
-    /** Starts a drain whose forwarder has no requests in flight; its clock is advanced by poll intervals of 25 ms. */
+    /** Starts a drain; its clock is advanced by poll intervals of 25 ms. */
     function createDrain() {
         const clock = createManualClock();
-        const drain = { hasExited: false, advancePolls };
+        const plannedStop = createPlannedStop(clock);
+        const drain = { hasExited: false, advancePolls, plannedStop };
         const finished = drainEntry({
             callerServer: { server, closeUnusedConnections: () => closeUnusedCount += 1 },
-            getRequestCount: () => 0,
+            plannedStop,
+            getRequestCount: () => openCount,
             stopGraceMilliseconds: 8_000,
             clock,
             logger: createSilentLogger(),
@@ -80,6 +89,20 @@
         expect(text).to.include("whole");
     });
 
+    it("has what is in progress answered before it exits, and requests that would last longer refused", async () => {
+        const drain = createDrain();
+        const endMilliseconds = drain.clock.getMonotonicMilliseconds() + 7_300;
+        await drain.clock.advance(2_499);
+        expect(drain.plannedStop.isTooLate(endMilliseconds + 1)).to.equal(false);
+        await drain.clock.advance(1);
+        expect(drain.plannedStop.isTooLate(endMilliseconds)).to.equal(false);
+        expect(drain.plannedStop.isTooLate(endMilliseconds + 1)).to.equal(true);
+        await drain.clock.advance(4_799);
+        expect(drain.plannedStop.signal.aborted).to.equal(false);
+        await drain.clock.advance(1);
+        expect(drain.plannedStop.signal.aborted).to.equal(true);
+    });
+
     it("exits before it would be killed, even with open requests", async () => {
         const drain = createDrain();
         const socket = createConnection((server.address() as AddressInfo).port, "127.0.0.1");
