Do not avoid a backend server to which a request was not sent since its caller left

Cause: "notSent" was recorded as a failure whatever the reason. Now it is one only where the request has not ended, as for lost attempts.

--- a/src/forwarding/createAttemptRecorder.ts
+++ b/src/forwarding/createAttemptRecorder.ts
@@ -49,8 +49,7 @@
             case "notSent":
                 task.sentCount -= 1;
                 serverLimits.giveBack(instanceId);
-                loads.recordFailure(instanceId);
-                recordFailedAttempt(task, instance, RetryReason.Unreachable, result.reason);
+                recordLoss(task, instance, RetryReason.Unreachable, result.reason);
                 return false;
             case "notRun":
                 if (result.isMisdirected && result.answeredBy !== undefined && result.answeredBy !== instanceId) {
@@ -71,13 +70,7 @@
                 return false;
             case "lost":
                 task.runCount += 1;
-                if (task.signal.aborted) {
-                    logCancelledAttempt(task, instanceId);
-                }
-                else {
-                    loads.recordFailure(instanceId);
-                    recordFailedAttempt(task, instance, RetryReason.LinkLost, result.reason);
-                }
+                recordLoss(task, instance, RetryReason.LinkLost, result.reason);
                 return !canRunAgain(task);
             case "answered":
                 task.runCount += 1;
@@ -110,6 +103,16 @@
         return false;
     }
 
+    /** Records an attempt without a response, which is no failure of the backend server where its request has ended. */
+    function recordLoss(task: ForwardingTask, instance: FleetInstance, reason: RetryReason, detail: string): void {
+        if (task.signal.aborted) {
+            logCancelledAttempt(task, instance.instanceId);
+            return;
+        }
+        loads.recordFailure(instance.instanceId);
+        recordFailedAttempt(task, instance, reason, detail);
+    }
+
     function recordFailedAttempt(
         task: ForwardingTask,
         instance: FleetInstance,
