--- a/tests/forwarding/cacheSalts.tests.ts
+++ b/tests/platform/cacheSalts.tests.ts
@@ -4,11 +4,11 @@
 import { BackendAttempt, createPromptDescriptor } from "../../src/forwarding";
 import { createTestDocument } from "../documents/createTestDocument";
 import { createEmptyTestFeedState, createTestInstance, updateTestFeedState } from "../feed/createTestFeed";
+import { createTestForwarder } from "../forwarding/createTestForwarder";
+import { createTestLink, createTestResponse, overloadedResult } from "../forwarding/createTestLink";
+import { createTestReply } from "../forwarding/createTestReply";
+import { createTestRequest } from "../forwarding/createTestRequest";
 import { createManualClock } from "../support/createManualClock";
-import { createTestForwarder } from "./createTestForwarder";
-import { createTestLink, createTestResponse, overloadedResult } from "./createTestLink";
-import { createTestReply } from "./createTestReply";
-import { createTestRequest } from "./createTestRequest";
 
 describe("createForwarder, with engines whose weights are not known", () => {
     const workspaceNames = ["alpha", "beta"];
