--- a/tests/platform/cacheSalts.tests.ts
+++ b/tests/platform/cacheSalts.tests.ts
@@ -32,6 +32,8 @@
         const state = createEmptyTestFeedState(clock);
         const sent: { attempt: BackendAttempt; isolated: readonly string[]; }[] = [];
         let step: Step;
+        let receiveState: () => void = () => undefined;
+        state.addConfirmationListener(() => receiveState());
         const link = createTestLink(attempt => {
             sent.push({ attempt, isolated: step.isolated });
             return step.isOverloaded ? overloadedResult : createTestResponse(["id: 9\ndata: x\n\n"]);
@@ -51,7 +53,9 @@
             const engines = step.weights.map((weights, number) =>
                 createTestInstance({ instanceId: `engine-${number}`, weights })
             );
-            updateTestFeedState(state, clock, engines, { version: index + 1, services, workspaces });
+            receiveState = () =>
+                updateTestFeedState(state, clock, engines, { version: index + 1, services, workspaces });
+            receiveState();
             const { prompt, ...request } = createTestRequest.createPrompt("/labels/1");
             const ended = forwarder.forward(
                 createTestRequest({
