--- a/tests/platform/roles/plannedStops.tests.ts
+++ b/tests/platform/roles/plannedStops.tests.ts
@@ -24,10 +24,13 @@
     let backend: RawServer;
     let callerServer: CallerServer;
     let beginStop: () => Promise<void>;
+    /** Ends the background tasks of the forwarder, which would keep the test process. */
+    let ended: AbortController;
     const link = createBackendLink();
 
     beforeEach(async () => {
         backend = await startRawServer(() => undefined);
+        ended = new AbortController();
         const clock = createSystemClock();
         const instances = [
             createTestInstance({ instanceId: "actions-1", service: "actions", address: backend.address, weights: [] }),
@@ -40,6 +43,7 @@
         const forwarder = createTestForwarder(state, testLink, clock as ReturnType<typeof createManualClock>, {
             plannedStop,
             maximumDocumentAgeMilliseconds: Infinity,
+            signal: ended.signal,
         });
         callerServer = await startCallerServer({
             address: "127.0.0.1:0",
@@ -64,6 +68,7 @@
             );
     });
     afterEach(async () => {
+        ended.abort();
         callerServer.server.closeAllConnections();
         callerServer.server.close();
         await backend.stop();
