Hedge requests at silent servers instead of moving them

Callers saw streams that ended in the middle and requests that were refused with an unknown outcome, although their backend servers were sound and went on after a second or so.

Cause: the silence of a server was taken for its end. Once a server had not answered a probe, the attempt there was ended, and only then was another server asked; what that one answered (421, 503, 500, nothing in time) ended the caller's response. Streams that must not run again were ended after three failed probes, without any other server.

Change: silence alone ends no attempt. A request that may run again is sent to a second server beside the silent one; the run that delivers first goes on and the other is ended. A run that fails leaves the other in. Attempts count as runs from when they are sent, so that two at a time keep to the maximum number of attempts. A run that a hedge has superseded counts as lost in the crash evidence, as a moved one did before, and one that was overtaken does not. Both runs keep to one software version, at which the stream is recorded to have begun. New log lines, a counter and a retry reason tell hedges and their ends.

Replaced tests: that a stream which must not run again ends after three failed probes contradicts the users' page (a server's silence is no reason to end an answer sooner); it must now last until its deadline, and the signal must not be aborted by silence of any length.

--- a/src/forwarding/AttemptDispatcher.ts
+++ b/src/forwarding/AttemptDispatcher.ts
@@ -17,8 +17,16 @@
     recordPrefillEnd(task: ForwardingTask, instanceId: string): void;
     /** Records how the response to the last attempt has ended. */
     recordAttemptEnd(task: ForwardingTask, instanceId: string, end: AttemptEnd): void;
-    /** Returns whether a request may be sent again although it may have run. */
+    /** Returns whether a request may be sent again although it may have run, while no other run of it is in progress. */
     canRunAgain(task: ForwardingTask): boolean;
+    /**
+     * Takes a retry for a second run beside one whose backend server is silent.
+     * @param task - The silent run.
+     * @returns Whether the second run may start: the request may be sent once more, and another server could take over.
+     */
+    tryReserveHedge(task: ForwardingTask): boolean;
+    /** Records that a second run has delivered before the silent one. */
+    recordHedgeWon(task: ForwardingTask): void;
     /** Reports the load that this entry process has caused to the others. */
     reportLoads(): void;
 }
--- a/src/forwarding/BackendAttempt.ts
+++ b/src/forwarding/BackendAttempt.ts
@@ -25,8 +25,8 @@
     lastEventId: string | undefined;
     /** Ends the attempt and the work at the backend server. */
     signal: AbortSignal;
-    /** Also ends the attempt: aborted once the backend server is considered unresponsive. */
-    unresponsiveSignal: AbortSignal | undefined;
+    /** Also ends the attempt: aborted once the backend server is known to have ended. */
+    goneSignal: AbortSignal;
     /** Called whenever something is received from the backend server. */
     onActivity(): void;
 }
--- a/src/forwarding/ForwardingTask.ts
+++ b/src/forwarding/ForwardingTask.ts
@@ -4,13 +4,15 @@
 import { ObservedRun, RunSubjects } from "../crashQuarantine";
 import { Logger } from "../logging";
 import { Admission } from "./Admission";
+import { AttemptCounts } from "./AttemptCounts";
 import { CallerReply } from "./CallerReply";
 import { ForwardedRequest } from "./ForwardedRequest";
 import { PlacementRecord } from "./PlacementRecord";
 import { ResponseEnd } from "./ResponseEnd";
 import { StreamOriginRecord } from "./StreamOriginRecord";
+import { SupersededReason } from "./SupersededReason";
 
-/** A request, its admission and the state of its attempts. */
+/** A request, its admission and the state of its attempts. Each of its runs is a task of its own. */
 export interface ForwardingTask {
     /** The caller's request. */
     readonly request: ForwardedRequest;
@@ -22,8 +24,13 @@
     readonly subjects: RunSubjects;
     /** The request's deadline, on the monotonic clock, in milliseconds. */
     readonly deadlineMilliseconds: number;
-    /** Aborted once the caller has disconnected, the deadline has passed or the process ends soon. */
+    /**
+     * Aborted once the caller has disconnected, the deadline has passed or the process ends soon; that of a run also once
+     * another run has superseded it.
+     */
     readonly signal: AbortSignal;
+    /** Names the run in the trackers of prefills; the first run has the id of the request. */
+    readonly runId: string;
     /** Logs with the request's id. */
     readonly logger: Logger;
     /**
@@ -43,8 +50,14 @@
     placement: PlacementRecord | undefined;
     /** The last attempt as the crash observer follows it; undefined before the first attempt. */
     observedRun: ObservedRun | undefined;
-    /** Aborted once the last attempt has ended; undefined where the attempt is not replaced. */
+    /** Aborted once the last attempt has ended; undefined before the first one. */
     attemptEnded: AbortController | undefined;
+    /** Called while the last attempt's server is silent, now and then. */
+    onServerSilent(): void;
+    /** Whether another run is in progress, so that this one sends no further attempt. */
+    isHedged: boolean;
+    /** Why another run has superseded this one; undefined while none has. */
+    supersededReason: SupersededReason | undefined;
     /** Whether the next attempt's retry was already taken from the budget. */
     hasReservedRetry: boolean;
     /** How the last response ended; undefined before the end of the first one. */
@@ -53,8 +66,6 @@
     polledMilliseconds: number;
     /** The time from the request's arrival to its first attempt, in milliseconds; undefined before that. */
     sentAfterMilliseconds: number | undefined;
-    /** The number of attempts that were sent, whether they ran or not. */
-    sentCount: number;
-    /** The number of attempts that ran or may have run. */
-    runCount: number;
+    /** The attempts of all runs. */
+    readonly counts: AttemptCounts;
 }
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -3,7 +3,7 @@
  * its route's kind. One that may have run is sent again only where the route's kind and its maximum number of attempts
  * allow it. Every attempt after one that was sent takes a retry from the budget that all entry processes share.
  */
-import { RouteKind } from "../documents";
+import { CounterName, RetryReason } from "../metrics";
 import { FleetInstance, RefusalReason } from "../protocol";
 import { createNodeRanking } from "../routing";
 import { createFleetLoads } from "../serverLoads";
@@ -23,6 +23,7 @@
 import { ForwardingTask } from "./ForwardingTask";
 import { getAttemptParameters } from "./getAttemptParameters";
 import { getCacheScope } from "./getCacheScope";
+import { getHedgeSoftwareVersion } from "./getHedgeSoftwareVersion";
 import { getTaskRefusal } from "./getTaskRefusal";
 import { recordStreamOrigin } from "./recordStreamOrigin";
 import { Refusal } from "./Refusal";
@@ -35,6 +36,8 @@
 const overloadRetryAfterMilliseconds = 1_000;
 /** The maximum age of the poll of all connections before an attempt, in milliseconds: far below callers' patience. */
 const maximumPollAgeMilliseconds = 25;
+/** How often a run is told that its server is silent, in milliseconds: a hedge that failed may be followed by another one. */
+const silenceIntervalMilliseconds = 500;
 /** The minimum remaining time that is worth another attempt. */
 const minimumAttemptMilliseconds = 20;
 
@@ -43,7 +46,7 @@
  * @param options - The options of the forwarder.
  */
 export function createAttemptDispatcher(options: ForwarderOptions): AttemptDispatcher {
-    const { state, link, serverLimits, dataCentre, clock, random } = options;
+    const { state, link, serverLimits, dataCentre, clock, random, metrics } = options;
     const liveness = createLivenessMonitor(options);
     const fleetLoads = createFleetLoads(options.facts, clock);
     const loads = createLoadTracker(clock, liveness.isUnresponsive, fleetLoads);
@@ -72,12 +75,14 @@
         recordPrefillEnd: recorder.recordPrefillEnd,
         recordAttemptEnd: recorder.recordAttemptEnd,
         canRunAgain,
+        tryReserveHedge,
+        recordHedgeWon,
         reportLoads: () => fleetLoads.reportOwn(loads.getOwnLoads()),
     };
 
     async function dispatch(task: ForwardingTask, lastEventId: string | undefined): Promise<DispatchOutcome> {
         const { admission: { service }, request } = task;
-        if (task.sentCount === 0) {
+        if (task.counts.sent === 0) {
             retryBudgets.addFirstAttempt(service.name);
         }
         let retryAfterMilliseconds: number | undefined;
@@ -106,7 +111,7 @@
             if (result.kind === "answered") {
                 void discardBody(result, clock);
             }
-            if (isFinal) {
+            if (isFinal || task.isHedged) {
                 return { kind: "givenUp", refusal: getFailureRefusal(task) };
             }
             if (result.kind === "notRun") {
@@ -145,7 +150,7 @@
             task.hasReservedRetry = false;
             return true;
         }
-        return task.sentCount === 0 || retryBudgets.tryTakeRetry(task.admission.service.name);
+        return task.counts.sent === 0 || retryBudgets.tryTakeRetry(task.admission.service.name);
     }
 
     async function send(
@@ -155,7 +160,8 @@
     ): Promise<AttemptResult> {
         const { instanceId } = instance;
         task.triedInstanceIds.add(instanceId);
-        task.sentCount += 1;
+        task.counts.sent += 1;
+        task.counts.run += 1;
         recorder.recordSending(task);
         const parameters = getAttemptParameters(task, instance, {
             entryCount: state.getEntryCount(),
@@ -183,13 +189,14 @@
         loads.recordSent(instanceId, task.request.prompt?.promptTokens ?? 0, task.prefillTokens);
         liveness.recordSent(instance, task.admission.service);
         task.observedRun = options.crashQuarantine.beginRun(instance, task.admission.service, task.subjects);
+        observeSilence(task, instanceId);
         const result = await link.send({
             request: task.request,
             instance,
             remainingMilliseconds: getRemainingMilliseconds(task),
             lastEventId,
             signal: task.signal,
-            unresponsiveSignal: getUnresponsiveSignal(task, instanceId),
+            goneSignal: liveness.getGoneSignal(instanceId),
             onActivity: () => liveness.recordActivity(instanceId),
             ...parameters,
         });
@@ -200,34 +207,56 @@
         return result;
     }
 
-    /**
-     * Gets the signal that ends an attempt at an unresponsive backend server. Where another server may take over, it is
-     * aborted soon; a stream that must not run again ends once its server is taken for gone, since its caller can do
-     * better than to wait for the deadline. Other requests wait: their response may be ready, and the caller of a request
-     * that must not run twice needs its outcome.
-     */
-    function getUnresponsiveSignal(task: ForwardingTask, instanceId: string): AbortSignal | undefined {
-        if (allowsAnotherRun(task, options.crashQuarantine, 1)) {
-            return createTakeoverSignal(task, instanceId);
+    /** Tells a run that its server is silent, again and again until the attempt has ended or the server responds. */
+    function observeSilence(task: ForwardingTask, instanceId: string): void {
+        const attemptEnded = new AbortController();
+        task.attemptEnded = attemptEnded;
+        liveness.getUnresponsiveSignal(instanceId).addEventListener(
+            "abort",
+            () => void notifyWhileSilent(task, instanceId, attemptEnded.signal),
+            { signal: attemptEnded.signal },
+        );
+    }
+
+    async function notifyWhileSilent(task: ForwardingTask, instanceId: string, signal: AbortSignal): Promise<void> {
+        while (!signal.aborted && isSilent(instanceId)) {
+            task.onServerSilent();
+            await clock.sleep(silenceIntervalMilliseconds, signal);
         }
-        return task.admission.route.kind === RouteKind.Stream ? liveness.getGoneSignal(instanceId) : undefined;
     }
 
-    /** Creates the signal that is aborted once the backend server is unresponsive and another one can take over. */
-    function createTakeoverSignal(task: ForwardingTask, instanceId: string): AbortSignal {
-        const takeover = new AbortController();
-        task.attemptEnded = new AbortController();
-        liveness.getUnresponsiveSignal(instanceId).addEventListener("abort", () => {
-            if (!getBlockingRefusal(task) && selector.canTakeOver(task) && tryTakeAttempt(task)) {
-                task.hasReservedRetry = true;
-                takeover.abort();
-            }
-        }, { signal: task.attemptEnded.signal });
-        return takeover.signal;
+    /** Returns whether this entry process finds a backend server silent, whatever others report. */
+    function isSilent(instanceId: string): boolean {
+        return liveness.getUnresponsiveSignal(instanceId).aborted;
     }
 
     function canRunAgain(task: ForwardingTask): boolean {
-        return allowsAnotherRun(task, options.crashQuarantine, 0);
+        return !task.isHedged && allowsAnotherRun(task, options.crashQuarantine);
+    }
+
+    function tryReserveHedge(task: ForwardingTask): boolean {
+        const { placement } = task;
+        if (!placement || !isSilent(placement.instanceId)) {
+            return false;
+        }
+        const isAllowed = canRunAgain(task) && !getBlockingRefusal(task)
+            && selector.canTakeOver({ ...task, softwareVersion: getHedgeSoftwareVersion(task) })
+            && retryBudgets.tryTakeRetry(task.admission.service.name);
+        if (isAllowed) {
+            metrics.countRetry(RetryReason.SilentServer);
+            task.logger.info({
+                instanceId: placement.instanceId,
+                counts: task.counts,
+                remainingMilliseconds: getRemainingMilliseconds(task),
+                documentVersion: state.getRouteTable()?.document.version,
+            }, "request is hedged");
+        }
+        return isAllowed;
+    }
+
+    function recordHedgeWon(task: ForwardingTask): void {
+        metrics.addCount(CounterName.HedgesWon);
+        task.logger.info({ instanceId: task.placement?.instanceId }, "hedge goes on");
     }
 
     function getRemainingMilliseconds(task: ForwardingTask): number {
@@ -237,7 +266,7 @@
 
 /** Gets the refusal of a request for which there is no backend server, retry or capacity left. */
 function getNoCapacityRefusal(task: ForwardingTask, retryAfterMilliseconds: number | undefined): Refusal {
-    const reason = task.sentCount === 0 ? RefusalReason.NO_REPLICA : RefusalReason.OVERLOADED;
+    const reason = task.counts.sent === 0 ? RefusalReason.NO_REPLICA : RefusalReason.OVERLOADED;
     return getTaskRefusal(task, reason, retryAfterMilliseconds ?? overloadRetryAfterMilliseconds);
 }
 
--- a/src/forwarding/createAttemptRecorder.ts
+++ b/src/forwarding/createAttemptRecorder.ts
@@ -47,11 +47,13 @@
         const { instanceId } = instance;
         switch (result.kind) {
             case "notSent":
-                task.sentCount -= 1;
+                task.counts.sent -= 1;
+                task.counts.run -= 1;
                 serverLimits.giveBack(instanceId);
                 recordLoss(task, instance, RetryReason.Unreachable, result.reason);
                 return false;
             case "notRun":
+                task.counts.run -= 1;
                 if (result.isMisdirected && result.answeredBy !== undefined && result.answeredBy !== instanceId) {
                     loads.recordReplaced(instanceId);
                 }
@@ -69,11 +71,9 @@
                 );
                 return false;
             case "lost":
-                task.runCount += 1;
                 recordLoss(task, instance, RetryReason.LinkLost, result.reason);
                 return !canRunAgain(task);
             case "answered":
-                task.runCount += 1;
                 task.observedRun?.recordBegin();
                 return recordResponse(task, instance, result);
             default:
@@ -126,20 +126,20 @@
             detail,
             ...getPartLogFields(task.request.prompt),
             requestSubject: reason === RetryReason.LinkLost ? task.subjects.getRequestSubjectId() : undefined,
-            sentCount: task.sentCount,
+            sentCount: task.counts.sent,
             weightsVersion: task.request.prompt && getWeightsVersion(instance, task.request.prompt.model),
             fleetRevision: state.getFleetRevision(),
         }, "attempt failed");
     }
 
-    /** Logs an attempt that the end of its request has ended; neither the backend server nor the link has failed. */
+    /** Logs an attempt that the end of its request or run has ended; neither the backend server nor the link has failed. */
     function logCancelledAttempt(task: ForwardingTask, instanceId: string): void {
         task.logger.info({
             instanceId,
-            reason: task.request.signal.aborted ? "callerLeft" : "deadline",
+            reason: task.supersededReason ?? (task.request.signal.aborted ? "callerLeft" : "deadline"),
             ...getPartLogFields(task.request.prompt),
             requestSubject: task.subjects.getRequestSubjectId(),
-            sentCount: task.sentCount,
+            sentCount: task.counts.sent,
             sentAfterMilliseconds: task.sentAfterMilliseconds,
         }, "attempt cancelled");
     }
--- a/src/forwarding/createForwarder.ts
+++ b/src/forwarding/createForwarder.ts
@@ -19,6 +19,7 @@
 import { ForwarderOptions } from "./ForwarderOptions";
 import { ForwardingTask } from "./ForwardingTask";
 import { ForwardOutcome } from "./ForwardOutcome";
+import { ForwardResult } from "./ForwardResult";
 import { forwardStream } from "./forwardStream";
 import { getPartLogFields } from "./getPartLogFields";
 import { refuseTask } from "./refuseTask";
@@ -89,6 +90,7 @@
             subjects: createRunSubjects(request, admission),
             deadlineMilliseconds,
             signal: requestSignal.signal,
+            runId: request.requestId,
             logger: requestLogger,
             softwareVersion: admission.softwareVersion,
             originRecord: undefined,
@@ -98,22 +100,25 @@
             placement: undefined,
             observedRun: undefined,
             attemptEnded: undefined,
+            onServerSilent: () => undefined,
+            isHedged: false,
+            supersededReason: undefined,
             hasReservedRetry: false,
             responseEnd: undefined,
             polledMilliseconds,
             sentAfterMilliseconds: undefined,
-            sentCount: 0,
-            runCount: 0,
+            counts: { sent: 0, run: 0 },
         };
-        const outcome = await forwardTask(task);
+        const result = await forwardTask(task);
         requestSignal.release();
-        logOutcome(task, outcome);
+        logOutcome(result.task, result.outcome);
     }
 
-    function forwardTask(task: ForwardingTask): ForwardOutcome | Promise<ForwardOutcome> {
+    function forwardTask(task: ForwardingTask): ForwardResult | Promise<ForwardResult> {
         if (plannedStop.isTooLate(task.deadlineMilliseconds)) {
             const reason = RefusalReason.DRAINING;
-            return refuseTask(task, { kind: "notRun", reason, retryAfterMilliseconds: drainingRetryAfterMilliseconds });
+            const retryAfterMilliseconds = drainingRetryAfterMilliseconds;
+            return { task, outcome: refuseTask(task, { kind: "notRun", reason, retryAfterMilliseconds }) };
         }
         return task.admission.route.kind === RouteKind.Stream
             ? forwardStream(task, dispatcher)
@@ -149,8 +154,8 @@
             resumedRequestId: request.resumedRequestId,
             lastEventId: request.lastEventId,
             responseEnd: task.responseEnd,
-            sentCount: task.sentCount,
-            runCount: task.runCount,
+            sentCount: task.counts.sent,
+            runCount: task.counts.run,
             requestSubject: needsRequestSubject(task, outcome) ? task.subjects.getRequestSubjectId() : undefined,
             ...getStateFields(),
         };
@@ -178,7 +183,7 @@
                 break;
             case "callerLeft":
                 metrics.addCount(
-                    task.sentCount > 0 ? CounterName.CallersLeftAfterSending : CounterName.CallersLeftBeforeSending,
+                    task.counts.sent > 0 ? CounterName.CallersLeftAfterSending : CounterName.CallersLeftBeforeSending,
                 );
                 task.logger.info(fields, "caller left");
                 break;
@@ -198,7 +203,7 @@
 }
 
 /** Returns whether the log tells which request it was: one that was lost, or is refused as one that crashes servers. */
-function needsRequestSubject({ runCount }: ForwardingTask, outcome: ForwardOutcome): boolean {
+function needsRequestSubject({ counts }: ForwardingTask, outcome: ForwardOutcome): boolean {
     const isQuarantined = outcome.kind === "refused" && outcome.refusal.reason === RefusalReason.QUARANTINED;
-    return isQuarantined || outcome.kind !== "answered" && runCount > 0;
+    return isQuarantined || outcome.kind !== "answered" && counts.run > 0;
 }
--- a/src/forwarding/createLivenessMonitor.ts
+++ b/src/forwarding/createLivenessMonitor.ts
@@ -27,8 +27,6 @@
 const maximumSilenceMilliseconds = 2_800;
 /** How long the response to a probe may take: many times the network delay. */
 const probeTimeoutMilliseconds = 350;
-/** The number of probes without a response, one after the other, after which a backend server is taken for gone. */
-const probesUntilGone = 3;
 /** The number of monitored backend servers from which on the silence of most of them is put down to this process. */
 const minimumServersForObserverFault = 3;
 /** The pause between two probes of an unresponsive backend server. */
@@ -139,7 +137,6 @@
         const { instanceId } = instance;
         const start = clock.getMonotonicMilliseconds();
         const end = start + maximumProbingMilliseconds;
-        let failedProbes = 0;
         let isResponsive = false;
         while (!signal.aborted && clock.getMonotonicMilliseconds() < end) {
             if (server.attemptsInFlight <= 0 && reportedServers.isReported(instanceId)) {
@@ -153,8 +150,7 @@
             if (isResponsive) {
                 break;
             }
-            failedProbes += 1;
-            recordFailedProbe(server, failedProbes);
+            recordFailedProbe(server);
             await clock.sleep(probeIntervalMilliseconds, signal);
         }
         server.allowedSilenceMilliseconds = Math.min(
@@ -179,7 +175,7 @@
         }
     }
 
-    function recordFailedProbe(server: MonitoredServer, failedProbes: number): void {
+    function recordFailedProbe(server: MonitoredServer): void {
         const { instance: { instanceId }, attemptsInFlight: owed } = server;
         if (!server.unresponsive.signal.aborted) {
             logger.warn(
@@ -192,10 +188,6 @@
             return;
         }
         reportedServers.report(instanceId);
-        if (failedProbes >= probesUntilGone && !server.gone.signal.aborted) {
-            logger.warn({ instanceId, owed, failedProbes }, "backend server is taken for gone");
-            server.gone.abort();
-        }
     }
 
     /** Returns whether most backend servers with attempts in flight are unresponsive or have a probe outstanding. */
--- a/src/forwarding/createPromptScheduler.ts
+++ b/src/forwarding/createPromptScheduler.ts
@@ -31,7 +31,7 @@
         choose,
         waitForPrefill,
         startPrefill,
-        recordPrefillEnd: task => placement.recordPrefillEnd(task.request.requestId),
+        recordPrefillEnd: task => placement.recordPrefillEnd(task.runId),
     };
 
     function choose(task: ForwardingTask, candidates: readonly FleetInstance[]): FleetInstance | undefined {
@@ -48,7 +48,7 @@
 
     async function waitForPrefill(task: ForwardingTask, instance: FleetInstance): Promise<boolean> {
         const { request: { prompt }, admission: { route } } = task;
-        const prefill = prompt && task.sentCount === 0 && !task.hasWaitedForPrefill
+        const prefill = prompt && task.counts.sent === 0 && !task.hasWaitedForPrefill
             ? placement.getPrefillInFlight(prompt, getCacheScope(task, state), instance)
             : undefined;
         if (!prefill) {
@@ -60,7 +60,7 @@
     }
 
     function startPrefill(task: ForwardingTask, instance: FleetInstance): PrefixSources | undefined {
-        const { prompt, requestId } = task.request;
+        const { request: { prompt }, runId } = task;
         if (!prompt) {
             return undefined;
         }
@@ -68,7 +68,7 @@
         const instances = (state.getFleet()?.instances ?? []).filter(({ service }) => service === instance.service);
         const sources = placement.getPrefixSources(prompt, scope, instance, instances);
         task.prefillTokens = placement.getExpectedPrefillTokens(prompt, scope, instance, instances);
-        placement.recordSent(requestId, prompt, scope, instance);
+        placement.recordSent(runId, prompt, scope, instance);
         return sources;
     }
 }
--- a/src/forwarding/endObservedRun.ts
+++ b/src/forwarding/endObservedRun.ts
@@ -3,17 +3,21 @@
  */
 import { AttemptEnd } from "./AttemptEnd";
 import { ForwardingTask } from "./ForwardingTask";
+import { SupersededReason } from "./SupersededReason";
 
 /**
- * Ends the engine run of the last attempt. A response that ended with its request says nothing about the engine.
+ * Ends the engine run of the last attempt. A response that ended with its request says nothing about the engine, while a
+ * silent engine may have crashed.
  * @param task - The request.
  * @param end - How the attempt ended.
  */
-export function endObservedRun({ observedRun, signal }: ForwardingTask, end: AttemptEnd): void {
+export function endObservedRun(task: ForwardingTask, end: AttemptEnd): void {
+    const { observedRun, signal, supersededReason } = task;
+    const mayHaveCrashed = !signal.aborted || supersededReason === SupersededReason.Silent;
     if (end === "complete") {
         observedRun?.complete();
     }
-    else if (end === "lost" && !signal.aborted) {
+    else if (end === "lost" && mayHaveCrashed) {
         observedRun?.lose();
     }
     else {
--- a/src/forwarding/getTaskRefusal.ts
+++ b/src/forwarding/getTaskRefusal.ts
@@ -12,7 +12,7 @@
  * @param retryAfterMilliseconds - The delay after which the caller may retry, in milliseconds.
  */
 export function getTaskRefusal(task: ForwardingTask, reason: RefusalReason, retryAfterMilliseconds: number): Refusal {
-    return task.runCount > 0
+    return task.counts.run > 0
         ? { kind: "unknown", reason }
         : { kind: "notRun", reason, retryAfterMilliseconds };
 }
--- a/src/forwarding/recordStreamOrigin.ts
+++ b/src/forwarding/recordStreamOrigin.ts
@@ -32,7 +32,7 @@
         requestId,
         service: service.name,
         softwareVersion,
-        attemptNumber: task.sentCount,
+        attemptNumber: task.counts.sent,
         lifetimeMilliseconds: Math.max(0, remainingMilliseconds) + returnMarginMilliseconds,
     });
     const replacesOtherVersion = formerRecord !== undefined
--- /dev/null
+++ b/src/forwarding/startRuns.ts
@@ -0,0 +1,142 @@
+/*
+ * Runs a request, and hedges it while its backend server is silent. Silence alone ends no run: a sound server may pause for
+ * seconds, and the server that could take over may refuse the request. So a second run is started beside the silent one, and
+ * the first of the two that delivers goes on, while the other is ended. If one fails, the other remains.
+ */
+import { createAsyncQueue } from "../runtime";
+import { AttemptDispatcher } from "./AttemptDispatcher";
+import { createRunTask } from "./createRunTask";
+import { DeliveredValue } from "./DeliveredValue";
+import { ForwardingTask } from "./ForwardingTask";
+import { RunStarter } from "./RunStarter";
+import { RunStep } from "./RunStep";
+import { SupersededReason } from "./SupersededReason";
+
+/** A run in progress. */
+interface Run<T> {
+    task: ForwardingTask;
+    steps: AsyncIterator<RunStep<T>, void>;
+    controller: AbortController;
+}
+
+/** What happened to a run. */
+type RunNotice<T> =
+    | { kind: "silent"; run: Run<T>; }
+    | { kind: "ended"; run: Run<T>; }
+    | { kind: "thrown"; run: Run<T>; error: unknown; }
+    | { kind: "step"; run: Run<T>; step: RunStep<T>; };
+
+/** The options of a request's runs. */
+interface RunsOptions<T> {
+    /** The request. */
+    task: ForwardingTask;
+    /** Decides whether a hedge may be sent. */
+    dispatcher: Pick<AttemptDispatcher, "tryReserveHedge" | "recordHedgeWon">;
+    /** Starts a run. */
+    start: RunStarter<T>;
+    /** Returns whether another run could continue the response as it is. */
+    canContinue(): boolean;
+}
+
+/**
+ * Runs a request; ends after the value that its reader takes for the last one.
+ * @param options - The request, and how it is run.
+ */
+export async function* startRuns<T>(options: RunsOptions<T>): AsyncGenerator<DeliveredValue<T>, void> {
+    const { dispatcher, canContinue } = options;
+    const notices = createAsyncQueue<RunNotice<T>>();
+    const finished = new AbortController();
+    let leading = startRun(createRunTask, options.task);
+    let hedge: Run<T> | undefined;
+    try {
+        for await (const notice of notices) {
+            const { run } = notice;
+            if (run !== leading && run !== hedge) {
+                continue;
+            }
+            if (notice.kind === "thrown") {
+                throw notice.error;
+            }
+            if (notice.kind === "silent") {
+                startHedge(run);
+                continue;
+            }
+            const other = run === leading ? hedge : leading;
+            const hasFailed = notice.kind === "ended" || notice.step.kind === "failed";
+            if (hasFailed && other) {
+                continueWith(other);
+                continue;
+            }
+            if (notice.kind === "ended") {
+                return;
+            }
+            if (other) {
+                supersede(other, run === leading ? SupersededReason.Overtaken : SupersededReason.Silent);
+                continueWith(run);
+            }
+            yield { task: run.task, value: notice.step.value };
+            void readStep(run);
+        }
+    }
+    finally {
+        finished.abort();
+        if (hedge) {
+            supersede(hedge, SupersededReason.Overtaken);
+        }
+    }
+
+    function startRun(createTask: typeof createRunTask.createHedge, task: ForwardingTask): Run<T> {
+        const controller = new AbortController();
+        const end = () => controller.abort();
+        if (task.signal.aborted) {
+            end();
+        }
+        task.signal.addEventListener("abort", end, { once: true, signal: finished.signal });
+        const runTask = createTask(task, controller.signal);
+        const run: Run<T> = { task: runTask, steps: options.start(runTask), controller };
+        runTask.onServerSilent = () => notices.add({ kind: "silent", run });
+        void readStep(run);
+        return run;
+    }
+
+    async function readStep(run: Run<T>): Promise<void> {
+        try {
+            const result = await run.steps.next();
+            notices.add(result.done ? { kind: "ended", run } : { kind: "step", run, step: result.value });
+        }
+        catch (thrown) {
+            notices.add({ kind: "thrown", run, error: thrown });
+        }
+    }
+
+    /** Starts a second run beside a silent one, if there is none and the request may be sent once more. */
+    function startHedge(run: Run<T>): void {
+        if (!hedge && canContinue() && dispatcher.tryReserveHedge(run.task)) {
+            run.task.isHedged = true;
+            hedge = startRun(createRunTask.createHedge, { ...run.task, signal: options.task.signal });
+        }
+    }
+
+    function continueWith(run: Run<T>): void {
+        if (run === hedge) {
+            dispatcher.recordHedgeWon(run.task);
+        }
+        leading = run;
+        hedge = undefined;
+        run.task.isHedged = false;
+    }
+
+    /** Ends a run, and reads its remaining steps so that the end of its attempt is recorded. */
+    function supersede({ task, steps, controller }: Run<T>, reason: SupersededReason): void {
+        task.supersededReason = reason;
+        controller.abort();
+        void readToEnd(steps);
+    }
+}
+
+async function readToEnd(steps: AsyncIterator<unknown, void>): Promise<void> {
+    let result = await steps.next();
+    while (!result.done) {
+        result = await steps.next();
+    }
+}
--- a/src/metrics/CounterName.ts
+++ b/src/metrics/CounterName.ts
@@ -22,6 +22,8 @@
     /** Events of a response that arrive repeatedly, or after the request was cancelled. */
     LateResponses = "basilwing_late_answers_total",
     BrokenStreams = "basilwing_broken_streams_total",
+    /** Second runs of a request that delivered before the silent first one. */
+    HedgesWon = "basilwing_hedges_won_total",
     ResumedStreams = "basilwing_resumed_streams_total",
     /** Streams whose origin no control member held in time. */
     StreamOriginsUnrecorded = "basilwing_stream_origins_unrecorded_total",
--- a/src/metrics/RetryReason.ts
+++ b/src/metrics/RetryReason.ts
@@ -14,5 +14,7 @@
     BackendCrashed = "backendCrashed",
     BackendRefused = "backendRefused",
     LinkLost = "linkLost",
+    /** The backend server is silent: a second run was started beside the first. */
+    SilentServer = "silentServer",
     ForbiddenAttempt = "forbiddenAttempt",
 }
