--- a/src/control/storage/createLogStorage.ts
+++ b/src/control/storage/createLogStorage.ts
@@ -116,14 +116,14 @@
             }
         }
         entries.discardBefore(newSnapshot.index + 1n - BigInt(retainedEntries));
-        return runUnlessFailed(removeCoveredFiles);
+        return runUnlessFailed(() => removeCoveredFiles(newSnapshot.index));
     }
 
-    /** Removes the segments and snapshots that the newest snapshot makes obsolete. */
-    async function removeCoveredFiles(): Promise<void> {
+    /** Removes the segments and snapshots that a stored snapshot makes obsolete. A newer one may not be stored yet. */
+    async function removeCoveredFiles(storedIndex: bigint): Promise<void> {
         await segmentWriter.removeSegmentsBefore(entries.getFirstIndex());
         const numbers = snapshotFileNames.getFileNumbers(await fileSystem.listFolder(folder));
-        for (const snapshotNumber of numbers.filter(candidate => BigInt(candidate) < (snapshot?.index ?? 0n))) {
+        for (const snapshotNumber of numbers.filter(candidate => BigInt(candidate) < storedIndex)) {
             await fileSystem.remove(join(folder, snapshotFileNames.getFileName(snapshotNumber)));
         }
     }
--- a/tests/control/storage/createDiskFake.ts
+++ b/tests/control/storage/createDiskFake.ts
@@ -13,6 +13,12 @@
     crash(): void;
     /** Makes a write, sync or rename fail with a system error code, after a number of successful ones. */
     failAfter(operationCount: number, code: "ENOSPC" | "EIO"): void;
+    /** Limits the bytes that can still be appended; a write beyond them stores what fits and fails with ENOSPC. */
+    setFreeBytes(byteCount: number): void;
+    /** Ends the current process; its files remain as they are. */
+    endProcess(): void;
+    /** Gets the number of files that the current process holds open. */
+    getOpenFileCount(): number;
     /** Removes all files, and ends the current process. */
     clear(): void;
     /** Inverts the byte at an offset of a file, durably. */
@@ -45,6 +51,8 @@
     let syncedNames = new Map<string, FakeFile>();
     let operationsToFailure = Infinity;
     let failureCode = "EIO";
+    let freeBytes = Infinity;
+    let openFileCount = 0;
     let generation = 0;
     return {
         get fileSystem() {
@@ -52,6 +60,11 @@
         },
         crash,
         failAfter,
+        setFreeBytes: byteCount => {
+            freeBytes = byteCount;
+        },
+        endProcess,
+        getOpenFileCount: () => openFileCount,
         clear,
         corruptByte,
         getNames: () => [...names.keys()],
@@ -96,10 +109,22 @@
         const name = basename(path);
         const file = names.get(name) ?? { content: Buffer.alloc(0), synced: Buffer.alloc(0) };
         names.set(name, file);
-        return { append, sync, truncate, close: async () => undefined };
+        openFileCount += 1;
+        const ownGeneration = generation;
+        return { append, sync, truncate, close };
+
+        async function close(): Promise<void> {
+            openFileCount -= ownGeneration === generation ? 1 : 0;
+        }
 
         async function append(data: Uint8Array): Promise<void> {
             checkProcess();
+            if (data.length > freeBytes) {
+                file.content = Buffer.concat([file.content, data.subarray(0, freeBytes)]);
+                freeBytes = 0;
+                throw Object.assign(new Error("ENOSPC: the disk fake is full"), { code: "ENOSPC" });
+            }
+            freeBytes -= data.length;
             const isFull = isFailing() && failureCode === "ENOSPC";
             const written = isFull ? data.subarray(0, random.getInteger(data.length)) : data;
             file.content = Buffer.concat([file.content, written]);
@@ -153,8 +178,13 @@
         failureCode = code;
     }
 
-    function crash(): void {
+    function endProcess(): void {
         generation += 1;
+        openFileCount = 0;
+    }
+
+    function crash(): void {
+        endProcess();
         operationsToFailure = Infinity;
         const survivingNames = new Map(syncedNames);
         for (const [name, file] of names) {
@@ -192,7 +222,7 @@
     }
 
     function clear(): void {
-        generation += 1;
+        endProcess();
         names = new Map();
         syncedNames = new Map();
     }
--- a/tests/control/storage/openLogStorage.tests.ts
+++ b/tests/control/storage/openLogStorage.tests.ts
@@ -153,6 +153,26 @@
         expect(reopened.getLastIndex()).to.equal(102n);
     });
 
+    it("keeps the stored snapshot if the next one, which was requested meanwhile, can't be stored", async () => {
+        const harness = createHarness(11);
+        const storage = await harness.openOrThrow();
+        await storage.setHardState({ term: 1n, votedFor: "" });
+        for (let index = 1n; index <= 40n; index += 1n) {
+            await storage.addEntries([createEntry(index, 1n)]);
+        }
+        harness.disk.setFreeBytes(1_000);
+        const outcomes = await Promise.all([
+            storage.setSnapshot(createSnapshot(30n, 1n)),
+            storage.setSnapshot({ ...createSnapshot(100n, 2n), data: Buffer.alloc(2_000) }),
+        ]);
+        expect(outcomes.at(-1)!.kind).to.equal("failed");
+        await storage.stop();
+        harness.disk.setFreeBytes(Infinity);
+        const reopened = await harness.openOrThrow();
+        expect(reopened.getSnapshot()!.index).to.equal(30n);
+        expect(reopened.getLastIndex()).to.equal(40n);
+    });
+
     it("creates another member identity on an emptied disk", async () => {
         const harness = createHarness(4);
         const storage = await harness.openOrThrow();
