Judge the silence of backend servers only by what could be read

Seen: after an entry process's event loop stood still twice in a row (a large configuration applied with half a core, a collection of garbage), backend servers were taken for silent though each piece and each response had arrived; streams were taken from them.

Cause: timers run before connections are read. After a standstill the check found a silence as long as the standstill, and a probe that had been answered ran out before its response was read.

Change: what has arrived is read (`pollConnections`) before a server is found too silent and after a probe has run out. Between two checks at most 100 ms count as silence, or as time for a probe: a check that comes later shows that nothing was read meanwhile. What else is received since the probe was sent counts as its response. The line "backend server is silent" has the length of the silence and `loopDelayMilliseconds`, the part of it for which the event loop stood still, so that logs tell a server's silence from the process's own.

--- a/src/forwarding/LivenessMonitorOptions.ts
+++ b/src/forwarding/LivenessMonitorOptions.ts
@@ -12,6 +12,8 @@
     link: Pick<BackendLink, "probe">;
     /** Shares the backend servers that do not respond with the other entry processes. */
     facts: FactStore;
+    /** Waits until everything that has arrived has been read, so that no server is taken for silent before. */
+    pollConnections(): Promise<void>;
     /** The clock. */
     clock: Clock;
     /** Logs when a backend server becomes unresponsive or responds again. */
--- a/src/forwarding/createLivenessMonitor.ts
+++ b/src/forwarding/createLivenessMonitor.ts
@@ -4,7 +4,8 @@
  * needs no slot. If the probe gets no response, it is considered unresponsive until one does, and the other entry processes
  * are told; one that hears of it probes the server at once if it has attempts in flight there. Where most backend servers
  * with attempts in flight are silent, the cause is rather this process or its network: the others need not know, and no
- * server is taken for gone.
+ * server is taken for gone. Timers run before connections are read, so what has arrived is read before a silence is judged,
+ * and the time in which the event loop stood still does not count as silence.
  */
 import { setMaxListeners } from "node:events";
 import { BackendService } from "../documents";
@@ -33,17 +34,27 @@
 const probeIntervalMilliseconds = 500;
 /** How often backend servers are checked for inactivity. */
 const checkIntervalMilliseconds = 50;
+/** How much of the time between two checks counts as silence: a check that comes later shows that nothing was read. */
+const maximumCountedMilliseconds = 2 * checkIntervalMilliseconds;
 /**
  * How long an unresponsive backend server is probed: by then the platform's list has removed it or given it a new id.
  */
 const maximumProbingMilliseconds = 60_000;
 
+/** A moment, by the clock and by the time in which this process was able to read. */
+interface Moment {
+    clockMilliseconds: number;
+    readingMilliseconds: number;
+}
+
 /** A backend server with attempts in flight, or one that is being probed. */
 interface MonitoredServer {
     instance: FleetInstance;
     service: BackendService;
     attemptsInFlight: number;
-    lastActivityMilliseconds: number;
+    lastActivity: Moment;
+    /** Whether something was received since the first probe was sent. */
+    isActiveAgain: boolean;
     /** How long it may be inactive before it is probed. */
     allowedSilenceMilliseconds: number;
     isProbed: boolean;
@@ -62,6 +73,7 @@
     const servers = new Map<string, MonitoredServer>();
     const neverAborted = createServerController();
     const reportedServers = createReportedServers(facts, clock, checkReportedServer);
+    let lastCheck: Moment = { clockMilliseconds: clock.getMonotonicMilliseconds(), readingMilliseconds: 0 };
     void checkSilences();
     return {
         recordSent,
@@ -75,12 +87,12 @@
     };
 
     function recordSent(instance: FleetInstance, service: BackendService): void {
-        const now = clock.getMonotonicMilliseconds();
+        const now = getMoment();
         const server = servers.get(instance.instanceId)
             ?? createMonitoredServer(instance, service, now);
         servers.set(instance.instanceId, server);
         if (server.attemptsInFlight === 0) {
-            server.lastActivityMilliseconds = now;
+            server.lastActivity = now;
         }
         server.attemptsInFlight += 1;
     }
@@ -88,7 +100,8 @@
     function recordActivity(instanceId: string): void {
         const server = servers.get(instanceId);
         if (server) {
-            server.lastActivityMilliseconds = clock.getMonotonicMilliseconds();
+            server.lastActivity = getMoment();
+            server.isActiveAgain = true;
             server.allowedSilenceMilliseconds = initialSilenceMilliseconds;
         }
     }
@@ -106,17 +119,28 @@
 
     async function checkSilences(): Promise<void> {
         while (!signal.aborted) {
-            const now = clock.getMonotonicMilliseconds();
-            for (const server of servers.values()) {
-                const isTooSilent = now - server.lastActivityMilliseconds > server.allowedSilenceMilliseconds;
-                if (isTooSilent) {
-                    startProbing(server);
-                }
+            lastCheck = getMoment();
+            if ([...servers.values()].some(isTooSilent)) {
+                await options.pollConnections();
+                [...servers.values()].filter(isTooSilent).forEach(startProbing);
             }
             await clock.sleep(checkIntervalMilliseconds, signal);
         }
     }
 
+    function isTooSilent(server: MonitoredServer): boolean {
+        const silenceMilliseconds = getMoment().readingMilliseconds - server.lastActivity.readingMilliseconds;
+        return !server.isProbed && silenceMilliseconds > server.allowedSilenceMilliseconds;
+    }
+
+    /** Gets the current moment; of the time since the last check, no more counts than checks in time have between them. */
+    function getMoment(): Moment {
+        const clockMilliseconds = clock.getMonotonicMilliseconds();
+        const elapsedMilliseconds = clockMilliseconds - lastCheck.clockMilliseconds;
+        const countedMilliseconds = Math.min(maximumCountedMilliseconds, elapsedMilliseconds);
+        return { clockMilliseconds, readingMilliseconds: lastCheck.readingMilliseconds + countedMilliseconds };
+    }
+
     function checkReportedServer(instanceId: string): void {
         const server = servers.get(instanceId);
         if (server) {
@@ -127,14 +151,14 @@
     function startProbing(server: MonitoredServer): void {
         if (!server.isProbed && server.attemptsInFlight > 0) {
             server.isProbed = true;
+            server.isActiveAgain = false;
             void probeUntilResponsive(server);
         }
     }
 
-    /** Sends probes until there is a response. */
+    /** Sends probes until there is a response, or until something else is received from the server. */
     async function probeUntilResponsive(server: MonitoredServer): Promise<void> {
-        const { instance, service } = server;
-        const { instanceId } = instance;
+        const { instanceId } = server.instance;
         const start = clock.getMonotonicMilliseconds();
         const end = start + maximumProbingMilliseconds;
         let isResponsive = false;
@@ -143,10 +167,7 @@
                 await clock.sleep(probeIntervalMilliseconds, signal);
                 continue;
             }
-            const ended = new AbortController();
-            const response = link.probe(instance, service, ended.signal);
-            isResponsive = await waitWithTimeout(clock, response, probeTimeoutMilliseconds) ?? false;
-            ended.abort();
+            isResponsive = server.isActiveAgain || await sendProbe(server) || server.isActiveAgain;
             if (isResponsive) {
                 break;
             }
@@ -168,20 +189,33 @@
             server.gone = createServerController();
             server.allowedSilenceMilliseconds = initialSilenceMilliseconds;
         }
-        server.lastActivityMilliseconds = clock.getMonotonicMilliseconds();
+        server.lastActivity = getMoment();
         server.isProbed = false;
         if (server.attemptsInFlight <= 0) {
             servers.delete(instanceId);
         }
     }
 
+    /** Sends a probe, which runs out once this process was able to read for long enough and has read what has arrived. */
+    async function sendProbe({ instance, service }: MonitoredServer): Promise<boolean> {
+        const ended = new AbortController();
+        const response = link.probe(instance, service, ended.signal);
+        const end = getMoment().readingMilliseconds + probeTimeoutMilliseconds;
+        let remainingMilliseconds = probeTimeoutMilliseconds;
+        let isResponsive = await waitWithTimeout(clock, response, remainingMilliseconds);
+        while (isResponsive === undefined && remainingMilliseconds > 0) {
+            await options.pollConnections();
+            remainingMilliseconds = Math.max(0, end - getMoment().readingMilliseconds);
+            isResponsive = await waitWithTimeout(clock, response, remainingMilliseconds);
+        }
+        ended.abort();
+        return isResponsive ?? false;
+    }
+
     function recordFailedProbe(server: MonitoredServer): void {
         const { instance: { instanceId }, attemptsInFlight: owed } = server;
         if (!server.unresponsive.signal.aborted) {
-            logger.warn(
-                { instanceId, owed, silenceMilliseconds: initialSilenceMilliseconds },
-                "backend server is silent",
-            );
+            logger.warn({ instanceId, owed, ...getSilence(server.lastActivity) }, "backend server is silent");
             server.unresponsive.abort();
         }
         if (isObserverSuspect()) {
@@ -190,6 +224,17 @@
         reportedServers.report(instanceId);
     }
 
+    /** Gets the log fields of a silence: its length, and for how much of it the event loop stood still. */
+    function getSilence(lastActivity: Moment): object {
+        const { clockMilliseconds, readingMilliseconds } = getMoment();
+        const silenceMilliseconds = clockMilliseconds - lastActivity.clockMilliseconds;
+        const countedMilliseconds = readingMilliseconds - lastActivity.readingMilliseconds;
+        return {
+            silenceMilliseconds: Math.round(silenceMilliseconds),
+            loopDelayMilliseconds: Math.round(silenceMilliseconds - countedMilliseconds),
+        };
+    }
+
     /** Returns whether most backend servers with attempts in flight are unresponsive or have a probe outstanding. */
     function isObserverSuspect(): boolean {
         const busy = [...servers.values()].filter(({ attemptsInFlight }) => attemptsInFlight > 0);
@@ -198,12 +243,13 @@
     }
 }
 
-function createMonitoredServer(instance: FleetInstance, service: BackendService, now: number): MonitoredServer {
+function createMonitoredServer(instance: FleetInstance, service: BackendService, now: Moment): MonitoredServer {
     return {
         instance,
         service,
         attemptsInFlight: 0,
-        lastActivityMilliseconds: now,
+        lastActivity: now,
+        isActiveAgain: false,
         allowedSilenceMilliseconds: initialSilenceMilliseconds,
         isProbed: false,
         unresponsive: createServerController(),
