--- /dev/null
+++ b/tests/platform/callers/pipelinedRequests.tests.ts
@@ -0,0 +1,69 @@
+import { expect } from "chai";
+import { CallerServer } from "../../../platform/callers";
+import { CallerReply } from "../../../src/forwarding";
+import { openRawCaller } from "./openRawCaller";
+import { startTestCallerServer } from "./startTestCallerServer";
+
+describe("startCallerServer, to callers that send a request before the last response has ended", () => {
+    let callerServer: CallerServer;
+    let replies: Map<string, CallerReply>;
+    let isStopping: boolean;
+    let stop: AbortController;
+    beforeEach(async () => {
+        replies = new Map();
+        isStopping = false;
+        stop = new AbortController();
+        callerServer = await startTestCallerServer(({ requestId }, reply) => void replies.set(requestId, reply), {
+            plannedStop: { hasBegun: () => isStopping, signal: stop.signal },
+        });
+    });
+    afterEach(() => {
+        callerServer.server.closeAllConnections();
+        callerServer.server.close();
+    });
+
+    /** Sends requests on one connection, and waits until the forwarder has them. */
+    async function sendRequests(ids: readonly string[]) {
+        const caller = openRawCaller(callerServer);
+        ids.forEach(id => caller.request(id));
+        while (replies.size < ids.length) {
+            await new Promise(resolve => setImmediate(resolve));
+        }
+        return caller;
+    }
+
+    function sendResponse(id: string): void {
+        replies.get(id)!.send({ status: 200, headers: ["X-Id", id] }, Buffer.from("ok"));
+    }
+
+    async function doTest(order: readonly string[], stopAfter: number): Promise<void> {
+        const caller = await sendRequests(["1", "2", "3"]);
+        order.forEach((id, index) => {
+            isStopping ||= index === stopAfter;
+            sendResponse(id);
+        });
+        await caller.waitForStatuses(4, 500);
+        const text = caller.getText();
+        expect([...text.matchAll(/X-Id: (\d)/g)].map(match => match[1])).to.deep.equal(["1", "2", "3"]);
+        expect(caller.hasEnded()).to.equal(stopAfter < 3);
+    }
+
+    it("answers each in order", () => doTest(["1", "2", "3"], 3));
+    it("answers each in order, whichever ends first", () => doTest(["3", "1", "2"], 3));
+    it("answers each before it closes the connection in a planned stop", () => doTest(["1", "2", "3"], 0));
+    it("answers each before it closes the connection in a planned stop, whichever ends first", () =>
+        doTest(["3", "2", "1"], 0));
+    it("answers each before it closes the connection in a planned stop that begins between the responses", () =>
+        doTest(["1", "2", "3"], 1));
+
+    it("answers a request that follows a response which began before the planned stop", async () => {
+        const caller = await sendRequests(["1", "2"]);
+        replies.get("1")!.start({ status: 200, headers: [] });
+        await replies.get("1")!.write(Buffer.from("part"));
+        isStopping = true;
+        replies.get("1")!.end();
+        await new Promise(resolve => setTimeout(resolve, 50));
+        sendResponse("2");
+        expect(await caller.waitForStatuses(2, 500)).to.deep.equal([200, 200]);
+    });
+});
