Close files after a failed write to a full disk

Operators saw: a control member whose disk is full held one more descriptor open every 300 ms, until they were collected.

Evidence: "holds no more files open the longer the disk is full" failed before, as run: [1, 2, 3, 4] for [0, 0, 0, 0]; "that is full leaves no file open after attempts to open the log" too: 1 for 0.

Result: openLogStorage.tests.ts and openMemberStorage.tests.ts, 24 of 24 pass. That the descriptors ran out was not seen.

--- a/src/control/storage/createSegmentWriter.ts
+++ b/src/control/storage/createSegmentWriter.ts
@@ -94,12 +94,18 @@
             return undefined;
         }
         const segment = await openSegment(last);
-        if (segment.tornBytes > 0) {
-            await segment.file.truncate(segment.validBytes);
-            await segment.file.sync();
-            segment.tornBytes = 0;
+        try {
+            if (segment.tornBytes > 0) {
+                await segment.file.truncate(segment.validBytes);
+                await segment.file.sync();
+                segment.tornBytes = 0;
+            }
+            return segment;
+        }
+        catch (thrown) {
+            await segment.file.close();
+            throw thrown;
         }
-        return segment;
     }
 
     async function openSegment(summary: SegmentSummary): Promise<OpenSegment> {
--- a/src/control/storage/lockFolder.ts
+++ b/src/control/storage/lockFolder.ts
@@ -63,12 +63,16 @@
     /** Writes the owner to a lock file; an empty file is a released lock. */
     async function writeOwner(path: string, owner: LockOwner | undefined): Promise<void> {
         const file = await fileSystem.openFile(path);
-        await file.truncate(0);
-        if (owner) {
-            await file.append(Buffer.from(JSON.stringify(owner)));
+        try {
+            await file.truncate(0);
+            if (owner) {
+                await file.append(Buffer.from(JSON.stringify(owner)));
+            }
+            await file.sync();
+        }
+        finally {
+            await file.close();
         }
-        await file.sync();
-        await file.close();
     }
 
     /** Removes the locks with lower numbers, whose processes have ended or released them. */
--- a/src/control/storage/openLogStorage.ts
+++ b/src/control/storage/openLogStorage.ts
@@ -101,7 +101,13 @@
         const index = snapshot.index + 1n;
         logger.info({ index: String(index) }, "log is reset to start after its snapshot");
         entries.applyRecord({ kind: RecordKind.Reset, index });
-        await segmentWriter.write([{ kind: RecordKind.Reset, index }]);
+        try {
+            await segmentWriter.write([{ kind: RecordKind.Reset, index }]);
+        }
+        catch (thrown) {
+            await segmentWriter.close();
+            throw thrown;
+        }
     }
     return createLogStorage({ folder, fileSystem, memberId, hardState, snapshot, entries, segmentWriter, releaseLock });
 }
--- a/tests/control/storage/openLogStorage.tests.ts
+++ b/tests/control/storage/openLogStorage.tests.ts
@@ -8,6 +8,7 @@
 import { crc32 } from "node:zlib";
 import { LogStorage, openLogStorage, OpenStorageOutcome, StoredSnapshot } from "../../../src/control/storage";
 import { encodeFileHeader } from "../../../src/control/storage/encodeFileHeader";
+import { encodeSnapshot } from "../../../src/control/storage/encodeSnapshot";
 import { FileKind } from "../../../src/control/storage/FileKind";
 import { createSilentLogger } from "../../../src/logging";
 import { createMetrics } from "../../../src/metrics";
@@ -287,6 +288,25 @@
 
         it("that is full is reported, and nothing more is written", () => doTest("ENOSPC", /full; free space/));
         it("that returns an error is reported, and nothing more is written", () => doTest("EIO", /fails; replace/));
+
+        it("that is full leaves no file open after attempts to open the log", async () => {
+            const harness = createHarness(12);
+            const storage = await harness.openOrThrow();
+            await storage.setHardState({ term: 1n, votedFor: "" });
+            await storage.addEntries(createEntries(1n, 2, 1n));
+            const snapshot = createSnapshot(10n, 2n);
+            // The log's reset after the snapshot no longer fits, so that each opening has to write it.
+            harness.disk.setFreeBytes(Buffer.concat(encodeSnapshot(snapshot)).length);
+            expect((await storage.setSnapshot(snapshot)).kind).to.equal("failed");
+            await storage.stop();
+            for (let byteCount = 0; byteCount < 150; byteCount += 1) {
+                harness.disk.endProcess();
+                harness.processTable.endProcess();
+                harness.disk.setFreeBytes(byteCount);
+                const outcome = await harness.open();
+                expect(harness.disk.getOpenFileCount()).to.equal(outcome.kind === "opened" ? 1 : 0);
+            }
+        });
     });
 
     it("preserves all acknowledged data across crashes", async () => {
--- a/tests/platform/roles/openMemberStorage.tests.ts
+++ b/tests/platform/roles/openMemberStorage.tests.ts
@@ -5,7 +5,8 @@
 import { openMemberStorage } from "../../../platform/roles/openMemberStorage";
 import { createSilentLogger } from "../../../src/logging";
 import { createMetrics } from "../../../src/metrics";
-import { createSystemClock } from "../../../src/runtime";
+import { createRandomSource, createSystemClock } from "../../../src/runtime";
+import { createDiskFake } from "../../control/storage/createDiskFake";
 
 describe("openMemberStorage", () => {
     let parent: string;
@@ -33,4 +34,26 @@
         await opened?.waitForDisk();
         await opened?.storage.stop();
     });
+
+    it("holds no more files open the longer the disk is full", async () => {
+        const disk = createDiskFake({ random: createRandomSource(1) });
+        const openFileCounts: number[] = [];
+        const opened = await openMemberStorage({
+            folder: "/log",
+            clock: { ...createSystemClock(), sleep },
+            logger: createSilentLogger(),
+            metrics: createMetrics(),
+            fileSystem: disk.fileSystem,
+        });
+        disk.setFreeBytes(0);
+        await opened!.waitForDisk();
+        expect(openFileCounts).to.deep.equal([0, 0, 0, 0]);
+
+        async function sleep(): Promise<void> {
+            openFileCounts.push(disk.getOpenFileCount());
+            if (openFileCounts.length === 4) {
+                disk.setFreeBytes(Infinity);
+            }
+        }
+    });
 });
