Wait until a disk takes a member's largest write before the process ends

Operators saw: a control member on a disk with a few bytes of room ended itself, started, failed at its next write and ended again, for as long as the disk stayed so.

--- a/src/control/storage/index.ts
+++ b/src/control/storage/index.ts
@@ -17,3 +17,4 @@
 export * from "./StorageFileSystem";
 export * from "./StorageWriteOutcome";
 export * from "./StoredSnapshot";
+export * from "./temporaryFileSuffix";
--- a/tests/platform/roles/openMemberStorage.tests.ts
+++ b/tests/platform/roles/openMemberStorage.tests.ts
@@ -1,3 +1,4 @@
+import { create } from "@bufbuild/protobuf";
 import { expect } from "chai";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
@@ -5,6 +6,7 @@
 import { openMemberStorage } from "../../../platform/roles/openMemberStorage";
 import { createSilentLogger } from "../../../src/logging";
 import { createMetrics } from "../../../src/metrics";
+import { EntryKind, LogEntrySchema, MemberSetSchema } from "../../../src/protocol";
 import { createRandomSource, createSystemClock } from "../../../src/runtime";
 import { createDiskFake } from "../../control/storage/createDiskFake";
 
@@ -56,4 +58,29 @@
             }
         }
     });
+
+    it("waits until the disk takes a snapshot and a large entry, so that the process doesn't end in vain", async () => {
+        const disk = createDiskFake({ random: createRandomSource(1) });
+        let attemptCount = 0;
+        const opened = await openMemberStorage({
+            folder: "/log",
+            clock: { ...createSystemClock(), sleep },
+            logger: createSilentLogger(),
+            metrics: createMetrics(),
+            fileSystem: disk.fileSystem,
+        });
+        const data = Buffer.alloc(200_000);
+        const { storage, waitForDisk } = opened!;
+        await storage.addEntries([create(LogEntrySchema, { index: 1n, term: 1n, kind: EntryKind.COMMAND, data })]);
+        disk.setFreeBytes(100_000);
+        await storage.setSnapshot({ index: 1n, term: 1n, members: create(MemberSetSchema), data }, 1);
+        disk.setFreeBytes(100_000);
+        await waitForDisk();
+        expect(attemptCount).to.equal(3);
+
+        async function sleep(): Promise<void> {
+            attemptCount += 1;
+            disk.setFreeBytes(attemptCount === 3 ? 1_000_000 : 100_000);
+        }
+    });
 });
