Take a backend server for gone by evidence, not by silence

Seen: a stream that must not run again was ended with an unknown outcome 2.4 s after the last byte of its server, though the server may have gone on.

Cause: a server was taken for gone after three probes without a response.

Change: the liveness probe is the call that names the instance (`checkInstance`), still one call for each interval. If nothing listens at the address any more or another instance answers there, the server is gone, at the first such probe, and is reported, also while most servers are silent: that is no matter of silence. Any other response shows that it serves, and so does anything else that it sends meanwhile. No response and failed connections show nothing. The former probe without the name of the instance has no caller left and is removed, and the log line is "backend server is gone".

--- a/src/forwarding/BackendLink.ts
+++ b/src/forwarding/BackendLink.ts
@@ -12,15 +12,8 @@
     /** Sends one attempt; resolves with the head of the response. */
     send(attempt: BackendAttempt): Promise<AttemptResult>;
     /**
-     * Sends a liveness probe, which occupies no slot where the service offers such a call.
-     * @param instance - The backend server.
-     * @param service - The service that it belongs to.
-     * @param signal - Ends the probe.
-     * @returns Whether the backend server responded.
-     */
-    probe(instance: FleetInstance, service: BackendService, signal: AbortSignal): Promise<boolean>;
-    /**
-     * Asks a backend server whether it still serves at its address.
+     * Asks a backend server whether it still serves at its address, by a call that occupies no slot where the service
+     * offers one. It is also the liveness probe.
      * @param instance - The backend server.
      * @param service - The service that it belongs to.
      * @param signal - Ends the call.
--- a/src/forwarding/LivenessMonitor.ts
+++ b/src/forwarding/LivenessMonitor.ts
@@ -18,6 +18,9 @@
     isProbed(instanceId: string): boolean;
     /** Gets a signal that is aborted once this entry process considers the backend server unresponsive. */
     getUnresponsiveSignal(instanceId: string): AbortSignal;
-    /** Gets a signal that is aborted once the backend server has been unresponsive for so long that it is taken for gone. */
+    /**
+     * Gets a signal that is aborted once the backend server is known to be gone, since a probe was refused at its address
+     * or answered by another instance there; silence alone never aborts it.
+     */
     getGoneSignal(instanceId: string): AbortSignal;
 }
--- a/src/forwarding/LivenessMonitorOptions.ts
+++ b/src/forwarding/LivenessMonitorOptions.ts
@@ -9,7 +9,7 @@
 /** The options of the monitor. */
 export interface LivenessMonitorOptions {
     /** Sends liveness probes. */
-    link: Pick<BackendLink, "probe">;
+    link: Pick<BackendLink, "checkInstance">;
     /** Shares the backend servers that do not respond with the other entry processes. */
     facts: FactStore;
     /** Waits until everything that has arrived has been read, so that no server is taken for silent before. */
--- a/src/forwarding/createLivenessMonitor.ts
+++ b/src/forwarding/createLivenessMonitor.ts
@@ -3,11 +3,13 @@
  * and never respond. A backend server with attempts in flight that sends nothing for some time is probed by a call that
  * needs no slot. If the probe gets no response, it is considered unresponsive until one does, and the other entry processes
  * are told; one that hears of it probes the server at once if it has attempts in flight there. Where most backend servers
- * with attempts in flight are silent, the cause is rather this process or its network: the others need not know, and no
- * server is taken for gone. Timers run before connections are read, so what has arrived is read before a silence is judged,
+ * with attempts in flight are silent, the cause is rather this process or its network: the others need not know. Silence
+ * is no evidence that a server is gone, however long it lasts; that nothing listens at its address any more, or that
+ * another instance answers there, is. Timers run before connections are read, so what has arrived is read before a silence is judged,
  * and the time in which the event loop stood still does not count as silence.
  */
 import { setMaxListeners } from "node:events";
+import { InstanceState } from "../crashQuarantine";
 import { BackendService } from "../documents";
 import { FleetInstance } from "../protocol";
 import { waitWithTimeout } from "../runtime";
@@ -60,7 +62,7 @@
     isProbed: boolean;
     /** Aborted once it is considered unresponsive. */
     unresponsive: AbortController;
-    /** Aborted once it is taken for gone. */
+    /** Aborted once a probe has shown that it is gone. */
     gone: AbortController;
 }
 
@@ -167,11 +169,12 @@
                 await clock.sleep(probeIntervalMilliseconds, signal);
                 continue;
             }
-            isResponsive = server.isActiveAgain || await sendProbe(server) || server.isActiveAgain;
+            const state = await getState(server);
+            isResponsive = state === InstanceState.Serving;
             if (isResponsive) {
                 break;
             }
-            recordFailedProbe(server);
+            recordFailedProbe(server, state);
             await clock.sleep(probeIntervalMilliseconds, signal);
         }
         server.allowedSilenceMilliseconds = Math.min(
@@ -196,32 +199,42 @@
         }
     }
 
+    /** Gets the state of a server by a probe; one that sends something serves, even if it accepts no connections any more. */
+    async function getState(server: MonitoredServer): Promise<InstanceState> {
+        const state = server.isActiveAgain ? InstanceState.Serving : await sendProbe(server);
+        return server.isActiveAgain ? InstanceState.Serving : state;
+    }
+
     /** Sends a probe, which runs out once this process was able to read for long enough and has read what has arrived. */
-    async function sendProbe({ instance, service }: MonitoredServer): Promise<boolean> {
+    async function sendProbe({ instance, service }: MonitoredServer): Promise<InstanceState> {
         const ended = new AbortController();
-        const response = link.probe(instance, service, ended.signal);
+        const response = link.checkInstance(instance, service, ended.signal);
         const end = getMoment().readingMilliseconds + probeTimeoutMilliseconds;
         let remainingMilliseconds = probeTimeoutMilliseconds;
-        let isResponsive = await waitWithTimeout(clock, response, remainingMilliseconds);
-        while (isResponsive === undefined && remainingMilliseconds > 0) {
+        let state = await waitWithTimeout(clock, response, remainingMilliseconds);
+        while (state === undefined && remainingMilliseconds > 0) {
             await options.pollConnections();
             remainingMilliseconds = Math.max(0, end - getMoment().readingMilliseconds);
-            isResponsive = await waitWithTimeout(clock, response, remainingMilliseconds);
+            state = await waitWithTimeout(clock, response, remainingMilliseconds);
         }
         ended.abort();
-        return isResponsive ?? false;
+        return state ?? InstanceState.Unknown;
     }
 
-    function recordFailedProbe(server: MonitoredServer): void {
+    function recordFailedProbe(server: MonitoredServer, state: InstanceState): void {
         const { instance: { instanceId }, attemptsInFlight: owed } = server;
         if (!server.unresponsive.signal.aborted) {
             logger.warn({ instanceId, owed, ...getSilence(server.lastActivity) }, "backend server is silent");
             server.unresponsive.abort();
         }
-        if (isObserverSuspect()) {
-            return;
+        const isGone = state === InstanceState.Ended;
+        if (isGone && !server.gone.signal.aborted) {
+            logger.warn({ instanceId, owed }, "backend server is gone");
+            server.gone.abort();
+        }
+        if (isGone || !isObserverSuspect()) {
+            reportedServers.report(instanceId);
         }
-        reportedServers.report(instanceId);
     }
 
     /** Gets the log fields of a silence: its length, and for how much of it the event loop stood still. */
