--- a/tests/platform/callers/pipelinedRequests.tests.ts
+++ b/tests/platform/callers/pipelinedRequests.tests.ts
@@ -8,14 +8,15 @@
     let callerServer: CallerServer;
     let replies: Map<string, CallerReply>;
     let isStopping: boolean;
-    let stop: AbortController;
+    let signals: AbortSignal[];
     beforeEach(async () => {
         replies = new Map();
         isStopping = false;
-        stop = new AbortController();
-        callerServer = await startTestCallerServer(({ requestId }, reply) => void replies.set(requestId, reply), {
-            plannedStop: { hasBegun: () => isStopping, signal: stop.signal },
-        });
+        signals = [];
+        callerServer = await startTestCallerServer(({ requestId, signal }, reply) => {
+            replies.set(requestId, reply);
+            signals.push(signal);
+        }, { plannedStop: { hasBegun: () => isStopping, signal: new AbortController().signal } });
     });
     afterEach(() => {
         callerServer.server.closeAllConnections();
@@ -66,4 +67,15 @@
         sendResponse("2");
         expect(await caller.waitForStatuses(2, 500)).to.deep.equal([200, 200]);
     });
+
+    it("has none of them in progress once the connection was reset", async () => {
+        const caller = await sendRequests(["1", "2", "3"]);
+        caller.socket.resetAndDestroy();
+        const start = performance.now();
+        while (callerServer.getOpenCount() > 0 && performance.now() - start < 1_000) {
+            await new Promise(resolve => setTimeout(resolve, 5));
+        }
+        expect([callerServer.getOpenCount(), ...signals.map(({ aborted }) => aborted)])
+            .to.deep.equal([0, true, true, true]);
+    });
 });
