--- a/tests/platform/roles/drainEntry.tests.ts
+++ b/tests/platform/roles/drainEntry.tests.ts
@@ -2,9 +2,11 @@
 import { once } from "node:events";
 import { createServer, Server, ServerResponse } from "node:http";
 import { AddressInfo, createConnection } from "node:net";
+import { setImmediate } from "node:timers/promises";
 import { drainEntry } from "../../../platform/roles/drainEntry";
 import { createPlannedStop } from "../../../src/forwarding";
 import { createSilentLogger } from "../../../src/logging";
+import { createSystemClock } from "../../../src/runtime";
 import { createManualClock } from "../../support/createManualClock";
 
 describe("drainEntry", () => {
@@ -46,7 +48,8 @@
         async function advancePolls(count: number): Promise<void> {
             for (let poll = 0; poll < count; poll++) {
                 await clock.advance(25);
-                await new Promise(resolve => setImmediate(() => setImmediate(resolve)));
+                await setImmediate();
+                await setImmediate();
             }
         }
     }
@@ -89,6 +92,42 @@
         expect(text).to.include("whole");
     });
 
+    // Timers run before sockets are read, so that a kept connection was closed with a whole request in it.
+    it("reads the requests that arrived while the process stood still, before it closes idle connections", async () => {
+        const clock = createSystemClock();
+        const socket = createConnection((server.address() as AddressInfo).port, "127.0.0.1");
+        let text = "";
+        socket.on("data", chunk => text += chunk.toString());
+        socket.on("error", error => text += error.message);
+        const closed = new Promise(resolve => socket.on("close", resolve));
+        const requestText = "GET / HTTP/1.1\r\nhost: one.example\r\n\r\n";
+        server.on("request", (...[, response]) => response.end(`response ${responses.length}`));
+        socket.write(requestText);
+        await once(socket, "data");
+        const drained = new Promise<void>(exit =>
+            void drainEntry({
+                callerServer: { server, closeUnusedConnections: () => undefined },
+                plannedStop: createPlannedStop(clock),
+                getRequestCount: () => openCount,
+                stopGraceMilliseconds: 8_000,
+                clock,
+                logger: createSilentLogger(),
+                exit,
+            })
+        );
+        await clock.sleep(2_300);
+        // The next turn of the event loop begins with the timers.
+        await setImmediate();
+        socket.write(requestText);
+        const start = performance.now();
+        while (performance.now() - start < 400) {
+            // The event loop stands still.
+        }
+        await drained;
+        await closed;
+        expect(text).to.include("response 2");
+    });
+
     it("has what is in progress answered before it exits, and requests that would last longer refused", async () => {
         const drain = createDrain();
         const endMilliseconds = drain.clock.getMonotonicMilliseconds() + 7_300;
