End no attempt since a server refuses new connections

Callers would lose sound answers of a server that takes no new connections while it ends its work, where it pauses for 0.35 s: a refused probe counted as the server's end.

Change: the check tells a refused connection from another instance at the address. Only the latter ends attempts; for the crash evidence both show that the server has ended, as before.

--- a/src/crashQuarantine/InstanceState.ts
+++ b/src/crashQuarantine/InstanceState.ts
@@ -6,8 +6,10 @@
 export enum InstanceState {
     /** It responds. */
     Serving = "serving",
-    /** Nothing listens at its address, or another instance does. */
+    /** Another instance responds at its address. */
     Ended = "ended",
+    /** Nothing listens at its address: it has crashed, or takes no new connections while it ends its work. */
+    Refusing = "refusing",
     /** It doesn't respond, or its connections fail. */
     Unknown = "unknown",
 }
--- a/src/crashQuarantine/createCrashObserver.ts
+++ b/src/crashQuarantine/createCrashObserver.ts
@@ -171,7 +171,7 @@
             if (state === InstanceState.Serving) {
                 return;
             }
-            if (state === InstanceState.Ended) {
+            if (state === InstanceState.Ended || state === InstanceState.Refusing) {
                 addObservation(instance.instanceId, service, check);
                 return;
             }
--- a/src/forwarding/LivenessMonitor.ts
+++ b/src/forwarding/LivenessMonitor.ts
@@ -19,8 +19,8 @@
     /** Gets a signal that is aborted once this entry process considers the backend server unresponsive. */
     getUnresponsiveSignal(instanceId: string): AbortSignal;
     /**
-     * Gets a signal that is aborted once the backend server is known to be gone, since a probe was refused at its address
-     * or answered by another instance there; silence alone never aborts it.
+     * Gets a signal that is aborted once the backend server is known to be gone, since another instance
+     * has answered a probe at its address; neither silence nor refused connections abort it.
      */
     getGoneSignal(instanceId: string): AbortSignal;
 }
--- a/src/forwarding/createLivenessMonitor.ts
+++ b/src/forwarding/createLivenessMonitor.ts
@@ -4,9 +4,9 @@
  * needs no slot. If the probe gets no response, it is considered unresponsive until one does, and the other entry processes
  * are told; one that hears of it probes the server at once if it has attempts in flight there. Where most backend servers
  * with attempts in flight are silent, the cause is rather this process or its network: the others need not know. Silence
- * is no evidence that a server is gone, however long it lasts; that nothing listens at its address any more, or that
- * another instance answers there, is. Timers run before connections are read, so what has arrived is read before a silence is judged,
- * and the time in which the event loop stood still does not count as silence.
+ * is no evidence that a server is gone, however long it lasts, nor is a refused connection, as a server may take no new ones
+ * while it ends its work; that another instance answers at its address, is. Timers run before connections are read, so what
+ * has arrived is read before a silence is judged, and the time in which the event loop stood still does not count as silence.
  */
 import { setMaxListeners } from "node:events";
 import { InstanceState } from "../crashQuarantine";
--- a/tests/crashQuarantine/createCrashObserver.tests.ts
+++ b/tests/crashQuarantine/createCrashObserver.tests.ts
@@ -128,6 +128,8 @@
     it("records no crash of an engine that still serves", () =>
         doTest([InstanceState.Serving], { crashes: 0, checks: 1 }));
     it("records no crash of an engine that can't be reached", () => doTest(["never"], { crashes: 0, checks: 8 }));
+    it("records a crash of an engine at whose address nothing listens", () =>
+        doTest([InstanceState.Refusing], { crashes: 1, checks: 1 }));
     it("asks again where the result is unclear", () =>
         doTest([InstanceState.Unknown, InstanceState.Ended], { crashes: 1, checks: 2 }));
 
