Let a leader step down while its own disk stalls and the others' don't

Operators saw: while a write to the leader's disk hung, no change was answered, although all processes ran and the other members' disks worked. The leader kept its leadership by heartbeats, for as long as the write hung.

Cause: proposals are appended in batches, one write at a time. The other members commit the batch whose write hangs, but the next one waits for that write, however long it takes.

Change: a leader steps down if its write takes longer than the maximum election timeout and the entries are committed without it, and refuses the proposals that still wait. It can't be elected again until the write ends, since its candidacy waits for the same queue. Where a majority needs its disk, it goes on leading.

--- a/src/control/consensus/createProposalQueue.ts
+++ b/src/control/consensus/createProposalQueue.ts
@@ -121,16 +121,42 @@
             onMembersChanged();
         }
         state.logSignal.notify();
+        const { term, index } = entries.at(-1)!;
+        const written = new AbortController();
+        state.startTask(() => stepDownIfOthersAreFaster(term, index, written.signal));
         const outcome = await write;
+        written.abort();
         if (outcome.kind === "failed") {
             state.fail(outcome.reason);
             return;
         }
-        const { term, index } = entries.at(-1)!;
         lastDurable = { term, index };
         onDurable();
     }
 
+    /**
+     * Steps down if entries are committed by the other members while the leader's own disk has been busy with them for an
+     * election timeout: until that write ends, no further proposal is appended, and another member can append them.
+     */
+    async function stepDownIfOthersAreFaster(term: bigint, index: bigint, written: AbortSignal): Promise<void> {
+        await clock.sleep(timing.maximumElectionTimeoutMilliseconds, written);
+        while (!written.aborted && state.leads(term)) {
+            if (state.getCommitIndex() >= index) {
+                state.stepDown("its disk stalls, and those of a majority don't");
+                refuseQueued();
+                return;
+            }
+            await state.commitSignal.wait(timing.heartbeatIntervalMilliseconds);
+        }
+    }
+
+    function refuseQueued(): void {
+        const refusal = getRefusal();
+        const refused = refusal ? queued.splice(0) : [];
+        queuedBytes = refusal ? 0 : queuedBytes;
+        refused.forEach(item => item.finish(refusal!));
+    }
+
     /** Creates the entries of a batch at the end of the log, and registers the pending proposals. */
     function appendBatch(batch: readonly QueuedProposal[]): readonly LogEntry[] {
         const term = state.getTerm();
--- a/tests/control/consensus/createReplicatedLog.tests.ts
+++ b/tests/control/consensus/createReplicatedLog.tests.ts
@@ -360,6 +360,30 @@
                 await proposeMany(group, await group.waitForLeader(), 3);
                 await group.checkRecovery();
             }));
+
+        it("that stalls at the leader leaves the leadership to a member whose disk doesn't", () =>
+            withGroup({}, async (group, leader) => {
+                leader.syncMilliseconds = { minimum: 20_000, maximum: 20_000 };
+                const first = group.propose(leader);
+                const second = group.advance(100).then(() => group.propose(leader));
+                await group.advanceUntil(() => group.getLeader() !== leader, 3_000);
+                expect(await first).to.equal("committed");
+                expect(await second).to.equal("notLeader");
+                await group.advanceUntil(() => group.getLeader() !== undefined, 3_000);
+                expect(await group.waitFor(group.propose(group.getLeader()!), 1_000)).to.equal("committed");
+                await group.checkRecovery();
+            }));
+
+        it("that stalls at the leader doesn't end its leadership while a majority needs that disk", () =>
+            withGroup({}, async (group, leader) => {
+                group.crash(getOthers(group, leader)[0]!);
+                leader.syncMilliseconds = { minimum: 2_500, maximum: 2_500 };
+                const proposed = group.propose(leader);
+                await group.advance(2_000);
+                expect(group.getLeader()).to.equal(leader);
+                expect(await group.waitFor(proposed, 1_000)).to.equal("committed");
+                await group.checkRecovery();
+            }));
     });
 
     describe("members", () => {
