Test that disks full one after another leave the group able to accept changes

Evidence: three members, three with two spare ones, and five with two, in virtual time with the platform's timing and openMemberStorage: rounds of up to six full disks in turn (100 to 4,000 ms, up to 600 bytes still free, pauses up to 1,500 ms, the same member again, the leader each time), beside ends of another process or of the leader, with a change each 130 ms; processes end and start again as control members do. After each round a change must be acknowledged within 4 s and 4 s to catch up, and all members must run. Members that never see their disk recover fail it at the first case.

Change: the test group can start a member on storage that a test has opened, and end a process without losing data.

--- a/tests/control/consensus/createTestGroup.ts
+++ b/tests/control/consensus/createTestGroup.ts
@@ -52,8 +52,12 @@
     waitFor<T>(result: Promise<T>, milliseconds?: number): Promise<T>;
     /** Starts a member's process, with options that differ from the group's; has no effect where its disk fails. */
     start(member: GroupMember, options?: Partial<ReplicatedLogOptions>): Promise<void>;
+    /** Starts a member's log on storage that the test has opened on the member's disk. */
+    startOnStorage(member: GroupMember, storage: LogStorage): void;
     /** Ends a member's process at once, and discards data that was not synced. */
     crash(member: GroupMember): void;
+    /** Ends a member's process at once; its files remain as they are. */
+    endProcess(member: GroupMember): void;
     /** Ends a member's process, empties its disk, and starts it again, so that it asks to join. */
     replaceDisk(member: GroupMember): Promise<void>;
     /** Adds a member with an empty disk, without starting it. */
@@ -119,7 +123,9 @@
         advanceUntil,
         waitFor,
         start,
+        startOnStorage,
         crash,
+        endProcess,
         replaceDisk,
         addMember,
         propose,
@@ -204,6 +210,11 @@
         }
     }
 
+    function startOnStorage(member: GroupMember, storage: LogStorage): void {
+        member.storage = storage;
+        startLog(member, {});
+    }
+
     function startLog(member: GroupMember, options: Partial<ReplicatedLogOptions>): void {
         const machine = createListMachine();
         const checkedMachine: ListMachine = {
@@ -299,14 +310,26 @@
     }
 
     function crash(member: GroupMember): void {
+        const log = detachProcess(member);
+        member.disk.crash();
+        void log?.stop();
+    }
+
+    function endProcess(member: GroupMember): void {
+        const log = detachProcess(member);
+        member.disk.endProcess();
+        void log?.stop();
+    }
+
+    /** Makes a member unreachable, and returns the log that ran in its process. */
+    function detachProcess(member: GroupMember): GroupMember["log"] {
         network.setMember(member.address, undefined);
         network.setFrozen(member.address, false);
         const { log } = member;
         member.log = undefined;
         member.storage = undefined;
         member.lockOwners.endProcess();
-        member.disk.crash();
-        void log?.stop();
+        return log;
     }
 
     async function replaceDisk(member: GroupMember): Promise<void> {
@@ -361,6 +384,7 @@
         network.maximumDelayMilliseconds = 5;
         for (const member of members) {
             member.disk.failAfter(Infinity, "EIO");
+            member.disk.setFreeBytes(Infinity);
             member.syncMilliseconds = { minimum: 0, maximum: usualSyncMilliseconds };
         }
         await clock.advance(50, checkInvariants);
