Go on polling control members after an address that is none

Callers would see: every request in progress at an entry process ends without an answer or a refusal, after a change of its settings names a control member at an address such as 300.0.0.1:1, which the schema of the settings file accepts. Cause: the feed client creates the connection outside of its error handling, and an address that can't be part of a URL throws there. The rejection ends the task that polls, and as nothing handles it, the process. Evidence: createFeedClient.tests.ts failed before the change in 2 of 3 cases: "TypeError: Invalid URL" instead of a failed poll. Change: such a poll fails as one of a member that doesn't respond, so that the next address is polled. Result: the 3 cases pass, with the other tests under tests/feed and plannedStops.tests.ts (35 passed).

--- a/src/feed/createFeedClient.ts
+++ b/src/feed/createFeedClient.ts
@@ -20,8 +20,9 @@
         timeoutMs: number,
         signal: AbortSignal,
     ): Promise<PollResult> {
-        const client = createClient(FeedService, transports.getTransport(address));
         try {
+            // An address that is none, which the settings may name, fails as one that doesn't respond.
+            const client = createClient(FeedService, transports.getTransport(address));
             return { kind: "answered", response: await client.poll(request, { timeoutMs, signal }) };
         }
         catch (thrown) {
