Hedge requests in each silence of their server

Callers of a stream whose backend server was silent once, went on and then fell silent for good waited until their deadline, and so did callers of requests that were sent to a server that was silent already: neither was ever hedged.

Cause: an attempt listened to the signal of its server's silence once, when it was sent. The monitor replaces the signal when the server answers again, and a signal that is aborted already calls no listener.

Change: once a silence has ended, the attempt listens to the next signal; one that begins in a silence is told at once.

--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -207,15 +207,21 @@
         return result;
     }
 
-    /** Tells a run that its server is silent, again and again until the attempt has ended or the server responds. */
+    /** Tells a run that its server is silent, again and again in each silence until the attempt has ended. */
     function observeSilence(task: ForwardingTask, instanceId: string): void {
         const attemptEnded = new AbortController();
         task.attemptEnded = attemptEnded;
-        liveness.getUnresponsiveSignal(instanceId).addEventListener(
-            "abort",
-            () => void notifyWhileSilent(task, instanceId, attemptEnded.signal),
-            { signal: attemptEnded.signal },
-        );
+        waitForSilence(task, instanceId, attemptEnded.signal);
+    }
+
+    function waitForSilence(task: ForwardingTask, instanceId: string, signal: AbortSignal): void {
+        const notify = () => void notifyWhileSilent(task, instanceId, signal);
+        if (isSilent(instanceId)) {
+            notify();
+            return;
+        }
+        // The monitor replaces the signal once the server responds.
+        liveness.getUnresponsiveSignal(instanceId).addEventListener("abort", notify, { once: true, signal });
     }
 
     async function notifyWhileSilent(task: ForwardingTask, instanceId: string, signal: AbortSignal): Promise<void> {
@@ -223,6 +229,9 @@
             task.onServerSilent();
             await clock.sleep(silenceIntervalMilliseconds, signal);
         }
+        if (!signal.aborted) {
+            waitForSilence(task, instanceId, signal);
+        }
     }
 
     /** Returns whether this entry process finds a backend server silent, whatever others report. */
--- /dev/null
+++ b/tests/forwarding/repeatedSilences.tests.ts
@@ -0,0 +1,120 @@
+import { expect } from "chai";
+import { AttemptResult, BackendAttempt, ForwardedRequest } from "../../src/forwarding";
+import { createTestDocument } from "../documents/createTestDocument";
+import { createEmptyTestFeedState, createTestInstance, updateTestFeedState } from "../feed/createTestFeed";
+import { createManualClock, ManualClock } from "../support/createManualClock";
+import { createTestForwarder } from "./createTestForwarder";
+import { createTestLink, createTestResponse, lostResult } from "./createTestLink";
+import { createTestReply } from "./createTestReply";
+import { createTestRequest } from "./createTestRequest";
+
+describe("requests at servers that are silent repeatedly or for good", () => {
+    const routes = createTestDocument().routes.map(route => ({
+        ...route,
+        timeoutMilliseconds: 15_000,
+        maximumAttempts: 4,
+    }));
+    const events = [1, 2, 3, 4].map(id => `id: ${id}\ndata: ${id}\n\n`);
+    const label = createTestRequest.createPrompt("/labels/1");
+
+    interface Options {
+        engineCount: number;
+        /** Returns whether probes of a backend server are answered. */
+        answersProbe(instanceId: string, milliseconds: number): boolean;
+        respond(attempt: BackendAttempt, number: number, clock: ManualClock): AttemptResult | Promise<AttemptResult>;
+    }
+
+    function createFixture({ engineCount, answersProbe, respond }: Options) {
+        const clock = createManualClock();
+        const state = createEmptyTestFeedState(clock);
+        const engines = ["1", "2", "3", "4", "5", "6"].slice(0, engineCount).map(id =>
+            createTestInstance({ instanceId: `engine-${id}` })
+        );
+        const plainServers = ["actions-1", "actions-2"].map(instanceId =>
+            createTestInstance({ instanceId, service: "actions", weights: [] })
+        );
+        updateTestFeedState(state, clock, [...engines, ...plainServers], { routes });
+        const link = createTestLink(
+            (attempt, number) => respond(attempt, number, clock),
+            instanceId => answersProbe(instanceId, clock.getMonotonicMilliseconds()),
+        );
+        const forwarder = createTestForwarder(state, link, clock, {
+            maximumDocumentAgeMilliseconds: Infinity,
+        });
+        return { clock, link, forward };
+
+        function forward(changedFields: Partial<ForwardedRequest> = {}) {
+            const reply = createTestReply();
+            const ended = forwarder.forward(
+                createTestRequest({
+                    callerMilliseconds: 15_000,
+                    ...label,
+                    arrivalMilliseconds: clock.getMonotonicMilliseconds(),
+                    ...changedFields,
+                }),
+                reply,
+            );
+            return { reply, ended };
+        }
+    }
+
+    /** Creates a response that sends its events at the given times, and nothing after them until its end. */
+    function sendAt(times: readonly number[], attempt: BackendAttempt, clock: ManualClock): AttemptResult {
+        return {
+            ...createTestResponse([]) as Extract<AttemptResult, { kind: "answered"; }>,
+            body: (async function*() {
+                for (const [index, time] of times.entries()) {
+                    await clock.sleep(time - clock.getMonotonicMilliseconds(), attempt.signal);
+                    if (attempt.signal.aborted) {
+                        return;
+                    }
+                    attempt.onActivity();
+                    yield Buffer.from(events[index]!);
+                }
+                await clock.sleep(60_000, attempt.signal);
+            })(),
+            isComplete: () => false,
+        };
+    }
+
+    it("hedges a stream whose server is silent again after it had gone on", async () => {
+        let silentId: string | undefined;
+        const { clock, link, forward } = createFixture({
+            engineCount: 4,
+            answersProbe: (instanceId, now) => instanceId !== silentId || now >= 1_200 && now < 3_000,
+            respond: (attempt, number, manualClock) => {
+                silentId ??= attempt.instance.instanceId;
+                const times = [[0, 1_200, 1_700], [], []][number];
+                return times
+                    ? sendAt(times, attempt, manualClock)
+                    : createTestResponse(events.slice(Number(attempt.lastEventId)));
+            },
+        });
+        const { reply } = forward();
+        await clock.advance(14_000);
+        expect(reply.getText()).to.equal(`200 ${events.join("")}end`);
+        expect(link.attempts.at(-1)?.lastEventId).to.equal("3");
+    });
+
+    it("hedges a request that was sent while its server was silent already", async () => {
+        const { clock, link, forward } = createFixture({
+            engineCount: 0,
+            answersProbe: (instanceId, now) => now >= 1_600 && instanceId !== link.attempts[2]?.instance.instanceId,
+            respond: async (attempt, number, manualClock) => {
+                if (number > 2) {
+                    return createTestResponse(["read"]);
+                }
+                await manualClock.sleep(60_000, attempt.signal);
+                return lostResult;
+            },
+        });
+        const read = { path: "/reads/1", target: "/reads/1", prompt: undefined };
+        forward({ ...read, requestId: "request-1" });
+        forward({ ...read, requestId: "request-2" });
+        await clock.advance(1_000);
+        const { reply } = forward({ ...read, requestId: "request-3" });
+        await clock.advance(4_000);
+        expect(link.attempts[2]?.request.requestId).to.equal("request-3");
+        expect(reply.getText()).to.equal("200 read whole");
+    });
+});
