Take no retries for hedges that can't be sent

Callers of a service lost the retries that all entry processes share: one request at a silent server used up one every 500 ms although nothing was sent.

Cause: a hedge took its retry before the dispatcher found that the request had been sent to as many backend servers as one may be.

Evidence: "takes no retries from the budget for a request that has no attempt left" failed before: 28 retries for one request within 14 s, with 4 attempts sent. Node.js also warned of 11 listeners on the request's signal.

Change: the number of tried servers is checked before the retry is taken.

--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -97,7 +97,7 @@
             if (!instance && candidates.length > 0) {
                 return { kind: "givenUp", refusal: selector.getLimitRefusal(task, candidates) };
             }
-            if (!instance || task.triedInstanceIds.size >= maximumTriedInstances || !tryTakeAttempt(task)) {
+            if (!instance || hasTriedAll(task) || !tryTakeAttempt(task)) {
                 return { kind: "givenUp", refusal: getNoCapacityRefusal(task, retryAfterMilliseconds) };
             }
             if (await scheduler.waitForPrefill(task, instance) || !serverLimits.tryTake(instance.instanceId)) {
@@ -248,7 +248,7 @@
         if (!placement || !isSilent(placement.instanceId)) {
             return false;
         }
-        const isAllowed = canRunAgain(task) && !getBlockingRefusal(task)
+        const isAllowed = canRunAgain(task) && !hasTriedAll(task) && !getBlockingRefusal(task)
             && selector.canTakeOver({ ...task, softwareVersion: getHedgeSoftwareVersion(task) })
             && retryBudgets.tryTakeRetry(task.admission.service.name);
         if (isAllowed) {
@@ -273,6 +273,11 @@
     }
 }
 
+/** Returns whether a request was sent to as many backend servers as one may be. */
+function hasTriedAll({ triedInstanceIds }: ForwardingTask): boolean {
+    return triedInstanceIds.size >= maximumTriedInstances;
+}
+
 /** Gets the refusal of a request for which there is no backend server, retry or capacity left. */
 function getNoCapacityRefusal(task: ForwardingTask, retryAfterMilliseconds: number | undefined): Refusal {
     const reason = task.counts.sent === 0 ? RefusalReason.NO_REPLICA : RefusalReason.OVERLOADED;
--- a/tests/forwarding/repeatedSilences.tests.ts
+++ b/tests/forwarding/repeatedSilences.tests.ts
@@ -1,10 +1,11 @@
 import { expect } from "chai";
-import { AttemptResult, BackendAttempt, ForwardedRequest } from "../../src/forwarding";
+import { AttemptResult, BackendAttempt, ForwardedRequest, ForwarderOptions } from "../../src/forwarding";
+import { createMetrics, RetryReason } from "../../src/metrics";
 import { createTestDocument } from "../documents/createTestDocument";
 import { createEmptyTestFeedState, createTestInstance, updateTestFeedState } from "../feed/createTestFeed";
 import { createManualClock, ManualClock } from "../support/createManualClock";
 import { createTestForwarder } from "./createTestForwarder";
-import { createTestLink, createTestResponse, lostResult } from "./createTestLink";
+import { createTestLink, createTestResponse, lostResult, overloadedResult } from "./createTestLink";
 import { createTestReply } from "./createTestReply";
 import { createTestRequest } from "./createTestRequest";
 
@@ -22,9 +23,10 @@
         /** Returns whether probes of a backend server are answered. */
         answersProbe(instanceId: string, milliseconds: number): boolean;
         respond(attempt: BackendAttempt, number: number, clock: ManualClock): AttemptResult | Promise<AttemptResult>;
+        changes?: Partial<ForwarderOptions>;
     }
 
-    function createFixture({ engineCount, answersProbe, respond }: Options) {
+    function createFixture({ engineCount, answersProbe, respond, changes }: Options) {
         const clock = createManualClock();
         const state = createEmptyTestFeedState(clock);
         const engines = ["1", "2", "3", "4", "5", "6"].slice(0, engineCount).map(id =>
@@ -40,6 +42,7 @@
         );
         const forwarder = createTestForwarder(state, link, clock, {
             maximumDocumentAgeMilliseconds: Infinity,
+            ...changes,
         });
         return { clock, link, forward };
 
@@ -117,4 +120,23 @@
         expect(link.attempts[2]?.request.requestId).to.equal("request-3");
         expect(reply.getText()).to.equal("200 read whole");
     });
+
+    it("takes no retries from the budget for a request that has no attempt left", async () => {
+        let silentId: string | undefined;
+        const metrics = createMetrics();
+        const counts: string[] = [];
+        const { clock, link, forward } = createFixture({
+            engineCount: 6,
+            answersProbe: instanceId => instanceId !== silentId,
+            respond: (attempt, number, manualClock) => {
+                silentId ??= attempt.instance.instanceId;
+                return number === 0 ? sendAt([0], attempt, manualClock) : overloadedResult;
+            },
+            changes: { metrics: { ...metrics, countRetry: reason => counts.push(reason) } },
+        });
+        forward();
+        await clock.advance(14_000);
+        const hedges = counts.filter(reason => reason === RetryReason.SilentServer).length;
+        expect([link.attempts.length, hedges]).to.deep.equal([4, 1]);
+    });
 });
