Count silent servers as possibly crashed where their request ends

Operators saw no crash evidence of a backend server that fell silent for good under a request, where that request ended at its deadline or with its caller: such a request could go on reaching servers without being quarantined.

Cause: a response that ended with its request said nothing about its server.

Evidence: "take a server for one that may have crashed where the request ends in its silence, at its deadline" failed before (the run was ended, not lost). One at a server that responds to probes is still only ended.

Change: a run that ends incomplete while its server is silent counts as lost. That only starts the check whether the instance has ended; a sound server answers it.

--- a/src/forwarding/createAttemptRecorder.ts
+++ b/src/forwarding/createAttemptRecorder.ts
@@ -20,7 +20,7 @@
     /** The load of the backend servers. */
     loads: LoadTracker;
     /** Finds silent backend servers. */
-    liveness: Pick<LivenessMonitor, "recordAttemptEnd">;
+    liveness: Pick<LivenessMonitor, "recordAttemptEnd" | "getUnresponsiveSignal">;
     /** The prefills in flight. */
     scheduler: Pick<PromptScheduler, "recordPrefillEnd">;
     /** Returns whether a request may be sent again. */
@@ -152,8 +152,9 @@
 
     function recordAttemptEnd(task: ForwardingTask, instanceId: string, end: AttemptEnd): void {
         loads.recordAttemptEnd(instanceId, task.request.prompt?.promptTokens ?? 0);
+        const isServerSilent = liveness.getUnresponsiveSignal(instanceId).aborted;
         liveness.recordAttemptEnd(instanceId);
         task.attemptEnded?.abort();
-        endObservedRun(task, end);
+        endObservedRun(task, end, isServerSilent);
     }
 }
--- a/src/forwarding/endObservedRun.ts
+++ b/src/forwarding/endObservedRun.ts
@@ -10,10 +10,11 @@
  * silent engine may have crashed.
  * @param task - The request.
  * @param end - How the attempt ended.
+ * @param isServerSilent - Whether the engine is silent.
  */
-export function endObservedRun(task: ForwardingTask, end: AttemptEnd): void {
+export function endObservedRun(task: ForwardingTask, end: AttemptEnd, isServerSilent: boolean): void {
     const { observedRun, signal, supersededReason } = task;
-    const mayHaveCrashed = !signal.aborted || supersededReason === SupersededReason.Silent;
+    const mayHaveCrashed = !signal.aborted || isServerSilent || supersededReason === SupersededReason.Silent;
     if (end === "complete") {
         observedRun?.complete();
     }
--- a/tests/forwarding/repeatedSilences.tests.ts
+++ b/tests/forwarding/repeatedSilences.tests.ts
@@ -139,4 +139,40 @@
         const hedges = counts.filter(reason => reason === RetryReason.SilentServer).length;
         expect([link.attempts.length, hedges]).to.deep.equal([4, 1]);
     });
+
+    describe("take a server for one that may have crashed where the request ends in its silence", () => {
+        async function doTest(request: Partial<ForwardedRequest>, isSilent: boolean, expected: readonly string[]) {
+            const ends: string[] = [];
+            const { clock, forward } = createFixture({
+                engineCount: 1,
+                answersProbe: () => !isSilent,
+                respond: async (attempt, ...[, manualClock]) => {
+                    await manualClock.sleep(60_000, attempt.signal);
+                    return lostResult;
+                },
+                changes: {
+                    crashQuarantine: {
+                        isQuarantined: () => false,
+                        isSuspected: () => false,
+                        getReport: () => ({ incarnation: "1", observations: [], completions: new Map() }),
+                        beginRun: () => ({
+                            recordBegin: () => undefined,
+                            complete: () => ends.push("complete"),
+                            lose: () => ends.push("lose"),
+                            end: () => ends.push("end"),
+                        }),
+                    },
+                },
+            });
+            const { ended } = forward(request);
+            await clock.advance(16_000);
+            await ended;
+            expect(ends).to.deep.equal(expected);
+        }
+
+        const summary = createTestRequest.createPrompt("/summaries/1");
+
+        it("at its deadline", () => doTest(summary, true, ["lose"]));
+        it("but not where it responds to probes", () => doTest(summary, false, ["end"]));
+    });
 });
