Keep the other run of a request where one fails unexpectedly

Callers would lose the answer of a sound, silent server if handling its hedge failed with an unexpected error; the silent run was left without a reader.

Cause: an error of either run ended both.

Evidence: "startRuns goes on with the silent run where the hedge fails unexpectedly" failed before ("unexpected" was thrown). Found by reading; no way to cause such an error is known.

Change: while another run is in progress, the error is logged and that one goes on.

--- a/src/forwarding/startRuns.ts
+++ b/src/forwarding/startRuns.ts
@@ -3,6 +3,7 @@
  * seconds, and the server that could take over may refuse the request. So a second run is started beside the silent one, and
  * the first of the two that delivers goes on, while the other is ended. If one fails, the other remains.
  */
+import { getErrorMessage } from "../errors";
 import { createAsyncQueue } from "../runtime";
 import { AttemptDispatcher } from "./AttemptDispatcher";
 import { createRunTask } from "./createRunTask";
@@ -54,19 +55,22 @@
             if (run !== leading && run !== hedge) {
                 continue;
             }
-            if (notice.kind === "thrown") {
-                throw notice.error;
-            }
             if (notice.kind === "silent") {
                 startHedge(run);
                 continue;
             }
             const other = run === leading ? hedge : leading;
-            const hasFailed = notice.kind === "ended" || notice.step.kind === "failed";
+            const hasFailed = notice.kind !== "step" || notice.step.kind === "failed";
             if (hasFailed && other) {
+                if (notice.kind === "thrown") {
+                    run.task.logger.error({ error: getErrorMessage(notice.error) }, "run failed unexpectedly");
+                }
                 continueWith(other);
                 continue;
             }
+            if (notice.kind === "thrown") {
+                throw notice.error;
+            }
             if (notice.kind === "ended") {
                 return;
             }
