--- a/tests/platform/soak/soakRegressions.ts
+++ b/tests/platform/soak/soakRegressions.ts
@@ -28,6 +28,8 @@
     "a sound part of prompts was quarantined, as an entry process that was killed or paused had not reported what it had seen";
 const noTakeover =
     "a stream was cut, as it was taken from a silent server although the others were silent too or had used up their limits";
+const silentServer =
+    "streams were cut at sound engines that were silent for a second or two, as these were taken for gone";
 
 /** The seeds, each with the cause of the failure at the time. */
 export const soakRegressions: readonly { seed: number; cause: string; }[] = [
@@ -51,4 +53,6 @@
     { seed: 11046, cause: newLeader },
     { seed: 12006, cause: explainedCrashes },
     { seed: 12050, cause: missingEvidence },
+    { seed: 60000, cause: silentServer },
+    { seed: 60001, cause: silentServer },
 ];
