Hedge streams that have begun only once their server has been silent for longer than a pause

Callers could have had two engines go on with one stream at the same time: a server that pauses for a second goes on while the hedge, sent after 0.7 s, begins there with the last event id. Found in review; the users' rules allow it for 0.4 s where they mean such a continuation. Also, an attempt whose server had gone on was hedged for up to 0.5 s more, until the next probe.

Change: a run tells how long nothing was received in its own attempt. Streams that have begun are hedged after 2 s of that, requests without a response after 0.35 s once their server does not answer a probe. A failure of a superseded run is logged.

--- a/src/forwarding/ForwardingTask.ts
+++ b/src/forwarding/ForwardingTask.ts
@@ -52,8 +52,11 @@
     observedRun: ObservedRun | undefined;
     /** Aborted once the last attempt has ended; undefined before the first one. */
     attemptEnded: AbortController | undefined;
-    /** Called while the last attempt's server is silent, now and then. */
-    onServerSilent(): void;
+    /**
+     * Called while the last attempt's server is silent, now and then.
+     * @param silentMilliseconds - How long nothing was received in the attempt, in milliseconds.
+     */
+    onServerSilent(silentMilliseconds: number): void;
     /** Whether another run is in progress, so that this one sends no further attempt. */
     isHedged: boolean;
     /** Why another run has superseded this one; undefined while none has. */
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -189,7 +189,8 @@
         loads.recordSent(instanceId, task.request.prompt?.promptTokens ?? 0, task.prefillTokens);
         liveness.recordSent(instance, task.admission.service);
         task.observedRun = options.crashQuarantine.beginRun(instance, task.admission.service, task.subjects);
-        observeSilence(task, instanceId);
+        let lastActivityMilliseconds = clock.getMonotonicMilliseconds();
+        observeSilence(task, instanceId, () => clock.getMonotonicMilliseconds() - lastActivityMilliseconds);
         const result = await link.send({
             request: task.request,
             instance,
@@ -197,7 +198,10 @@
             lastEventId,
             signal: task.signal,
             goneSignal: liveness.getGoneSignal(instanceId),
-            onActivity: () => liveness.recordActivity(instanceId),
+            onActivity: () => {
+                lastActivityMilliseconds = clock.getMonotonicMilliseconds();
+                liveness.recordActivity(instanceId);
+            },
             ...parameters,
         });
         if (result.kind !== "answered") {
@@ -208,29 +212,30 @@
     }
 
     /** Tells a run that its server is silent, again and again in each silence until the attempt has ended. */
-    function observeSilence(task: ForwardingTask, instanceId: string): void {
+    function observeSilence(task: ForwardingTask, instanceId: string, getSilentMilliseconds: () => number): void {
         const attemptEnded = new AbortController();
+        const { signal } = attemptEnded;
         task.attemptEnded = attemptEnded;
-        waitForSilence(task, instanceId, attemptEnded.signal);
-    }
+        waitForSilence();
 
-    function waitForSilence(task: ForwardingTask, instanceId: string, signal: AbortSignal): void {
-        const notify = () => void notifyWhileSilent(task, instanceId, signal);
-        if (isSilent(instanceId)) {
-            notify();
-            return;
+        function waitForSilence(): void {
+            if (isSilent(instanceId)) {
+                void notifyWhileSilent();
+                return;
+            }
+            // The monitor replaces the signal once the server responds.
+            liveness.getUnresponsiveSignal(instanceId)
+                .addEventListener("abort", () => void notifyWhileSilent(), { once: true, signal });
         }
-        // The monitor replaces the signal once the server responds.
-        liveness.getUnresponsiveSignal(instanceId).addEventListener("abort", notify, { once: true, signal });
-    }
 
-    async function notifyWhileSilent(task: ForwardingTask, instanceId: string, signal: AbortSignal): Promise<void> {
-        while (!signal.aborted && isSilent(instanceId)) {
-            task.onServerSilent();
-            await clock.sleep(silenceIntervalMilliseconds, signal);
-        }
-        if (!signal.aborted) {
-            waitForSilence(task, instanceId, signal);
+        async function notifyWhileSilent(): Promise<void> {
+            while (!signal.aborted && isSilent(instanceId)) {
+                task.onServerSilent(getSilentMilliseconds());
+                await clock.sleep(silenceIntervalMilliseconds, signal);
+            }
+            if (!signal.aborted) {
+                waitForSilence();
+            }
         }
     }
 
--- a/src/forwarding/forwardBuffered.ts
+++ b/src/forwarding/forwardBuffered.ts
@@ -8,6 +8,7 @@
 import { collectBody } from "./collectBody";
 import { ForwardingTask } from "./ForwardingTask";
 import { ForwardResult } from "./ForwardResult";
+import { hedgedSilenceMilliseconds } from "./hedgedSilenceMilliseconds";
 import { HttpResponseHead } from "./HttpResponseHead";
 import { isFailureStatus } from "./isFailureStatus";
 import { Refusal } from "./Refusal";
@@ -26,7 +27,7 @@
  * @param dispatcher - Sends the attempts.
  */
 export async function forwardBuffered(task: ForwardingTask, dispatcher: AttemptDispatcher): Promise<ForwardResult> {
-    const runs = startRuns({ task, dispatcher, start: run, canContinue: () => true });
+    const runs = startRuns({ task, dispatcher, start: run, getHedgedSilence: () => hedgedSilenceMilliseconds });
     for await (const { task: runTask, value } of runs) {
         return { task: runTask, outcome: answer(runTask, value) };
     }
--- a/src/forwarding/forwardStream.ts
+++ b/src/forwarding/forwardStream.ts
@@ -8,12 +8,19 @@
 import { ForwardingTask } from "./ForwardingTask";
 import { ForwardOutcome } from "./ForwardOutcome";
 import { ForwardResult } from "./ForwardResult";
+import { hedgedSilenceMilliseconds } from "./hedgedSilenceMilliseconds";
 import { HttpResponseHead } from "./HttpResponseHead";
 import { refuseTask } from "./refuseTask";
 import { startRuns } from "./startRuns";
 import { StreamState } from "./StreamState";
 import { StreamValue } from "./StreamValue";
 
+/**
+ * The silence after which another engine may continue a stream, in milliseconds: longer than sound engines pause, which would
+ * go on with the stream at the same time. It is late by then whichever of them goes on.
+ */
+const continuedSilenceMilliseconds = 2_000;
+
 /**
  * Forwards a request and its response stream.
  * @param task - The request.
@@ -30,7 +37,7 @@
         task,
         dispatcher,
         start: createStreamRunStarter(dispatcher, stream),
-        canContinue: () => stream.isResumable,
+        getHedgedSilence,
     });
     for await (const { task: runTask, value } of runs) {
         const outcome = await passOn(runTask, value);
@@ -40,6 +47,13 @@
     }
     throw createInvariantError("a stream has ended without an outcome");
 
+    function getHedgedSilence(): number {
+        if (!stream.isResumable) {
+            return Infinity;
+        }
+        return stream.lastEventId === undefined ? hedgedSilenceMilliseconds : continuedSilenceMilliseconds;
+    }
+
     /** Passes a value on to the caller; returns the outcome where it is the last one. */
     async function passOn(runTask: ForwardingTask, value: StreamValue): Promise<ForwardOutcome | undefined> {
         switch (value.kind) {
--- a/src/forwarding/startRuns.ts
+++ b/src/forwarding/startRuns.ts
@@ -4,6 +4,7 @@
  * the first of the two that delivers goes on, while the other is ended. If one fails, the other remains.
  */
 import { getErrorMessage } from "../errors";
+import { Logger } from "../logging";
 import { createAsyncQueue } from "../runtime";
 import { AttemptDispatcher } from "./AttemptDispatcher";
 import { createRunTask } from "./createRunTask";
@@ -22,7 +23,7 @@
 
 /** What happened to a run. */
 type RunNotice<T> =
-    | { kind: "silent"; run: Run<T>; }
+    | { kind: "silent"; run: Run<T>; silentMilliseconds: number; }
     | { kind: "ended"; run: Run<T>; }
     | { kind: "thrown"; run: Run<T>; error: unknown; }
     | { kind: "step"; run: Run<T>; step: RunStep<T>; };
@@ -35,8 +36,8 @@
     dispatcher: Pick<AttemptDispatcher, "tryReserveHedge" | "recordHedgeWon">;
     /** Starts a run. */
     start: RunStarter<T>;
-    /** Returns whether another run could continue the response as it is. */
-    canContinue(): boolean;
+    /** Gets the silence after which another run may continue the response as it is, in milliseconds. */
+    getHedgedSilence(): number;
 }
 
 /**
@@ -44,7 +45,7 @@
  * @param options - The request, and how it is run.
  */
 export async function* startRuns<T>(options: RunsOptions<T>): AsyncGenerator<DeliveredValue<T>, void> {
-    const { dispatcher, canContinue } = options;
+    const { dispatcher, getHedgedSilence } = options;
     const notices = createAsyncQueue<RunNotice<T>>();
     const finished = new AbortController();
     let leading = startRun(createRunTask, options.task);
@@ -56,7 +57,7 @@
                 continue;
             }
             if (notice.kind === "silent") {
-                startHedge(run);
+                startHedge(run, notice.silentMilliseconds);
                 continue;
             }
             const other = run === leading ? hedge : leading;
@@ -98,7 +99,7 @@
         task.signal.addEventListener("abort", end, { once: true, signal: finished.signal });
         const runTask = createTask(task, controller.signal);
         const run: Run<T> = { task: runTask, steps: options.start(runTask), controller };
-        runTask.onServerSilent = () => notices.add({ kind: "silent", run });
+        runTask.onServerSilent = silentMilliseconds => notices.add({ kind: "silent", run, silentMilliseconds });
         void readStep(run);
         return run;
     }
@@ -114,8 +115,8 @@
     }
 
     /** Starts a second run beside a silent one, if there is none and the request may be sent once more. */
-    function startHedge(run: Run<T>): void {
-        if (!hedge && canContinue() && dispatcher.tryReserveHedge(run.task)) {
+    function startHedge(run: Run<T>, silentMilliseconds: number): void {
+        if (!hedge && silentMilliseconds >= getHedgedSilence() && dispatcher.tryReserveHedge(run.task)) {
             run.task.isHedged = true;
             hedge = startRun(createRunTask.createHedge, { ...run.task, signal: options.task.signal });
         }
@@ -134,13 +135,18 @@
     function supersede({ task, steps, controller }: Run<T>, reason: SupersededReason): void {
         task.supersededReason = reason;
         controller.abort();
-        void readToEnd(steps);
+        void readToEnd(steps, task.logger);
     }
 }
 
-async function readToEnd(steps: AsyncIterator<unknown, void>): Promise<void> {
-    let result = await steps.next();
-    while (!result.done) {
-        result = await steps.next();
+async function readToEnd(steps: AsyncIterator<unknown, void>, logger: Logger): Promise<void> {
+    try {
+        let result = await steps.next();
+        while (!result.done) {
+            result = await steps.next();
+        }
+    }
+    catch (thrown) {
+        logger.error({ error: getErrorMessage(thrown) }, "run failed unexpectedly");
     }
 }
