--- a/src/forwarding/createStreamRunStarter.ts
+++ b/src/forwarding/createStreamRunStarter.ts
@@ -64,8 +64,11 @@
                 return;
             }
             if (!stream.isResumable || !dispatcher.canRunAgain(task)) {
-                const reason = task.signal.aborted ? RefusalReason.DEADLINE : RefusalReason.OUTCOME_UNKNOWN;
-                yield fail("the engine broke off", instanceId, { kind: "unknown", reason });
+                const hasEnded = task.signal.aborted;
+                yield fail(hasEnded ? "the request has ended" : "the engine broke off", instanceId, {
+                    kind: "unknown",
+                    reason: hasEnded ? RefusalReason.DEADLINE : RefusalReason.OUTCOME_UNKNOWN,
+                });
                 return;
             }
             task.logger.info({
