Give the task of a hedge a file of its own

No behaviour changes: one export a file, and the first run's task is a copy of the request's. 128 tests of silent servers, runs, repeated silences, the forwarder, isolated workspaces and limits pass.

--- a/src/forwarding/startRuns.ts
+++ b/src/forwarding/startRuns.ts
@@ -7,7 +7,7 @@
 import { Logger } from "../logging";
 import { createAsyncQueue } from "../runtime";
 import { AttemptDispatcher } from "./AttemptDispatcher";
-import { createRunTask } from "./createRunTask";
+import { createHedgeTask } from "./createHedgeTask";
 import { DeliveredValue } from "./DeliveredValue";
 import { ForwardingTask } from "./ForwardingTask";
 import { RunStarter } from "./RunStarter";
@@ -48,7 +48,7 @@
     const { dispatcher, getHedgedSilence } = options;
     const notices = createAsyncQueue<RunNotice<T>>();
     const finished = new AbortController();
-    let leading = startRun(createRunTask, options.task);
+    let leading = startRun(signal => ({ ...options.task, signal }));
     let hedge: Run<T> | undefined;
     try {
         for await (const notice of notices) {
@@ -90,16 +90,18 @@
         }
     }
 
-    function startRun(createTask: typeof createRunTask.createHedge, task: ForwardingTask): Run<T> {
+    /** Starts a run whose signal is also aborted at the end of the request. */
+    function startRun(createTask: (signal: AbortSignal) => ForwardingTask): Run<T> {
         const controller = new AbortController();
+        const { signal: requestSignal } = options.task;
         const end = () => controller.abort();
-        if (task.signal.aborted) {
+        if (requestSignal.aborted) {
             end();
         }
-        task.signal.addEventListener("abort", end, { once: true, signal: finished.signal });
-        const runTask = createTask(task, controller.signal);
-        const run: Run<T> = { task: runTask, steps: options.start(runTask), controller };
-        runTask.onServerSilent = silentMilliseconds => notices.add({ kind: "silent", run, silentMilliseconds });
+        requestSignal.addEventListener("abort", end, { once: true, signal: finished.signal });
+        const task = createTask(controller.signal);
+        const run: Run<T> = { task, steps: options.start(task), controller };
+        task.onServerSilent = silentMilliseconds => notices.add({ kind: "silent", run, silentMilliseconds });
         void readStep(run);
         return run;
     }
@@ -118,7 +120,7 @@
     function startHedge(run: Run<T>, silentMilliseconds: number): void {
         if (!hedge && silentMilliseconds >= getHedgedSilence() && dispatcher.tryReserveHedge(run.task)) {
             run.task.isHedged = true;
-            hedge = startRun(createRunTask.createHedge, { ...run.task, signal: options.task.signal });
+            hedge = startRun(signal => createHedgeTask(run.task, signal));
         }
     }
 
