--- a/tests/platform/backends/createBackendLink.tests.ts
+++ b/tests/platform/backends/createBackendLink.tests.ts
@@ -153,6 +153,32 @@
         expect(server.getConnectionCount()).to.equal(1);
     });
 
+    describe("a refusal that arrives again when its request is sent to the instance that has replaced the first one", () => {
+        async function doTest(status: string) {
+            const refusal = `HTTP/1.1 ${status}\r\nBasilwing-Request-Id: request-1\r\nBasilwing-Not-Executed: 1\r\n`
+                + "Content-Length: 0\r\n\r\n";
+            let runCount = 0;
+            const answered = new Set<Socket>();
+            const server = await startServer(socket => {
+                if (server.requests.length === 1) {
+                    answered.add(socket);
+                    socket.write(refusal);
+                    return;
+                }
+                runCount += 1;
+                socket.write(`${answered.has(socket) ? refusal : ""}${head}Content-Length: 4\r\n\r\nabcd`);
+            });
+            const first = await send(server.address);
+            const second = await read(await send(server.address));
+            expect({ first: first.kind, second, runCount })
+                .to.deep.equal({ first: "notRun", second: "complete abcd", runCount: 1 });
+        }
+
+        it("is not taken for the second answer (421)", () => doTest("421 Misdirected Request"));
+        it("is not taken for the second answer (429)", () => doTest("429 Too Many Requests"));
+        it("is not taken for the second answer (503)", () => doTest("503 Service Unavailable"));
+    });
+
     it("reports that a request was not sent if the connection is refused", async () => {
         const server = await startServer(() => undefined);
         await server.stop();
--- a/tests/platform/soak/RunTracker.ts
+++ b/tests/platform/soak/RunTracker.ts
@@ -13,6 +13,14 @@
      * @param isBehind - Whether it may have arrived late because of the server's silence.
      */
     recordRun(requestId: string, workspace: string, isBehind: boolean): void;
+    /**
+     * Records the salt of a request to an engine, which must have one, and may share it with an isolated workspace only within
+     * that workspace.
+     * @param requestId - The request's id.
+     * @param workspace - The workspace for which it runs.
+     * @param salt - The salt; undefined for none.
+     */
+    recordSalt(requestId: string, workspace: string, salt: string | undefined): void;
     /** Records that the caller of a request has left. */
     recordLeaving(requestId: string): void;
     /** Records that a request is sent that must not run more than once. */
--- a/tests/platform/soak/SoakBackend.ts
+++ b/tests/platform/soak/SoakBackend.ts
@@ -21,6 +21,8 @@
     fallSilent(milliseconds: number): Promise<void>;
     /** Resets all connections, drops its orders and continues under a new instance id. */
     crash(): void;
+    /** Refuses requests until it has answered those that it runs, then closes its connections and continues under a new id. */
+    restart(): Promise<void>;
     /** Closes all connections and stops listening. */
     stop(): void;
 }
--- a/tests/platform/soak/createRunTracker.ts
+++ b/tests/platform/soak/createRunTracker.ts
@@ -4,6 +4,7 @@
 import { CrashingSubject } from "./CrashingSubject";
 import { RunTracker } from "./RunTracker";
 import { soakBounds } from "./soakBounds";
+import { soakIsolatedWorkspace } from "./soakIsolatedWorkspace";
 
 /** The number of crashes after which the subject that causes them must be known. */
 const crashesUntilDecided: Readonly<Record<CrashingSubject, number>> = { part: 5, request: 3 };
@@ -24,12 +25,14 @@
     const leavingTimes = new Map<string, number>();
     const arrivalsAfterLeaving: string[] = [];
     const revocationTimes = new Map<string, number>();
+    const saltWorkspaces = new Map<string, string>();
     const breaches: string[] = [];
     const crashTimes: Record<CrashingSubject, number[]> = { part: [], request: [] };
     const lateCrashingArrivals: Record<CrashingSubject, string[]> = { part: [], request: [] };
     let isStable = () => false;
     return {
         recordRun,
+        recordSalt,
         recordLeaving: requestId => void leavingTimes.set(requestId, Date.now()),
         recordSingleRunRequest: requestId => void singleRunIds.add(requestId),
         recordReportedNotRun: requestId => void reportedNotRunIds.add(requestId),
@@ -58,6 +61,18 @@
         }
     }
 
+    function recordSalt(requestId: string, workspace: string, salt: string | undefined): void {
+        if (salt === undefined || salt === "") {
+            breaches.push(`${requestId} reached an engine without a salt`);
+            return;
+        }
+        const earlier = saltWorkspaces.get(salt) ?? workspace;
+        saltWorkspaces.set(salt, workspace);
+        if (earlier !== workspace && [earlier, workspace].includes(soakIsolatedWorkspace)) {
+            breaches.push(`${requestId} of ${workspace} has a salt that ${earlier} has used`);
+        }
+    }
+
     function recordCrashingArrival(subject: CrashingSubject, requestId: string): void {
         const decidedMilliseconds = crashTimes[subject][crashesUntilDecided[subject] - 1] ?? Infinity;
         if (Date.now() > decidedMilliseconds + soakBounds.stable_window_ms && isStable()) {
--- /dev/null
+++ b/tests/platform/soak/getSoakSize.ts
@@ -0,0 +1,47 @@
+/*
+ * The sizes of deployments under test in a soak.
+ */
+
+/** Seeds from this one on play with faulty answers. */
+const firstSeedWithAnswerFaults = 70_000;
+/** Seeds from this one on play a deployment of the size of the grown ones, also with faulty answers. */
+const firstGrownSeed = 80_000;
+
+/** The numbers of processes and stand-ins, and what they do. */
+export interface SoakSize {
+    controlCount: number;
+    entryCount: number;
+    engineCount: number;
+    plainServiceCount: number;
+    /** The pause between two requests of the callers, in milliseconds. */
+    sendIntervalMilliseconds: number;
+    /** The number of entry processes that are stopped at once in the planned stops. */
+    stoppedTogetherCount: number;
+    /** Whether backend servers refuse requests, lose answers, forget connections and send second answers. */
+    hasAnswerFaults: boolean;
+}
+
+/** Gets the size of the deployment that a seed plays. */
+export function getSoakSize(seed: number): SoakSize {
+    const hasAnswerFaults = seed >= firstSeedWithAnswerFaults;
+    if (seed < firstGrownSeed) {
+        return {
+            controlCount: 3,
+            entryCount: 2,
+            engineCount: 3,
+            plainServiceCount: 2,
+            sendIntervalMilliseconds: 12,
+            stoppedTogetherCount: 1,
+            hasAnswerFaults,
+        };
+    }
+    return {
+        controlCount: 5,
+        entryCount: 23,
+        engineCount: 12,
+        plainServiceCount: 3,
+        sendIntervalMilliseconds: 5,
+        stoppedTogetherCount: 6,
+        hasAnswerFaults,
+    };
+}
--- a/tests/platform/soak/runSoak.ts
+++ b/tests/platform/soak/runSoak.ts
@@ -8,10 +8,12 @@
 import { createRandomSource } from "../../../src/runtime";
 import { createFaultInjector } from "./createFaultInjector";
 import { createRunTracker } from "./createRunTracker";
+import { getSoakSize } from "./getSoakSize";
 import { soakBounds } from "./soakBounds";
 import { SoakFault } from "./SoakFault";
 import { soakPorts } from "./soakPorts";
 import { startCrashingCaller } from "./startCrashingCaller";
+import { startFlaps } from "./startFlaps";
 import { startSilences } from "./startSilences";
 import { startSoakCallers } from "./startSoakCallers";
 import { startSoakDeployment } from "./startSoakDeployment";
@@ -31,6 +33,8 @@
 const firstSeedWithSilences = 60_000;
 /** Keeps the random numbers of the silences apart from all others. */
 const silenceSeedDistance = 2_000_003;
+/** Keeps the random numbers of the flapping servers apart from all others. */
+const flapSeedDistance = 3_000_017;
 /** How many planned changes are made beside silences once the deployment is stable. */
 const plannedChangeCount = 8;
 /** The share of requests that must be served again within the recovery bound. */
@@ -61,6 +65,7 @@
     mkdirSync(folder, { recursive: true });
     const random = createRandomSource(seed);
     const runTracker = createRunTracker();
+    const size = getSoakSize(seed);
     const network = `127.${20 + seed % 200}.${Math.floor(seed / 200) % 250}`;
     const deployment = await startSoakDeployment(network, folder, runTracker, seed);
     const { callerAddresses, operatorAddresses, entries, controls } = deployment;
@@ -78,13 +83,14 @@
             entryAddresses: callerAddresses,
             runTracker,
             random,
+            sendIntervalMilliseconds: size.sendIntervalMilliseconds,
             hasCrashingPart: seed % seedsPerCrashingPart === 0,
             isStable: injector.isStable,
         });
         const stopCrashingCaller = seed % seedsPerSoundRequests === 0 || seedsWithoutCrashingCaller.includes(seed)
             ? () => Promise.resolve()
             : startCrashingCaller({ entryAddresses: callerAddresses, routeIndex: seed, runTracker, random });
-        await runBesideSilences(injectFaults);
+        await runBesideSilences(injectFaultsBesideFlaps);
         await waitForRecovery(callers.getServedCounts);
         await runBesideSilences(performPlannedWork);
         await stopCrashingCaller();
@@ -115,6 +121,13 @@
         await work().finally(stopSilences);
     }
 
+    async function injectFaultsBesideFlaps(): Promise<void> {
+        const stopFlaps = size.hasAnswerFaults
+            ? startFlaps({ backends: deployment.backends, random: createRandomSource(seed + flapSeedDistance) })
+            : () => Promise.resolve();
+        await injectFaults().finally(stopFlaps);
+    }
+
     async function waitForReadiness(): Promise<void> {
         for (const { ip } of entries) {
             const end = Date.now() + readinessTimeoutMilliseconds;
@@ -179,10 +192,11 @@
             await injector.inject(change);
             await sleep(silenceRandom.getInteger(maximumPauseMilliseconds));
         }
-        for (const entry of entries) {
-            recordFault(`planned stop of ${entry.ip}`);
+        for (let index = 0; index < entries.length; index += size.stoppedTogetherCount) {
+            const stopped = entries.slice(index, index + size.stoppedTogetherCount);
+            recordFault(`planned stop of ${stopped.map(({ ip }) => ip).join(" ")}`);
             controls[0]!.reloadSettings();
-            await Promise.all([entry.terminate(), operator.changeDocument()]);
+            await Promise.all([...stopped.map(entry => entry.terminate()), operator.changeDocument()]);
             await waitForReadiness();
         }
     }
--- a/tests/platform/soak/soakRegressions.ts
+++ b/tests/platform/soak/soakRegressions.ts
@@ -30,6 +30,8 @@
     "a stream was cut, as it was taken from a silent server although the others were silent too or had used up their limits";
 const silentServer =
     "streams were cut at sound engines that were silent for a second or two, as these were taken for gone";
+const repeatedRefusal =
+    "a refusal that arrived a second time on its connection was taken for that of the next attempt, which ran";
 
 /** The seeds, each with the cause of the failure at the time. */
 export const soakRegressions: readonly { seed: number; cause: string; }[] = [
@@ -55,4 +57,5 @@
     { seed: 12050, cause: missingEvidence },
     { seed: 60000, cause: silentServer },
     { seed: 60001, cause: silentServer },
+    { seed: 70302, cause: repeatedRefusal },
 ];
--- a/tests/platform/soak/startSoakBackend.ts
+++ b/tests/platform/soak/startSoakBackend.ts
@@ -7,11 +7,13 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { RandomSource } from "../../../src/runtime";
 import { CrashingSubject } from "./CrashingSubject";
+import { SoakAnswerFaults } from "./createSoakAnswerFaults";
 import { SoakRequestLimit } from "./createSoakRequestLimit";
 import { formatSoakEvent } from "./formatSoakEvent";
 import { resetSocket } from "./resetSocket";
 import { RunTracker } from "./RunTracker";
 import { sendSoakResponse } from "./sendSoakResponse";
+import { SoakAnswerFault } from "./SoakAnswerFault";
 import { SoakBackend } from "./SoakBackend";
 import { soakCrashingBody } from "./soakCrashingBody";
 import { soakCrashingPart } from "./soakCrashingPart";
@@ -29,6 +31,9 @@
 const crashDelayMilliseconds = 60;
 /** How long a backend server that a request has crashed accepts no connections. */
 const crashDownMilliseconds = 500;
+/** How long a backend server waits at most for the end of its requests before it restarts; it doesn't restart otherwise. */
+const maximumDrainMilliseconds = 2_000;
+const drainPollMilliseconds = 10;
 /** The time within which everything has arrived that was held during a silence. */
 const releaseMilliseconds = 250;
 
@@ -46,6 +51,8 @@
     softwareVersion: string;
     /** The limit that it names; undefined for none. */
     requestLimit?: SoakRequestLimit;
+    /** The faults of its answers; undefined for none. */
+    answerFaults?: SoakAnswerFaults;
     /** Records the runs of requests. */
     runTracker: RunTracker;
     /** Chooses how streams are framed and which of them are broken off. */
@@ -54,8 +61,9 @@
 
 /** Starts a backend server on a port that the operating system chooses. */
 export async function startSoakBackend(options: SoakBackendOptions): Promise<SoakBackend> {
-    const { ip, name, service, isEngine, requestLimit, runTracker, random } = options;
+    const { ip, name, service, isEngine, requestLimit, answerFaults, runTracker, random } = options;
     const sockets = new Set<Socket>();
+    let isRestarting = false;
     const runningIds = new Set<string>();
     let downUntilMilliseconds = 0;
     let startCount = 1;
@@ -83,6 +91,7 @@
         getListEntry,
         fallSilent,
         crash,
+        restart,
         stop: () => {
             server.close();
             server.closeAllConnections();
@@ -120,14 +129,32 @@
         return silenceCount > 0;
     }
 
+    async function restart(): Promise<void> {
+        isRestarting = true;
+        const startAtRestart = startCount;
+        const end = Date.now() + maximumDrainMilliseconds;
+        while (runningIds.size > 0 && Date.now() < end) {
+            await sleep(drainPollMilliseconds);
+        }
+        isRestarting = false;
+        if (runningIds.size === 0 && startAtRestart === startCount) {
+            changeInstance();
+            server.closeIdleConnections();
+        }
+    }
+
     function crash(): void {
+        changeInstance();
+        sockets.forEach(resetSocket);
+    }
+
+    function changeInstance(): void {
         startCount += 1;
         softwareVersion = pickVersion();
         orderCount = 0;
         highestFencingToken = 0;
         isLoading = false;
         requestLimit?.restart();
-        sockets.forEach(resetSocket);
     }
 
     /** Picks the version of the next start: a crash may be followed by a restart or overlap a release. */
@@ -136,6 +163,12 @@
     }
 
     async function handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const { socket } = request;
+        if (answerFaults?.beginRequest(socket)) {
+            return;
+        }
+        const answeredId = String(request.headers["basilwing-request-id"]);
+        response.on("finish", () => answerFaults?.endAnswer(socket, answeredId, response.statusCode));
         const body = await readText(request);
         const expectedInstanceId = request.headers["basilwing-expect-instance"];
         const expectedVersion = request.headers["basilwing-expect-version"];
@@ -207,7 +240,16 @@
             await writeWithoutEnd({ socket: response.socket!, requestId, runTracker, isBehind });
             return;
         }
+        const answerFault = body === soakCrashingBody ? undefined : answerFaults?.pick();
+        if (isRestarting || answerFault === SoakAnswerFault.Refused) {
+            sendJson(response, 503, {}, { "basilwing-request-id": requestId, "basilwing-not-executed": "1" });
+            return;
+        }
         runTracker.recordRun(requestId, String(request.headers["basilwing-tenant"]), isBehind());
+        if (isEngine) {
+            const salt = request.headers["basilwing-cache-salt"]?.toString();
+            runTracker.recordSalt(requestId, String(request.headers["basilwing-tenant"]), salt);
+        }
         if (!isBehind()) {
             requestLimit?.recordArrival();
         }
@@ -216,6 +258,12 @@
             "basilwing-response-seal": `seal-${requestId}`,
             ...requestLimit?.getHeaders(),
         };
+        if (answerFault === SoakAnswerFault.Lost) {
+            runTracker.recordBrokenOff(requestId);
+            await sleep(serviceMilliseconds);
+            response.socket?.destroy();
+            return;
+        }
         runningIds.add(requestId);
         response.on("close", () => void silence.then(() => runningIds.delete(requestId)));
         const hasCrashingPart = String(request.headers["basilwing-prefix-hash"]).includes(`${soakCrashingPart}:`);
--- a/tests/platform/soak/startSoakCallers.ts
+++ b/tests/platform/soak/startSoakCallers.ts
@@ -13,9 +13,10 @@
 import { soakNotRunStatuses } from "./soakNotRunStatuses";
 import { soakRoutes } from "./soakRoutes";
 
-const sendIntervalMilliseconds = 12;
 /** Of this many requests, one holds the part that crashes engines. */
 const requestsPerCrashingPart = 40;
+/** Of this many requests, one is of the isolated workspace. */
+const requestsPerIsolatedCaller = 7;
 /** Of this many requests, one has a caller that leaves early. */
 const requestsPerLeavingCaller = 9;
 /** The bounds of the time after which such a caller leaves, in milliseconds. */
@@ -32,6 +33,8 @@
     runTracker: RunTracker;
     /** Chooses the entry process, the route and the key of each request. */
     random: RandomSource;
+    /** The pause between two requests, in milliseconds. */
+    sendIntervalMilliseconds: number;
     /** Whether some of the requests hold a part that crashes engines. */
     hasCrashingPart: boolean;
     /** Returns whether no unplanned fault affects an entry process or did so a moment ago. */
@@ -67,7 +70,7 @@
                 pending.delete(exchange)
             );
             pending.add(exchange);
-            await sleep(sendIntervalMilliseconds);
+            await sleep(options.sendIntervalMilliseconds);
         }
     }
 
@@ -86,7 +89,8 @@
             runTracker.recordSingleRunRequest(requestId);
         }
         const wasStable = isStable(entryIndex);
-        const key = isRevocable ? "key-leaver" : "key-stayer";
+        const stayingKey = count % requestsPerIsolatedCaller === 0 ? "key-loner" : "key-stayer";
+        const key = isRevocable ? "key-leaver" : stayingKey;
         const promptParts = [`a${count % 5}:500`, ...isCrashing ? [`${soakCrashingPart}:80`] : []];
         const outcome = await client.post({
             entryIndex,
--- a/tests/platform/soak/startSoakDeployment.ts
+++ b/tests/platform/soak/startSoakDeployment.ts
@@ -1,10 +1,11 @@
 /*
- * Starts three control members, two entry processes, three engines and two plain services, each on its own loopback
- * address.
+ * Starts control members, entry processes, engines and plain services, each on its own loopback address.
  */
 import { join } from "node:path";
 import { createRandomSource } from "../../../src/runtime";
+import { createSoakAnswerFaults } from "./createSoakAnswerFaults";
 import { createSoakRequestLimit } from "./createSoakRequestLimit";
+import { getSoakSize } from "./getSoakSize";
 import { RunTracker } from "./RunTracker";
 import { SoakDeployment } from "./SoakDeployment";
 import { soakPorts } from "./soakPorts";
@@ -14,10 +15,10 @@
 import { startSoakProcess } from "./startSoakProcess";
 import { startSoakProxy } from "./startSoakProxy";
 
-const controlNumbers = [1, 2, 3];
-const entryNumbers = [11, 12];
-const engineNumbers = [21, 22, 23];
-const plainServiceNumbers = [31, 32];
+const firstControlNumber = 1;
+/** The first numbers of the small deployment; those of a larger one come after them. */
+const firstNumbers = { entry: 11, engine: 21, plainService: 31, larger: 51 };
+const numbersPerRange = 9;
 const platformListNumber = 41;
 /** The engine that names a limit for some time, in all but one of this many neighbouring seeds. */
 const limitedNumber = 22;
@@ -40,6 +41,8 @@
     seed: number,
 ): Promise<SoakDeployment> {
     const getIp = (number: number) => `${network}.${number}`;
+    const { controlNumbers, entryNumbers, engineNumbers, plainServiceNumbers } = getNumbers(seed);
+    const { hasAnswerFaults } = getSoakSize(seed);
     const backends = await Promise.all([...engineNumbers, ...plainServiceNumbers].map(number => {
         const isEngine = engineNumbers.includes(number);
         const service = isEngine ? "engines" : "actions";
@@ -53,6 +56,7 @@
             requestLimit: number === limitedNumber && seed % seedsPerLimit !== 0
                 ? createSoakRequestLimit(random, runTracker)
                 : undefined,
+            answerFaults: hasAnswerFaults ? createSoakAnswerFaults(random) : undefined,
             runTracker,
             random,
         });
@@ -100,3 +104,17 @@
         },
     };
 }
+
+/** Gets the last numbers of the addresses. */
+function getNumbers(seed: number) {
+    const { controlCount, entryCount, engineCount, plainServiceCount } = getSoakSize(seed);
+    let nextNumber = firstNumbers.larger;
+    const getRange = (first: number, count: number, maximumCount: number) =>
+        Array.from({ length: count }, (...[, index]) => index < maximumCount ? first + index : nextNumber++);
+    return {
+        controlNumbers: getRange(firstControlNumber, controlCount, numbersPerRange),
+        entryNumbers: getRange(firstNumbers.entry, entryCount, numbersPerRange),
+        engineNumbers: getRange(firstNumbers.engine, engineCount, numbersPerRange),
+        plainServiceNumbers: getRange(firstNumbers.plainService, plainServiceCount, numbersPerRange),
+    };
+}
--- a/tests/platform/soak/startSoakOperator.ts
+++ b/tests/platform/soak/startSoakOperator.ts
@@ -7,6 +7,7 @@
 import { RandomSource } from "../../../src/runtime";
 import { RunTracker } from "./RunTracker";
 import { soakBounds } from "./soakBounds";
+import { soakIsolatedWorkspace } from "./soakIsolatedWorkspace";
 import { soakModel } from "./soakModel";
 import { SoakOperator } from "./SoakOperator";
 import { soakRoutes } from "./soakRoutes";
@@ -166,6 +167,7 @@
         limits: { max_header_bytes: 16_384, max_body_bytes: 65_536, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
         tenants: [
             { name: "stayer", api_keys: ["key-stayer"], priority: 1, isolated: false },
+            { name: soakIsolatedWorkspace, api_keys: ["key-loner"], priority: 1, isolated: true },
             ...hasRevocableTenant ? [revocableTenant] : [],
         ],
     };
