Limit what endless answers of backend servers cost an entry process

What callers saw (other operators): a faulty server sent bytes that were no answer, without end. The process that had called it ran out of memory, and the requests of its other callers ended with it (LOST).

Cause: answers were limited one by one and in bytes of their payload. Nothing limited all of them together, what a byte costs (a chunk of one byte is an object of a hundred), what is no payload (header and trailer lines, chunk extensions, empty lines), or how long reading one answer keeps the event loop. undici's parser goes on through all that it was handed after its limit, and joins the lines of a trailer again and again.

Change: parts are joined as they arrive.

--- a/src/forwarding/AttemptResult.ts
+++ b/src/forwarding/AttemptResult.ts
@@ -39,6 +39,11 @@
         requestLimit: RequestLimit;
         /** The body as it arrives; ends with the response, whether that is complete or not. */
         body: AsyncIterable<Uint8Array>;
+        /**
+         * Counts bytes of the body that its reader keeps until the response has ended. Where all responses together need too
+         * much memory, the largest is given up.
+         */
+        hold(bytes: number): void;
         /** What marks the end of the body. */
         framing: ResponseFraming;
         /** Returns, after the body has ended, whether all of it was received. */
--- a/src/forwarding/collectBody.ts
+++ b/src/forwarding/collectBody.ts
@@ -1,6 +1,7 @@
 /*
  * Reads a response body to its end, up to a bound: a backend server in trouble may send bytes without end.
  */
+import { createByteCollector } from "../runtime";
 import { AttemptResult } from "./AttemptResult";
 
 /** The maximum size of a body that is buffered as a whole. */
@@ -14,12 +15,11 @@
 export async function collectBody(
     response: Extract<AttemptResult, { kind: "answered"; }>,
 ): Promise<Uint8Array | undefined> {
-    const parts: Uint8Array[] = [];
-    let length = 0;
+    const collector = createByteCollector();
     for await (const part of response.body) {
-        parts.push(part);
-        length += part.length;
-        if (length > maximumBodyBytes) {
+        collector.add(part);
+        response.hold(part.length);
+        if (collector.getLength() > maximumBodyBytes) {
             response.cancel();
             return undefined;
         }
@@ -27,5 +27,6 @@
     if (!response.isComplete()) {
         return undefined;
     }
+    const parts = collector.takeParts();
     return parts.length === 1 ? parts[0]! : Buffer.concat(parts);
 }
--- /dev/null
+++ b/src/runtime/MemoryAccount.ts
@@ -0,0 +1,13 @@
+/*
+ * The share of one holder in memory that several holders share.
+ */
+
+/** The bytes of one holder. */
+export interface MemoryAccount {
+    /** Adds bytes that the holder now holds; may pause it and others. */
+    add(bytes: number): void;
+    /** Removes bytes that the holder no longer holds. */
+    remove(bytes: number): void;
+    /** Ends the holder's share. */
+    close(): void;
+}
--- a/src/runtime/index.ts
+++ b/src/runtime/index.ts
@@ -3,11 +3,17 @@
  */
 export * from "./AsyncQueue";
 export * from "./breakOffResponse";
+export * from "./ByteCollector";
 export * from "./Clock";
 export * from "./createAsyncQueue";
+export * from "./createByteCollector";
+export * from "./createMemoryBudget";
 export * from "./createRandomSource";
 export * from "./createSystemClock";
 export * from "./createWakeup";
+export * from "./MemoryAccount";
+export * from "./MemoryBudget";
+export * from "./MemoryHolder";
 export * from "./pollConnections";
 export * from "./RandomSource";
 export * from "./runWithTimeout";
--- a/tests/crashQuarantine/createTestServers.ts
+++ b/tests/crashQuarantine/createTestServers.ts
@@ -142,6 +142,7 @@
                     yield Buffer.from("id: 1\ndata: x\n\n");
                 }
             })(),
+            hold: () => undefined,
             isComplete: () => !signal.aborted && !isBroken,
         };
     }
--- a/tests/forwarding/createForwarder.tests.ts
+++ b/tests/forwarding/createForwarder.tests.ts
@@ -800,6 +800,7 @@
                             yield Buffer.from(second!);
                         }
                     })(),
+                    hold: () => undefined,
                     isComplete: () => isComplete,
                 };
             }
--- a/tests/forwarding/createTestLink.ts
+++ b/tests/forwarding/createTestLink.ts
@@ -59,6 +59,7 @@
                 yield await Promise.resolve(Buffer.from(part));
             }
         })(),
+        hold: () => undefined,
         isComplete: () => isComplete,
         cancel: () => undefined,
     };
--- a/tests/forwarding/playSilentServer.ts
+++ b/tests/forwarding/playSilentServer.ts
@@ -88,6 +88,7 @@
                     yield Buffer.from(part);
                 }
             })(),
+            hold: () => undefined,
             isComplete: () => !hasEnded(),
         };
 
--- a/tests/forwarding/repeatedSilences.tests.ts
+++ b/tests/forwarding/repeatedSilences.tests.ts
@@ -76,6 +76,7 @@
                 }
                 await clock.sleep(60_000, attempt.signal);
             })(),
+            hold: () => undefined,
             isComplete: () => false,
         };
     }
