Limit the bodies that the product's own clients read

All these clients take their connections from one place, which limits heads and hands undici small pieces.

--- /dev/null
+++ b/src/backends/createBackendAgent.ts
@@ -0,0 +1,39 @@
+/*
+ * The connection pools of clients of backend servers and of the platform, which may send bytes without end.
+ */
+import type { Socket } from "node:net";
+import { Agent, buildConnector } from "undici";
+import { maximumHeaderBytes } from "./maximumHeaderBytes";
+import { readInPieces } from "./readInPieces";
+
+/** The options of `createBackendAgent`. */
+interface BackendAgentOptions extends Omit<Agent.Options, "connect"> {
+    /** The connection timeout, in milliseconds. */
+    connectTimeoutMilliseconds?: number;
+    /** Called with each connection that was opened. */
+    onConnected?(socket: Socket): void;
+}
+
+/**
+ * Creates connection pools with limits on what a response's head and trailer may hold.
+ * @param options - Further options of undici's agent.
+ */
+export function createBackendAgent(
+    { connectTimeoutMilliseconds, onConnected, ...options }: BackendAgentOptions,
+): Agent {
+    const connect = buildConnector({ timeout: connectTimeoutMilliseconds });
+    return new Agent({
+        maxHeaderSize: maximumHeaderBytes,
+        ...options,
+        connect: (connectOptions, callback) => {
+            connect(connectOptions, (...result) => {
+                const socket = result[1] as Socket | null;
+                if (socket) {
+                    readInPieces(socket);
+                    onConnected?.(socket);
+                }
+                callback(...result);
+            });
+        },
+    });
+}
--- a/src/backends/createEngineAdapter.ts
+++ b/src/backends/createEngineAdapter.ts
@@ -1,15 +1,19 @@
 /*
  * An engine adapter for the OpenAI-compatible HTTP API, based on the undici library.
  */
-import { Agent, Dispatcher } from "undici";
+import { Dispatcher } from "undici";
 import { getErrorMessage } from "../errors";
 import { Order, OrderKind } from "../protocol";
 import { createSystemClock, runWithTimeout } from "../runtime";
 import { CacheEvent } from "./CacheEvent";
+import { createBackendAgent } from "./createBackendAgent";
 import { EngineAdapter } from "./EngineAdapter";
 import { EngineAdapterOptions } from "./EngineAdapterOptions";
 import { EngineLoad } from "./EngineLoad";
+import { maximumCacheBytes } from "./maximumCacheBytes";
 import { OrderOutcome } from "./OrderOutcome";
+import { readBody } from "./readBody";
+import { readJsonBody } from "./readJsonBody";
 import { readLines } from "./readLines";
 import { streamCompletion } from "./streamCompletion";
 
@@ -26,8 +30,8 @@
 export function createEngineAdapter(options: EngineAdapterOptions): EngineAdapter & { stop(): Promise<void>; } {
     const { address } = options;
     const clock = createSystemClock();
-    const agent = new Agent({
-        connect: { timeout: connectTimeoutMilliseconds },
+    const agent = createBackendAgent({
+        connectTimeoutMilliseconds,
         keepAliveTimeout: keepAliveMilliseconds,
         headersTimeout: 0,
         bodyTimeout: 0,
@@ -60,7 +64,7 @@
         try {
             return await runWithTimeout(clock, loadTimeoutMilliseconds, signal, async limit => {
                 const response = await send("GET", "/load", undefined, limit);
-                return await response.body.json() as EngineLoad;
+                return await readJsonBody(response.body) as EngineLoad;
             });
         }
         catch {
@@ -73,7 +77,7 @@
             const body = JSON.stringify(getOrderBody(order));
             return await runWithTimeout(clock, orderTimeoutMilliseconds, signal, async limit => {
                 const response = await send("POST", "/orders", body, limit);
-                const result = await response.body.json() as { reason?: string; };
+                const result = await readJsonBody(response.body) as { reason?: string; };
                 return response.statusCode === 200
                     ? { kind: "done" }
                     : { kind: "refused", reason: result.reason ?? `status ${response.statusCode}` };
@@ -88,7 +92,7 @@
         try {
             return await runWithTimeout(clock, cacheTransferTimeoutMilliseconds, signal, async limit => {
                 const response = await send("GET", `/cache/${hash}`, undefined, limit);
-                const data = await response.body.bytes();
+                const data = await readBody(response.body, maximumCacheBytes);
                 return response.statusCode === 200 ? data : undefined;
             });
         }
--- a/src/backends/createKvCacheStoreClient.ts
+++ b/src/backends/createKvCacheStoreClient.ts
@@ -3,11 +3,14 @@
  * another workspace, model, version or prefix is never used.
  */
 import { createHash } from "node:crypto";
-import { Agent, Dispatcher } from "undici";
+import { Dispatcher } from "undici";
 import { PrefixScope } from "../routing";
 import { createSystemClock, runWithTimeout } from "../runtime";
+import { createBackendAgent } from "./createBackendAgent";
 import { KvCacheStore } from "./KvCacheStore";
 import { KvCacheStoreClientOptions } from "./KvCacheStoreClientOptions";
+import { maximumCacheBytes } from "./maximumCacheBytes";
+import { readBody } from "./readBody";
 
 const requestTimeoutMilliseconds = 5_000;
 const concurrentLookups = 8;
@@ -20,7 +23,7 @@
 export function createKvCacheStoreClient(
     options: KvCacheStoreClientOptions,
 ): KvCacheStore & { stop(): Promise<void>; } {
-    const agent = new Agent({ connect: { timeout: requestTimeoutMilliseconds } });
+    const agent = createBackendAgent({ connectTimeoutMilliseconds: requestTimeoutMilliseconds });
     const clock = createSystemClock();
     return { countStoredBlocks, read, write, stop: () => agent.destroy() };
 
@@ -55,7 +58,7 @@
     async function read(scope: PrefixScope, hash: string, signal?: AbortSignal): Promise<Uint8Array | undefined> {
         try {
             return await send("GET", scope, hash, undefined, signal, async response => {
-                const data = await response.body.bytes();
+                const data = await readBody(response.body, maximumCacheBytes);
                 const isIntact = response.statusCode === 200
                     && response.headers[digestHeader] === getDigest(scope, hash, data);
                 if (!isIntact && response.statusCode !== 404) {
--- a/src/backends/createServiceAdapter.ts
+++ b/src/backends/createServiceAdapter.ts
@@ -5,13 +5,17 @@
  * reset; on pooled connections, a reset of another one at the same time counts as well.
  */
 import type { Socket } from "node:net";
-import { Agent, buildConnector, Client, Dispatcher } from "undici";
+import { buildConnector, Client, Dispatcher } from "undici";
 import { getErrorMessage } from "../errors";
 import { ServiceWork } from "../protocol";
 import { createSystemClock, runWithTimeout } from "../runtime";
+import { createBackendAgent } from "./createBackendAgent";
 import { createResetCounter } from "./createResetCounter";
 import { FailureCause } from "./FailureCause";
 import { getFailureCause } from "./getFailureCause";
+import { maximumHeaderBytes } from "./maximumHeaderBytes";
+import { readInPieces } from "./readInPieces";
+import { readJsonBody } from "./readJsonBody";
 import { ResetCounter } from "./ResetCounter";
 import { ServiceAdapter } from "./ServiceAdapter";
 import { ServiceAdapterOptions } from "./ServiceAdapterOptions";
@@ -52,8 +56,9 @@
     const { address } = options;
     const clock = createSystemClock();
     const agentResets = createResetCounter();
-    const agent = new Agent({
-        connect: buildWatchedConnector(agentResets, () => undefined),
+    const agent = createBackendAgent({
+        connectTimeoutMilliseconds,
+        onConnected: agentResets.watch,
         keepAliveTimeout: keepAliveMilliseconds,
         headersTimeout: 0,
         bodyTimeout: 0,
@@ -113,7 +118,7 @@
 
     async function readIncarnation(signal: AbortSignal): Promise<string | undefined> {
         const response = await agent.request({ origin: address, method: "GET", path: "/health", signal });
-        const health = await response.body.json() as { incarnation?: string; };
+        const health = await readJsonBody(response.body) as { incarnation?: string; };
         return response.statusCode === 200 ? health.incarnation : undefined;
     }
 
@@ -133,6 +138,7 @@
         let isConnected = false;
         const client = new Client(address, {
             pipelining: 0,
+            maxHeaderSize: maximumHeaderBytes,
             headersTimeout: 0,
             bodyTimeout: 0,
             connect: buildWatchedConnector(resets, () => isConnected ||= !signal.aborted),
@@ -148,6 +154,7 @@
         connect(options, (...result) => {
             const [, socket] = result;
             if (socket) {
+                readInPieces(socket as Socket);
                 resets.watch(socket as Socket);
                 onConnected();
             }
--- a/src/backends/index.ts
+++ b/src/backends/index.ts
@@ -2,6 +2,7 @@
  * Adapters for external systems: engines, plain services, the platform's list of instances and the KV cache store.
  */
 export * from "./CacheEvent";
+export * from "./createBackendAgent";
 export * from "./createCacheSalt";
 export * from "./createEngineAdapter";
 export * from "./createKvCacheStoreClient";
@@ -20,6 +21,8 @@
 export * from "./limitUnusedBytes";
 export * from "./maximumHeaderBytes";
 export * from "./OrderOutcome";
+export * from "./readBody";
+export * from "./readJsonBody";
 export * from "./readLines";
 export * from "./ResetCounter";
 export * from "./ResponsePart";
--- a/src/backends/streamCompletion.ts
+++ b/src/backends/streamCompletion.ts
@@ -7,10 +7,13 @@
 import { EngineRequest } from "./EngineRequest";
 import { FailureCause } from "./FailureCause";
 import { getFailureCause } from "./getFailureCause";
+import { readBody } from "./readBody";
 import { readLines } from "./readLines";
 
 const dataPrefix = "data: ";
 const endMarker = "[DONE]";
+/** The maximum size of a refusal's message, in bytes. */
+const maximumMessageBytes = 65_536;
 const seedMask = 0x1f_ffff_ffff_ffffn;
 
 interface StreamChunk {
@@ -52,7 +55,7 @@
             return;
         }
         if (response.statusCode !== 200) {
-            yield { kind: "refused", status: response.statusCode, message: await response.body.text() };
+            yield { kind: "refused", status: response.statusCode, message: await readMessage(response) };
             return;
         }
         yield {
@@ -69,6 +72,10 @@
     }
 }
 
+async function readMessage({ body }: Dispatcher.ResponseData): Promise<string> {
+    return (await readBody(body, maximumMessageBytes)).toString();
+}
+
 /** Reads the stream's chunks. A stream that ends without its end marker counts as truncated. */
 async function* readChunks(body: AsyncIterable<Uint8Array>, requestId: string): AsyncGenerator<EngineEvent> {
     let end: EngineEvent | undefined;
