--- a/tests/platform/soak/startFlaps.ts
+++ b/tests/platform/soak/startFlaps.ts
@@ -4,6 +4,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { RandomSource } from "../../../src/runtime";
 import { SoakBackend } from "./SoakBackend";
+import { startSeries } from "./startSeries";
 
 const maximumPauseMilliseconds = 300;
 
@@ -21,17 +22,8 @@
  * @returns Stops, and waits for the last one.
  */
 export function startFlaps({ backends, random }: FlapsOptions): () => Promise<void> {
-    let isStopped = false;
-    const series = runSeries();
-    return async () => {
-        isStopped = true;
-        await series;
-    };
-
-    async function runSeries(): Promise<void> {
-        while (!isStopped) {
-            await backends[random.getInteger(backends.length)]!.restart();
-            await sleep(random.getInteger(maximumPauseMilliseconds));
-        }
-    }
+    return startSeries(async () => {
+        await backends[random.getInteger(backends.length)]!.restart();
+        await sleep(random.getInteger(maximumPauseMilliseconds));
+    });
 }
--- a/tests/platform/soak/startSilences.ts
+++ b/tests/platform/soak/startSilences.ts
@@ -4,6 +4,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { RandomSource } from "../../../src/runtime";
 import { SoakBackend } from "./SoakBackend";
+import { startSeries } from "./startSeries";
 
 const minimumMilliseconds = 500;
 const rangeMilliseconds = 2_500;
@@ -25,19 +26,10 @@
  * @returns Stops, and waits for the end of the silences that have begun.
  */
 export function startSilences({ backends, random, onSilence }: SilencesOptions): () => Promise<void> {
-    let isStopped = false;
-    const series = runSeries();
-    return async () => {
-        isStopped = true;
-        await series;
-    };
-
-    async function runSeries(): Promise<void> {
-        while (!isStopped) {
-            await Promise.all(pickBackends().map(fallSilent));
-            await sleep(random.getInteger(maximumPauseMilliseconds));
-        }
-    }
+    return startSeries(async () => {
+        await Promise.all(pickBackends().map(fallSilent));
+        await sleep(random.getInteger(maximumPauseMilliseconds));
+    });
 
     function pickBackends(): readonly SoakBackend[] {
         const first = backends[random.getInteger(backends.length)]!;
