Hold connections without the HTTP client's pauses, during which their end ends the process

Cause: undici asserts that its parser is not paused when a connection ends or is reset within a response that has no length, and the assertion is thrown in an event handler.

Change: the parser is never paused. The socket hands it nothing while it is held, and its bytes again once it is released, by what readInPieces controls anyway.

Still open, by reading only: the product's own clients read through undici's own streams, which pause the parser; their bodies are read at once, but for those of plain services behind a sidecar.

--- a/src/backends/index.ts
+++ b/src/backends/index.ts
@@ -21,6 +21,7 @@
 export * from "./limitUnusedBytes";
 export * from "./maximumHeaderBytes";
 export * from "./OrderOutcome";
+export * from "./PieceReader";
 export * from "./readBody";
 export * from "./readJsonBody";
 export * from "./readLines";
--- a/src/backends/limitUnusedBytes.ts
+++ b/src/backends/limitUnusedBytes.ts
@@ -18,14 +18,14 @@
 export function limitUnusedBytes(socket: Socket): UnusedByteLimit {
     let maximumBytes = maximumHeaderBytes;
     let unusedBytes = 0;
-    readInPieces(socket, byteCount => {
+    const reader = readInPieces(socket, byteCount => {
         // What the last piece held has been recorded by now.
         if (unusedBytes > maximumBytes) {
             socket.destroy(new Error(`${unusedBytes} bytes without a part of a response`));
         }
         unusedBytes += byteCount;
     });
-    return { recordRead };
+    return { ...reader, recordRead };
 
     function recordRead(part: ResponsePart): void {
         unusedBytes = 0;
--- a/src/backends/readInPieces.ts
+++ b/src/backends/readInPieces.ts
@@ -1,8 +1,10 @@
 /*
- * Hands the bytes of a connection to undici in small pieces. Its parser goes on through all that it was handed after a limit
- * was exceeded, and joins the lines of a trailer again and again.
+ * Hands the bytes of a connection to undici in small pieces, and none while it is held. Its parser goes on through all that it
+ * was handed after a limit was exceeded, and joins the lines of a trailer again and again. Its own pauses must not be used:
+ * where the connection ends during one, an assertion fails that ends the process.
  */
 import type { Socket } from "node:net";
+import { PieceReader } from "./PieceReader";
 
 /** The maximum size of a piece, in bytes. */
 const pieceBytes = 4_096;
@@ -12,14 +14,23 @@
  * @param socket - The connection, before it is handed to undici.
  * @param onPiece - Called with the size of each piece that is handed over.
  */
-export function readInPieces(socket: Socket, onPiece: (byteCount: number) => void = () => undefined): void {
+export function readInPieces(
+    socket: Socket,
+    onPiece: (byteCount: number) => void = () => undefined,
+): PieceReader {
     const read = socket.read.bind(socket);
+    let isHeld = false;
     socket.read = readPiece;
+    return { hold: () => void (isHeld = true), release };
 
     function readPiece(size?: number): Buffer | null {
         if (socket.destroyed && socket.readableLength > 0) {
             read(socket.readableLength);
         }
+        if (isHeld) {
+            // Takes nothing, and lets more arrive up to the limit of the socket.
+            return read(0) as null;
+        }
         const available = Math.min(pieceBytes, socket.readableLength);
         const piece = read(size ?? (available > 0 ? available : undefined)) as Buffer | null;
         if (piece) {
@@ -27,4 +38,11 @@
         }
         return piece;
     }
+
+    function release(): void {
+        if (isHeld) {
+            isHeld = false;
+            socket.emit("readable");
+        }
+    }
 }
--- a/tests/platform/backends/createBackendLink.tests.ts
+++ b/tests/platform/backends/createBackendLink.tests.ts
@@ -202,6 +202,34 @@
         expect((await send(server.address)).kind).to.equal("lost");
     });
 
+    describe("a body without a length that waits for its reader when its connection ends", () => {
+        /** Sends a body and ends the connection some time after it, while the reader has read none of it. */
+        async function doTest(bodyBytes: number, end: "finish" | "reset", expected: string) {
+            const server = await startServer(socket => {
+                socket.write(`${head}\r\n${"x".repeat(bodyBytes)}`);
+                setTimeout(() => endConnection(socket, end), 100);
+            });
+            const result = await send(server.address);
+            await new Promise(resolve => setTimeout(resolve, 200));
+            const text = await read(result);
+            expect(text.slice(0, text.indexOf(" "))).to.equal(expected);
+        }
+
+        function endConnection(socket: Socket, end: "finish" | "reset") {
+            if (end === "finish") {
+                socket.end();
+            }
+            else {
+                socket.resetAndDestroy();
+            }
+        }
+
+        it("ends no process (a little over 64 KB, closed)", () => doTest(66_000, "finish", "complete"));
+        it("ends no process (a little over 64 KB, reset)", () => doTest(66_000, "reset", "incomplete"));
+        it("ends no process (a little over 1 MB, closed)", () => doTest(1_048_700, "finish", "complete"));
+        it("ends no process (a little over 1 MB, reset)", () => doTest(1_048_700, "reset", "incomplete"));
+    });
+
     it("closes the connection when the caller disconnects", async () => {
         const disconnectController = new AbortController();
         const closed = new Promise<void>(resolve => {
