Hand no more bytes over than may be unused

The limit was checked after a piece, so that up to two pieces more than the limit were parsed. A piece now ends at the limit.

--- a/src/backends/limitUnusedBytes.ts
+++ b/src/backends/limitUnusedBytes.ts
@@ -18,14 +18,16 @@
 export function limitUnusedBytes(socket: Socket): UnusedByteLimit {
     let maximumBytes = maximumHeaderBytes;
     let unusedBytes = 0;
-    const reader = readInPieces(socket, byteCount => {
-        // What the last piece held has been recorded by now.
-        if (unusedBytes > maximumBytes) {
+    const reader = readInPieces(socket, getMaximumBytes, byteCount => unusedBytes += byteCount);
+    return { ...reader, recordRead };
+
+    /** Closes the connection where no more bytes may follow; what the last piece held has been recorded by now. */
+    function getMaximumBytes(): number {
+        if (unusedBytes >= maximumBytes) {
             socket.destroy(new Error(`${unusedBytes} bytes without a part of a response`));
         }
-        unusedBytes += byteCount;
-    });
-    return { ...reader, recordRead };
+        return maximumBytes - unusedBytes;
+    }
 
     function recordRead(part: ResponsePart): void {
         unusedBytes = 0;
--- a/src/backends/readInPieces.ts
+++ b/src/backends/readInPieces.ts
@@ -12,10 +12,12 @@
 /**
  * Lets a connection be read in pieces, and no more once it was closed here.
  * @param socket - The connection, before it is handed to undici.
+ * @param getMaximumBytes - Gets how many bytes may be handed over next; called before each piece.
  * @param onPiece - Called with the size of each piece that is handed over.
  */
 export function readInPieces(
     socket: Socket,
+    getMaximumBytes: () => number = () => pieceBytes,
     onPiece: (byteCount: number) => void = () => undefined,
 ): PieceReader {
     const read = socket.read.bind(socket);
@@ -24,14 +26,15 @@
     return { hold: () => void (isHeld = true), release };
 
     function readPiece(size?: number): Buffer | null {
-        if (socket.destroyed && socket.readableLength > 0) {
-            read(socket.readableLength);
-        }
         if (isHeld) {
             // Takes nothing, and lets more arrive up to the limit of the socket.
             return read(0) as null;
         }
-        const available = Math.min(pieceBytes, socket.readableLength);
+        const maximumBytes = socket.readableLength > 0 ? getMaximumBytes() : pieceBytes;
+        if (socket.destroyed && socket.readableLength > 0) {
+            read(socket.readableLength);
+        }
+        const available = Math.min(pieceBytes, maximumBytes, socket.readableLength);
         const piece = read(size ?? (available > 0 ? available : undefined)) as Buffer | null;
         if (piece) {
             onPiece(piece.length);
