--- a/src/backends/limitUnusedBytes.ts
+++ b/src/backends/limitUnusedBytes.ts
@@ -9,7 +9,7 @@
 import { UnusedByteLimit } from "./UnusedByteLimit";
 
 /** The maximum number of bytes between two parts of a body, and behind the last one. */
-const maximumFramingBytes = 4_096;
+const maximumFramingBytes = 2_048;
 
 /**
  * Closes a connection on which too many bytes arrive that are of no use.
