Wait for longer than a timer of Node.js can be set

Callers saw: under a document whose time limit is above 2^31 - 1 ms (about 25 days), requests that state no shorter time of their own were answered 504 at once, although their backend server was sound. Cause: setTimeout of Node.js runs out after 1 ms where it is given more than 2^31 - 1 ms. Change: the system clock sets its timer again until the time is over. Timers elsewhere have constant times.

--- a/src/runtime/createSystemClock.ts
+++ b/src/runtime/createSystemClock.ts
@@ -3,6 +3,9 @@
  */
 import { Clock } from "./Clock";
 
+/** The longest time for which a timer of Node.js can be set; longer ones run out at once. */
+const maximumTimerMilliseconds = 2 ** 31 - 1;
+
 /** Creates a clock that reads the system's time and waits with timers. */
 export function createSystemClock(): Clock {
     return {
@@ -15,10 +18,21 @@
         if (signal?.aborted) {
             return Promise.resolve();
         }
+        const endMilliseconds = performance.now() + milliseconds;
         return new Promise(resolve => {
-            const timer = setTimeout(finish, milliseconds);
+            let timer = startTimer(milliseconds);
             signal?.addEventListener("abort", finish, { once: true });
 
+            function startTimer(remainingMilliseconds: number): NodeJS.Timeout {
+                return remainingMilliseconds > maximumTimerMilliseconds
+                    ? setTimeout(restartTimer, maximumTimerMilliseconds)
+                    : setTimeout(finish, remainingMilliseconds);
+            }
+
+            function restartTimer(): void {
+                timer = startTimer(endMilliseconds - performance.now());
+            }
+
             function finish(): void {
                 clearTimeout(timer);
                 signal?.removeEventListener("abort", finish);
