Answer requests shortly before their caller's time is over

Callers saw: a request at a backend server that is silent until the caller's time limit got nothing: the connection was closed by the caller before the answer (504, outcome unknown) came. Cause: the deadline was the arrival of the head plus the caller's time. The caller counts from when it begins to send, and the answer has a way to go. Class: a deadline that is handed on whole, without the time for the answer's way. The same on related paths: the search for a stream's origin, the wait for its record and the wait for another request's prefill went on regardless of the request's time. Change: a request without a response is answered when 4 in 100 of its caller's time are left, 100 ms at most. A response that arrives until then wins, and a stream that has begun goes on until the deadline. The waits end with the request.

--- a/src/forwarding/ForwardingTask.ts
+++ b/src/forwarding/ForwardingTask.ts
@@ -25,10 +25,12 @@
     /** The request's deadline, on the monotonic clock, in milliseconds. */
     readonly deadlineMilliseconds: number;
     /**
-     * Aborted once the caller has disconnected, the deadline has passed or the process ends soon; that of a run also once
-     * another run has superseded it.
+     * Aborted once the caller has disconnected, the time of the request is over or the process ends soon; that of a run also
+     * once another run has superseded it.
      */
     readonly signal: AbortSignal;
+    /** Records that the response to the caller has begun, so that it goes on until the deadline. */
+    recordResponseBegun(): void;
     /** Names the run in the trackers of prefills; the first run has the id of the request. */
     readonly runId: string;
     /** Logs with the request's id. */
--- a/src/forwarding/RequestSignal.ts
+++ b/src/forwarding/RequestSignal.ts
@@ -4,8 +4,10 @@
 
 /** An abort signal and the resources behind it. */
 export interface RequestSignal {
-    /** Aborted once the caller has disconnected, the deadline has passed or the process ends soon. */
+    /** Aborted once the caller has disconnected, the time of the request is over or the process ends soon. */
     readonly signal: AbortSignal;
+    /** Records that the response to the caller has begun, so that it goes on until the deadline. */
+    recordResponseBegun(): void;
     /** Releases the timer and the listener. */
     release(): void;
 }
--- a/src/forwarding/admitResumption.ts
+++ b/src/forwarding/admitResumption.ts
@@ -7,11 +7,26 @@
 import { RouteKind } from "../documents";
 import { FeedState } from "../feed";
 import { RefusalReason } from "../protocol";
+import { Clock, waitWithTimeout } from "../runtime";
 import { StreamOrigins } from "../streamOrigins";
 import { Admission } from "./Admission";
 import { ForwardedRequest } from "./ForwardedRequest";
 import { Refusal } from "./Refusal";
 
+type Admitted = Extract<Admission, { kind: "admitted"; }>;
+
+/** What the admission of a resumption depends on. */
+interface ResumptionOptions {
+    /** Finds the origin of the stream. */
+    streamOrigins: StreamOrigins;
+    /** Provides the versions of the backend servers. */
+    state: Pick<FeedState, "getSoftwareVersions" | "confirmFleet">;
+    /** The clock. */
+    clock: Clock;
+    /** Aborted once the request is to be answered with what is known of it. */
+    signal: AbortSignal;
+}
+
 /** The retry delay of a refused resumption: an origin that is not found now is hardly found later. */
 const retryAfterMilliseconds = 1_000;
 /** How long the leader may take to confirm the versions, in milliseconds: several round trips within a region. */
@@ -27,19 +42,27 @@
  * All other requests keep their admission.
  * @param request - The request.
  * @param admission - Its admission as that of a new request.
- * @param streamOrigins - Finds the origin of the stream.
- * @param state - Provides the versions of the backend servers.
+ * @param options - What the admission depends on.
  */
 export async function admitResumption(
     request: ForwardedRequest,
-    admission: Admission,
-    streamOrigins: StreamOrigins,
-    state: Pick<FeedState, "getSoftwareVersions" | "confirmFleet">,
+    admission: Admitted,
+    options: ResumptionOptions,
 ): Promise<Admission> {
-    const { lastEventId, resumedRequestId } = request;
-    if (admission.kind === "refused" || admission.route.kind !== RouteKind.Stream || lastEventId === undefined) {
+    if (admission.route.kind !== RouteKind.Stream || request.lastEventId === undefined) {
         return admission;
     }
+    const { clock, signal } = options;
+    return await waitWithTimeout(clock, findOrigin(request, admission, options), Infinity, signal)
+        ?? refuse(RefusalReason.DEADLINE);
+}
+
+/** Replaces the service of an admitted resumption by that which began the stream. */
+async function findOrigin(
+    { resumedRequestId }: ForwardedRequest,
+    admission: Admitted,
+    { streamOrigins, state }: ResumptionOptions,
+): Promise<Admission> {
     const { route, service: admittedService, table } = admission;
     if (resumedRequestId === undefined) {
         const softwareVersion = await findOnlySoftwareVersion(state, admittedService.name);
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -184,6 +184,7 @@
                 instance,
                 getRemainingMilliseconds(task),
                 options.streamOrigins,
+                clock,
             );
         }
         loads.recordSent(instanceId, task.request.prompt?.promptTokens ?? 0, task.prefillTokens);
--- a/src/forwarding/createForwarder.ts
+++ b/src/forwarding/createForwarder.ts
@@ -3,6 +3,7 @@
  */
 import { RouteKind } from "../documents";
 import { assertNever } from "../errors";
+import { Logger } from "../logging";
 import { CounterName, HistogramName } from "../metrics";
 import { RefusalReason } from "../protocol";
 import { waitWithTimeout } from "../runtime";
@@ -21,7 +22,9 @@
 import { ForwardOutcome } from "./ForwardOutcome";
 import { ForwardResult } from "./ForwardResult";
 import { forwardStream } from "./forwardStream";
+import { getAnswerMilliseconds } from "./getAnswerMilliseconds";
 import { getPartLogFields } from "./getPartLogFields";
+import { Refusal } from "./Refusal";
 import { refuseTask } from "./refuseTask";
 
 /**
@@ -60,36 +63,34 @@
         const polledMilliseconds = clock.getMonotonicMilliseconds();
         await waitForFirstState(request);
         const requestLogger = logger.child({ requestId: request.requestId }, true);
-        const admission = await admitResumption(
-            request,
-            admitRequest(request, state, options.maximumDocumentAgeMilliseconds, random),
-            options.streamOrigins,
-            state,
+        const firstAdmission = admitRequest(request, state, options.maximumDocumentAgeMilliseconds, random);
+        if (firstAdmission.kind === "refused") {
+            refuseUnadmitted(request, reply, firstAdmission.refusal, requestLogger);
+            return;
+        }
+        const { timeoutMilliseconds } = firstAdmission.route;
+        const { arrivalMilliseconds, callerMilliseconds = Infinity } = request;
+        const deadlineMilliseconds = arrivalMilliseconds + Math.min(timeoutMilliseconds, callerMilliseconds);
+        const answerMilliseconds = arrivalMilliseconds + getAnswerMilliseconds(timeoutMilliseconds, callerMilliseconds);
+        const requestSignal = createRequestSignal(
+            { endSignals: [request.signal, plannedStop.signal], answerMilliseconds, deadlineMilliseconds },
+            clock,
         );
+        const { signal } = requestSignal;
+        const admission = await admitResumption(request, firstAdmission, { ...options, signal });
         if (admission.kind === "refused") {
-            reply.refuse(admission.refusal);
-            metrics.countRefusal(admission.refusal.reason);
-            requestLogger.info({
-                refusal: admission.refusal.kind,
-                reason: RefusalReason[admission.refusal.reason],
-                host: request.host,
-                path: request.path,
-                resumedRequestId: request.resumedRequestId,
-                ...getStateFields(),
-            }, "request refused");
+            requestSignal.release();
+            refuseUnadmitted(request, reply, admission.refusal, requestLogger);
             return;
         }
-        const { route } = admission;
-        const timeoutMilliseconds = Math.min(route.timeoutMilliseconds, request.callerMilliseconds ?? Infinity);
-        const deadlineMilliseconds = request.arrivalMilliseconds + timeoutMilliseconds;
-        const requestSignal = createRequestSignal([request.signal, plannedStop.signal], deadlineMilliseconds, clock);
         const task: ForwardingTask = {
             request,
             reply,
             admission,
             subjects: createRunSubjects(request, admission),
             deadlineMilliseconds,
-            signal: requestSignal.signal,
+            signal,
+            recordResponseBegun: requestSignal.recordResponseBegun,
             runId: request.requestId,
             logger: requestLogger,
             softwareVersion: admission.softwareVersion,
@@ -114,6 +115,24 @@
         logOutcome(result.task, result.outcome);
     }
 
+    function refuseUnadmitted(
+        { host, path, resumedRequestId }: ForwardedRequest,
+        reply: CallerReply,
+        refusal: Refusal,
+        requestLogger: Logger,
+    ): void {
+        reply.refuse(refusal);
+        metrics.countRefusal(refusal.reason);
+        requestLogger.info({
+            refusal: refusal.kind,
+            reason: RefusalReason[refusal.reason],
+            host,
+            path,
+            resumedRequestId,
+            ...getStateFields(),
+        }, "request refused");
+    }
+
     function forwardTask(task: ForwardingTask): ForwardResult | Promise<ForwardResult> {
         if (plannedStop.isTooLate(task.deadlineMilliseconds)) {
             const reason = RefusalReason.DRAINING;
--- a/src/forwarding/createPromptScheduler.ts
+++ b/src/forwarding/createPromptScheduler.ts
@@ -55,7 +55,8 @@
             return false;
         }
         task.hasWaitedForPrefill = true;
-        await waitWithTimeout(clock, prefill, prefillWaitShareOfTarget * route.targetLatencyMilliseconds);
+        const timeoutMilliseconds = prefillWaitShareOfTarget * route.targetLatencyMilliseconds;
+        await waitWithTimeout(clock, prefill, timeoutMilliseconds, task.signal);
         return true;
     }
 
--- a/src/forwarding/createRequestSignal.ts
+++ b/src/forwarding/createRequestSignal.ts
@@ -3,32 +3,40 @@
  */
 import { Clock } from "../runtime";
 import { RequestSignal } from "./RequestSignal";
+import { RequestSignalOptions } from "./RequestSignalOptions";
 
 /**
  * Creates the signal of a request.
- * @param endSignals - Aborted once the caller has disconnected, or the process ends soon.
- * @param deadlineMilliseconds - The deadline on the monotonic clock, in milliseconds.
+ * @param options - The deadline and what else ends the request.
  * @param clock - The clock.
  */
-export function createRequestSignal(
-    endSignals: readonly AbortSignal[],
-    deadlineMilliseconds: number,
-    clock: Clock,
-): RequestSignal {
+export function createRequestSignal(options: RequestSignalOptions, clock: Clock): RequestSignal {
+    const { endSignals, answerMilliseconds, deadlineMilliseconds } = options;
     const ended = new AbortController();
     const released = new AbortController();
+    let endMilliseconds = answerMilliseconds;
     const end = () => ended.abort();
     if (endSignals.some(endSignal => endSignal.aborted)) {
         end();
     }
     endSignals.forEach(endSignal => endSignal.addEventListener("abort", end, { once: true }));
-    void clock.sleep(Math.max(0, deadlineMilliseconds - clock.getMonotonicMilliseconds()), released.signal)
-        .then(() => {
-            if (!released.signal.aborted) {
-                end();
-            }
-        });
-    return { signal: ended.signal, release };
+    void endInTime();
+    return { signal: ended.signal, recordResponseBegun: () => void (endMilliseconds = deadlineMilliseconds), release };
+
+    async function endInTime(): Promise<void> {
+        let remainingMilliseconds = getRemainingMilliseconds();
+        while (remainingMilliseconds > 0 && !released.signal.aborted) {
+            await clock.sleep(remainingMilliseconds, released.signal);
+            remainingMilliseconds = getRemainingMilliseconds();
+        }
+        if (!released.signal.aborted) {
+            end();
+        }
+    }
+
+    function getRemainingMilliseconds(): number {
+        return endMilliseconds - clock.getMonotonicMilliseconds();
+    }
 
     function release(): void {
         released.abort();
--- a/src/forwarding/forwardStream.ts
+++ b/src/forwarding/forwardStream.ts
@@ -91,6 +91,7 @@
     function startResponse(head: HttpResponseHead): void {
         if (!stream.startedHead) {
             stream.startedHead = head;
+            task.recordResponseBegun();
             reply.start(head);
         }
     }
--- a/src/forwarding/recordStreamOrigin.ts
+++ b/src/forwarding/recordStreamOrigin.ts
@@ -4,6 +4,7 @@
 import { create } from "@bufbuild/protobuf";
 import { RouteKind } from "../documents";
 import { FleetInstance, StreamOriginSchema } from "../protocol";
+import { Clock, waitWithTimeout } from "../runtime";
 import { StreamOrigins } from "../streamOrigins";
 import { ForwardingTask } from "./ForwardingTask";
 import { StreamOriginRecord } from "./StreamOriginRecord";
@@ -17,12 +18,14 @@
  * @param instance - The backend server to which the attempt is sent.
  * @param remainingMilliseconds - The time until the request's deadline, in milliseconds.
  * @param streamOrigins - Holds the records.
+ * @param clock - The clock.
  */
 export function recordStreamOrigin(
     task: ForwardingTask,
     { softwareVersion }: FleetInstance,
     remainingMilliseconds: number,
     streamOrigins: StreamOrigins,
+    clock: Clock,
 ): StreamOriginRecord | undefined {
     const { admission: { route, service }, request: { requestId }, originRecord: formerRecord } = task;
     if (route.kind !== RouteKind.Stream || !route.isResumable || softwareVersion === "") {
@@ -37,5 +40,7 @@
     });
     const replacesOtherVersion = formerRecord !== undefined
         && (formerRecord.replacesOtherVersion || formerRecord.softwareVersion !== softwareVersion);
-    return { softwareVersion, replacesOtherVersion, recorded: streamOrigins.record(origin, replacesOtherVersion) };
+    const recorded = waitWithTimeout(clock, streamOrigins.record(origin, replacesOtherVersion), Infinity, task.signal)
+        .then(isRecorded => isRecorded === true);
+    return { softwareVersion, replacesOtherVersion, recorded };
 }
--- a/src/runtime/waitWithTimeout.ts
+++ b/src/runtime/waitWithTimeout.ts
@@ -8,14 +8,21 @@
  * @param clock - The clock that measures the timeout.
  * @param operation - The operation; it continues after the timeout.
  * @param timeoutMilliseconds - The timeout, in milliseconds.
+ * @param signal - Ends the wait as the timeout does.
  * @returns The operation's result, or undefined after the timeout.
  */
 export async function waitWithTimeout<T>(
     clock: Clock,
     operation: Promise<T>,
     timeoutMilliseconds: number,
+    signal?: AbortSignal,
 ): Promise<T | undefined> {
     const timerAbort = new AbortController();
+    const endTimer = () => timerAbort.abort();
+    if (signal?.aborted) {
+        endTimer();
+    }
+    signal?.addEventListener("abort", endTimer, { once: true });
     try {
         return await Promise.race([
             operation,
@@ -23,6 +30,7 @@
         ]);
     }
     finally {
-        timerAbort.abort();
+        signal?.removeEventListener("abort", endTimer);
+        endTimer();
     }
 }
