Use backend servers again that have started again under their ids

Callers saw: after the backend servers of a service had been restarted in turn under their ids, each request was refused as one without a backend server, although all were ready. Cause: the fleet tracker kept the ids of servers that were once leaving until a list without them, and when a server started was not read. Class: an identity that outlives what it names. Change: an entry of the list carries when its server started. A later start ends what was observed of the server before: that it leaves or has terminated, and the weights that it reported. An entry of an earlier start marks nothing.

--- a/src/fleet/FleetTracker.ts
+++ b/src/fleet/FleetTracker.ts
@@ -9,7 +9,7 @@
 export interface FleetTracker extends FleetSource {
     /**
      * Starts a new view, without a list, reported weights or loading engines. Leaving and terminated instances stay
-     * marked until a list no longer contains them.
+     * marked until a list no longer contains them, or shows a later start.
      * @param term - The term of leadership, which is part of the view's revisions.
      */
     reset(term: bigint): void;
@@ -28,7 +28,7 @@
     recordWeights(instanceId: string, weights: readonly LoadedWeights[]): void;
     /**
      * Records that an instance has terminated, because another backend server responds at its address. The view shows
-     * the instance as leaving as long as the list contains it.
+     * the instance as leaving as long as the list contains it without a later start.
      * @param instanceId - The id of the terminated instance.
      */
     recordTermination(instanceId: string): void;
--- a/src/fleet/createFleetTracker.ts
+++ b/src/fleet/createFleetTracker.ts
@@ -1,7 +1,7 @@
 /*
  * Merges the platform's list with the leader's own, more recent observations. Because the list lags, an engine's own
  * report of its weights takes precedence over an older version on the list, and a backend server that was once seen as
- * leaving stays marked until the list no longer contains it.
+ * leaving stays marked until the list no longer contains it, or shows that it has started again under its id.
  */
 import { create } from "@bufbuild/protobuf";
 import { DocumentState } from "../documents";
@@ -35,6 +35,8 @@
 ): FleetTracker {
     const leavingIds = new Set<string>();
     const loadingIds = new Set<string>();
+    /** The latest start of each backend server that the list has shown, in Unix milliseconds. */
+    const startTimes = new Map<string, number>();
     const reportedVersions = new Map<string, Map<string, number>>();
     const listedVersions = new Map<string, { version: ServiceVersion; lastListedMilliseconds: number; }>();
     let instances: readonly FleetInstance[] | undefined;
@@ -70,13 +72,35 @@
     function setInstances(listedInstances: readonly FleetInstance[]): void {
         instances = listedInstances;
         const listedIds = new Set(listedInstances.map(instance => instance.instanceId));
-        listedInstances.filter(instance => instance.isLeaving).forEach(instance => leavingIds.add(instance.instanceId));
-        [...leavingIds].filter(id => !listedIds.has(id)).forEach(id => leavingIds.delete(id));
-        [...reportedVersions.keys()].filter(id => !listedIds.has(id)).forEach(id => reportedVersions.delete(id));
+        listedInstances.forEach(recordStart);
+        listedInstances
+            .filter(instance => instance.isLeaving && !isOfFormerStart(instance))
+            .forEach(instance => leavingIds.add(instance.instanceId));
+        const observedIds = [...startTimes.keys(), ...leavingIds, ...reportedVersions.keys()];
+        observedIds.filter(id => !listedIds.has(id)).forEach(forget);
         recordListedVersions(listedInstances);
         update();
     }
 
+    /** Records when a backend server started; what was observed of it before a later start no longer holds. */
+    function recordStart({ instanceId, startMilliseconds }: FleetInstance): void {
+        const formerMilliseconds = startTimes.get(instanceId) ?? startMilliseconds;
+        if (startMilliseconds > formerMilliseconds) {
+            forget(instanceId);
+        }
+        startTimes.set(instanceId, Math.max(startMilliseconds, formerMilliseconds));
+    }
+
+    function isOfFormerStart({ instanceId, startMilliseconds }: FleetInstance): boolean {
+        return startMilliseconds > 0 && startMilliseconds < (startTimes.get(instanceId) ?? 0);
+    }
+
+    function forget(instanceId: string): void {
+        startTimes.delete(instanceId);
+        leavingIds.delete(instanceId);
+        reportedVersions.delete(instanceId);
+    }
+
     function recordListedVersions(listedInstances: readonly FleetInstance[]): void {
         const lastListedMilliseconds = clock.getMonotonicMilliseconds();
         for (const { service, softwareVersion } of listedInstances) {
--- a/tests/fleet/createFleetTracker.tests.ts
+++ b/tests/fleet/createFleetTracker.tests.ts
@@ -63,6 +63,55 @@
         expect(getFirst(tracker.getInstances()).isLeaving).to.equal(false);
     });
 
+    describe("a backend server that starts again under its id, so that it was never used again", () => {
+        const startAgain = (changes = {}) => createTestInstance({ startMilliseconds: 2_000, ...changes });
+
+        function createLeavingFixture() {
+            const { tracker } = createFixture();
+            tracker.setInstances([createTestInstance({ startMilliseconds: 1_000, isLeaving: true })]);
+            return tracker;
+        }
+
+        it("is no longer leaving", () => {
+            const tracker = createLeavingFixture();
+            tracker.setInstances([startAgain()]);
+            expect(getFirst(tracker.getInstances()).isLeaving).to.equal(false);
+        });
+        it("is no longer terminated", () => {
+            const { tracker } = createFixture();
+            tracker.setInstances([createTestInstance({ startMilliseconds: 1_000 })]);
+            tracker.recordTermination("engine-1");
+            expect(getFirst(tracker.getInstances()).isLeaving).to.equal(true);
+            tracker.setInstances([startAgain()]);
+            expect(getFirst(tracker.getInstances()).isLeaving).to.equal(false);
+        });
+        it("is leaving once it leaves again", () => {
+            const tracker = createLeavingFixture();
+            tracker.setInstances([startAgain()]);
+            tracker.setInstances([startAgain({ isLeaving: true })]);
+            tracker.setInstances([startAgain()]);
+            expect(getFirst(tracker.getInstances()).isLeaving).to.equal(true);
+        });
+        it("is not leaving while an entry of its former start remains", () => {
+            const tracker = createLeavingFixture();
+            tracker.setInstances([createTestInstance({ startMilliseconds: 1_000, isLeaving: true }), startAgain()]);
+            expect(tracker.getInstances().map(({ isLeaving }) => isLeaving)).to.deep.equal([false, false]);
+        });
+        it("is leaving where its entry no longer tells its start", () => {
+            const tracker = createLeavingFixture();
+            tracker.setInstances([startAgain()]);
+            tracker.setInstances([createTestInstance({ isLeaving: true })]);
+            expect(getFirst(tracker.getInstances()).isLeaving).to.equal(true);
+        });
+        it("has the weights of the list, not those that it reported before", () => {
+            const { tracker } = createFixture();
+            tracker.setInstances([createTestInstance({ startMilliseconds: 1_000 })]);
+            tracker.recordWeights("engine-1", [create(LoadedWeightsSchema, { model: "large", weightsVersion: 3 })]);
+            tracker.setInstances([startAgain()]);
+            expect(getVersions(tracker.getInstances())).to.deep.equal([1]);
+        });
+    });
+
     it("names the software versions that left a short time ago", async () => {
         const { tracker, clock } = createFixture();
         tracker.setInstances([createTestInstance({ softwareVersion: "v1" })]);
--- a/tests/platform/fleet/decodeListEntry.tests.ts
+++ b/tests/platform/fleet/decodeListEntry.tests.ts
@@ -34,6 +34,11 @@
 
     it("decodes the version of the software", () => expect(decodeOrThrow({}).softwareVersion).to.equal("v1"));
 
+    it("decodes when the backend server started, where that is known", () => {
+        expect(decodeOrThrow({}).startMilliseconds).to.equal(1_790_000_000_000);
+        expect(decodeOrThrow({ born: undefined }).startMilliseconds).to.equal(0);
+    });
+
     it("decodes an entry of a plain service, which has no stage and no models", () =>
         expect(decodeOrThrow({ stage: undefined, models: undefined }).weights).to.deep.equal([]));
 
