--- a/tests/platform/backends/checkInstance.tests.ts
+++ b/tests/platform/backends/checkInstance.tests.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import * as fc from "fast-check";
 import { createServer, IncomingMessage, Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { checkInstance } from "../../../platform/backends";
@@ -44,6 +45,43 @@
             .to.deep.equal([["/health", "server-1"]]);
     });
 
+    describe("with a health path that can't stand behind an address", () => {
+        async function checkPath(healthPath: string): Promise<InstanceState> {
+            status = 200;
+            const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+            const service = { ...testServices.plain, healthPath };
+            return checkInstance(createTestInstance({ address }), service, new AbortController().signal);
+        }
+
+        function doPathTest(healthPath: string, expectedPath: string) {
+            it(`finds a sound server where it is ${JSON.stringify(healthPath.slice(0, 20))}`, async () => {
+                const state = await checkPath(healthPath);
+                expect([state, requests.map(({ url }) => url)]).to.deep.equal([InstanceState.Serving, [expectedPath]]);
+            });
+        }
+
+        doPathTest("health", "/health");
+        doPathTest("*", "/*");
+        doPathTest(":99999/health", "/:99999/health");
+        doPathTest("@127.0.0.9/health", "/@127.0.0.9/health");
+        doPathTest("?deep", "/?deep");
+        doPathTest("", "/");
+        doPathTest("/a b", "/a%20b");
+        doPathTest("/gesünd", "/ges%C3%BCnd");
+        doPathTest("/a\r\nHost: b", "/aHost:%20b");
+
+        it("takes a server for sound that refuses a very long path", async () =>
+            expect(await checkPath(`/${"a".repeat(100_000)}`)).to.equal(InstanceState.Serving));
+
+        it("finds a sound server at any path", () =>
+            fc.assert(
+                fc.asyncProperty(fc.string({ unit: "binary", maxLength: 20 }), async healthPath => {
+                    expect(await checkPath(healthPath)).to.equal(InstanceState.Serving);
+                }),
+                { seed: 4, numRuns: 100 },
+            ));
+    });
+
     it("tells a refused connection, at which nothing listens, from another instance", async () => {
         const { port } = server.address() as AddressInfo;
         await new Promise(resolve => server.close(resolve));
