--- a/tests/platform/operators/decodeDocument.tests.ts
+++ b/tests/platform/operators/decodeDocument.tests.ts
@@ -66,6 +66,11 @@
 
     it("accepts unknown fields", () => expect(getProblem({ coming: 1 })).to.equal(undefined));
 
+    it("accepts any text as a health path, also an empty one", () =>
+        ["", " ", "health", "/gesünd"].forEach(healthPath =>
+            expect(getProblem({ services: [{ ...file.services[0], health_path: healthPath }] })).to.equal(undefined)
+        ));
+
     it("rejects a truncated document", () => {
         const text = JSON.stringify(file);
         fc.assert(
