Keep a request's retry until an attempt was sent

Callers saw: a request that had a retry was refused as not run (503), or a hedge of a silent server was not sent, although a sound server was free. Under many retries at once, later requests found the budget used up by attempts that never were. Cause: the retry was taken from the budget before it was certain that the attempt is sent. Where another request used the chosen server's limit up in between, or the server could not be reached, the next choice took a second retry; a hedge lost the one that was reserved for it. No retry was ever given back. Class: a resource taken before what it is for is certain. Change: a retry stays reserved for its request until an attempt was sent, and goes back to the budget where none is sent. An attempt that was sent uses it up, whatever becomes of it, so that servers see no more retries than before.

--- a/src/forwarding/ForwardingTask.ts
+++ b/src/forwarding/ForwardingTask.ts
@@ -63,7 +63,7 @@
     isHedged: boolean;
     /** Why another run has superseded this one; undefined while none has. */
     supersededReason: SupersededReason | undefined;
-    /** Whether the next attempt's retry was already taken from the budget. */
+    /** Whether a retry was taken from the budget for an attempt that was not sent yet. */
     hasReservedRetry: boolean;
     /** How the last response ended; undefined before the end of the first one. */
     responseEnd: ResponseEnd | undefined;
--- a/src/forwarding/RetryBudgets.ts
+++ b/src/forwarding/RetryBudgets.ts
@@ -8,4 +8,6 @@
     addFirstAttempt(service: string): void;
     /** Takes a retry from a service's budget; returns whether there was one left. */
     tryTakeRetry(service: string): boolean;
+    /** Gives a retry back to a service's budget that was taken and not sent. */
+    giveBackRetry(service: string): void;
 }
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -17,6 +17,7 @@
 import { createLoadTracker } from "./createLoadTracker";
 import { createPromptScheduler } from "./createPromptScheduler";
 import { createRetryBudgets } from "./createRetryBudgets";
+import { createRetryReservations } from "./createRetryReservations";
 import { discardBody } from "./discardBody";
 import { DispatchOutcome } from "./DispatchOutcome";
 import { ForwarderOptions } from "./ForwarderOptions";
@@ -70,6 +71,7 @@
     });
     const recorder = createAttemptRecorder({ ...options, loads, liveness, scheduler, canRunAgain });
     const retryBudgets = createRetryBudgets(options.retryShare, options.retryReserve, state.getEntryCount);
+    const retryReservations = createRetryReservations(retryBudgets);
     return {
         dispatch,
         recordPrefillEnd: recorder.recordPrefillEnd,
@@ -81,10 +83,15 @@
     };
 
     async function dispatch(task: ForwardingTask, lastEventId: string | undefined): Promise<DispatchOutcome> {
-        const { admission: { service }, request } = task;
         if (task.counts.sent === 0) {
-            retryBudgets.addFirstAttempt(service.name);
+            retryBudgets.addFirstAttempt(task.admission.service.name);
         }
+        const outcome = await sendAttempts(task, lastEventId ?? task.request.lastEventId);
+        retryReservations.release(task);
+        return outcome;
+    }
+
+    async function sendAttempts(task: ForwardingTask, lastEventId: string | undefined): Promise<DispatchOutcome> {
         let retryAfterMilliseconds: number | undefined;
         while (true) {
             await pollIfStale(task);
@@ -97,13 +104,13 @@
             if (!instance && candidates.length > 0) {
                 return { kind: "givenUp", refusal: selector.getLimitRefusal(task, candidates) };
             }
-            if (!instance || hasTriedAll(task) || !tryTakeAttempt(task)) {
+            if (!instance || hasTriedAll(task) || !retryReservations.tryReserve(task)) {
                 return { kind: "givenUp", refusal: getNoCapacityRefusal(task, retryAfterMilliseconds) };
             }
             if (await scheduler.waitForPrefill(task, instance) || !serverLimits.tryTake(instance.instanceId)) {
                 continue;
             }
-            const result = await send(task, instance, lastEventId ?? request.lastEventId);
+            const result = await send(task, instance, lastEventId);
             const isFinal = recorder.recordResult(task, instance, result);
             if (result.kind === "answered" && isFinal) {
                 return { kind: "opened", instance, response: result };
@@ -144,15 +151,6 @@
         return isStale ? getTaskRefusal(task, RefusalReason.STALE_SETTINGS, overloadRetryAfterMilliseconds) : undefined;
     }
 
-    /** Takes a retry from the budget; the first attempt needs none, and one that replaces a silent server's has it. */
-    function tryTakeAttempt(task: ForwardingTask): boolean {
-        if (task.hasReservedRetry) {
-            task.hasReservedRetry = false;
-            return true;
-        }
-        return task.counts.sent === 0 || retryBudgets.tryTakeRetry(task.admission.service.name);
-    }
-
     async function send(
         task: ForwardingTask,
         instance: FleetInstance,
@@ -205,6 +203,9 @@
             },
             ...parameters,
         });
+        if (result.kind !== "notSent") {
+            retryReservations.recordSent(task);
+        }
         if (result.kind !== "answered") {
             recorder.recordPrefillEnd(task, instanceId);
             recorder.recordAttemptEnd(task, instanceId, result.kind === "lost" ? "lost" : "other");
--- a/src/forwarding/createRetryBudgets.ts
+++ b/src/forwarding/createRetryBudgets.ts
@@ -19,6 +19,7 @@
     return {
         addFirstAttempt: service => getBudget(service).addFirstAttempt(),
         tryTakeRetry: service => getBudget(service).tryTakeRetry(),
+        giveBackRetry: service => getBudget(service).giveBackRetry(),
     };
 
     function getBudget(service: string): RetryBudget {
--- a/src/limits/RetryBudget.ts
+++ b/src/limits/RetryBudget.ts
@@ -8,4 +8,6 @@
     addFirstAttempt(): void;
     /** Takes one retry from the budget; returns false where none is left. */
     tryTakeRetry(): boolean;
+    /** Gives a retry back that was taken and not sent. */
+    giveBackRetry(): void;
 }
--- a/src/limits/createRetryBudget.ts
+++ b/src/limits/createRetryBudget.ts
@@ -19,12 +19,16 @@
         ? () => maximumSavedRetries
         : maximumSavedRetries;
     let savedRetries = retriesPerFirstAttempt > 0 ? getMaximumSavedRetries() : 0;
-    return { addFirstAttempt, tryTakeRetry };
+    return { addFirstAttempt, tryTakeRetry, giveBackRetry };
 
     function addFirstAttempt(): void {
         savedRetries = Math.min(getMaximumSavedRetries(), savedRetries + retriesPerFirstAttempt);
     }
 
+    function giveBackRetry(): void {
+        savedRetries = Math.min(getMaximumSavedRetries(), savedRetries + 1);
+    }
+
     function tryTakeRetry(): boolean {
         savedRetries = Math.min(getMaximumSavedRetries(), savedRetries);
         if (savedRetries < 1) {
