--- a/tests/platform/backends/checkInstance.tests.ts
+++ b/tests/platform/backends/checkInstance.tests.ts
@@ -10,13 +10,15 @@
 describe("checkInstance", () => {
     let server: Server;
     let status = 200;
+    let answeredBy: string | undefined;
     let requests: IncomingMessage[] = [];
 
     beforeEach(async () => {
         requests = [];
+        answeredBy = undefined;
         server = createServer((request, response) => {
             requests.push(request);
-            response.writeHead(status).end();
+            response.writeHead(status, answeredBy === undefined ? {} : { "Basilwing-Instance-Id": answeredBy }).end();
         });
         await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     });
@@ -29,8 +31,14 @@
         return checkInstance(instance, testServices[kind], new AbortController().signal);
     }
 
-    async function doTest(kind: "engine" | "plain", answered: number, expected: InstanceState): Promise<void> {
+    async function doTest(
+        kind: "engine" | "plain",
+        answered: number,
+        expected: InstanceState,
+        answeringId?: string,
+    ): Promise<void> {
         status = answered;
+        answeredBy = answeringId;
         expect(await check(kind)).to.equal(expected);
     }
 
@@ -39,6 +47,13 @@
     it("finds another plain server at the address", () => doTest("plain", 421, InstanceState.Ended));
     it("finds another engine at the address", () => doTest("engine", 421, InstanceState.Ended));
 
+    it("finds another plain server at the address, which names itself", () =>
+        doTest("plain", 421, InstanceState.Ended, "server-2"));
+    it("takes the refusal of a plain server in its own name for a sign of life", () =>
+        doTest("plain", 421, InstanceState.Serving, "server-1"));
+    it("takes the refusal of an engine in its own name for a sign of life", () =>
+        doTest("engine", 421, InstanceState.Serving, "server-1"));
+
     it("names the instance in a call of the health check", async () => {
         await doTest("plain", 200, InstanceState.Serving);
         expect(requests.map(({ url, headers }) => [url, headers["basilwing-expect-instance"]]))
