Probe a server at the address at which it is used

Callers saw: requests and streams in progress were ended, and those that may not run again answered as unknown, at a sound server that had started again under its id at another address, once another instance had its former address. Cause: while attempts at the former address were in flight, the monitor went on to probe there, and took the answer of the other instance as evidence against the attempts at the new address as well. Class: evidence about an address taken for evidence about an instance. Change: a server is probed at the address that was sent to last; what an earlier address answers counts only as life.

--- a/src/forwarding/createLivenessMonitor.ts
+++ b/src/forwarding/createLivenessMonitor.ts
@@ -51,6 +51,7 @@
 
 /** A backend server with attempts in flight, or one that is being probed. */
 interface MonitoredServer {
+    /** The instance as it was sent to last: after a restart, it may have another address under the same id. */
     instance: FleetInstance;
     service: BackendService;
     attemptsInFlight: number;
@@ -93,6 +94,8 @@
         const server = servers.get(instance.instanceId)
             ?? createMonitoredServer(instance, service, now);
         servers.set(instance.instanceId, server);
+        server.instance = instance;
+        server.service = service;
         if (server.attemptsInFlight === 0) {
             server.lastActivity = now;
         }
@@ -201,8 +204,12 @@
 
     /** Gets the state of a server by a probe; one that sends something serves, even if it accepts no connections any more. */
     async function getState(server: MonitoredServer): Promise<InstanceState> {
+        const { address } = server.instance;
         const state = server.isActiveAgain ? InstanceState.Serving : await sendProbe(server);
-        return server.isActiveAgain ? InstanceState.Serving : state;
+        if (server.isActiveAgain || state === InstanceState.Serving) {
+            return InstanceState.Serving;
+        }
+        return server.instance.address === address ? state : getState(server);
     }
 
     /** Sends a probe, which runs out once this process was able to read for long enough and has read what has arrived. */
--- a/tests/forwarding/createLivenessMonitor.tests.ts
+++ b/tests/forwarding/createLivenessMonitor.tests.ts
@@ -23,14 +23,16 @@
         const arrived: (() => void)[] = [];
         const pendingProbes: ((state: InstanceState) => void)[] = [];
         const states = new Map<string, InstanceState>();
+        const probedAddresses: string[] = [];
         const readAll = () => arrived.splice(0).forEach(read => read());
         const monitor = createLivenessMonitor({
             link: {
-                checkInstance: ({ instanceId }) => {
+                checkInstance: ({ instanceId, address }) => {
                     probes.push(instanceId);
+                    probedAddresses.push(address);
                     return silentIds.has(instanceId)
                         ? new Promise(resolve => pendingProbes.push(resolve))
-                        : Promise.resolve(states.get(instanceId) ?? InstanceState.Serving);
+                        : Promise.resolve(states.get(address) ?? states.get(instanceId) ?? InstanceState.Serving);
                 },
             },
             facts,
@@ -52,6 +54,8 @@
             silentIds,
             states,
             probes,
+            probedAddresses,
+            respondToProbes: (state: InstanceState) => pendingProbes.splice(0).forEach(respond => respond(state)),
             lines,
             monitor,
             send,
@@ -60,8 +64,8 @@
             standStill,
         };
 
-        function send(instanceId = id) {
-            monitor.recordSent(createTestInstance({ instanceId }), testServices.engine);
+        function send(instanceId = id, address = "10.0.0.1:80") {
+            monitor.recordSent(createTestInstance({ instanceId, address }), testServices.engine);
         }
 
         /** Stands still while something arrives, which is read after the timers that are due. */
@@ -216,6 +220,42 @@
             expect(signal.aborted).to.equal(false);
         });
 
+        it("is not aborted where another instance has taken the former address of a server that started elsewhere", async () => {
+            const { clock, monitor, states, probedAddresses, send } = createFixture();
+            states.set("10.0.0.1:80", InstanceState.Ended);
+            send();
+            send(id, "10.0.0.2:80");
+            const signal = monitor.getGoneSignal(id);
+            await clock.advance(1_000);
+            expect([signal.aborted, probedAddresses]).to.deep.equal([false, ["10.0.0.2:80"]]);
+        });
+
+        it("is not aborted by a probe of the former address that is answered once the server is used elsewhere", async () => {
+            const { clock, monitor, silentIds, probedAddresses, respondToProbes, send } = createFixture();
+            silentIds.add(id);
+            send();
+            const signal = monitor.getGoneSignal(id);
+            await clock.advance(450);
+            send(id, "10.0.0.2:80");
+            silentIds.clear();
+            respondToProbes(InstanceState.Ended);
+            await clock.advance(200);
+            expect([signal.aborted, probedAddresses]).to.deep.equal([false, ["10.0.0.1:80", "10.0.0.2:80"]]);
+        });
+
+        it("is not aborted by the answer to an older probe, which the server's own answer has overtaken", async () => {
+            const { clock, monitor, silentIds, respondToProbes, send } = createFixture();
+            silentIds.add(id);
+            send();
+            const signal = monitor.getGoneSignal(id);
+            await clock.advance(1_000);
+            silentIds.clear();
+            await clock.advance(500);
+            respondToProbes(InstanceState.Ended);
+            await clock.advance(200);
+            expect(signal.aborted).to.equal(false);
+        });
+
         it("is aborted at once by evidence, and the server is reported, though most servers are silent", async () => {
             const { clock, facts, monitor, silentIds, states, send } = createFixture();
             const ids = ["engine-1", "engine-2", "engine-3", "engine-4"];
