Serve prompts where a document states no KV cache capacity

Callers saw: under a document that states a KV cache capacity of 0 for the engines of a service, or none at all, every request with a prompt was refused as overloaded (503) with Retry-After 0, although the engines were free. Cause: the share of the capacity that a prompt needs was divided by 0. The cost of each engine was infinite, and no engine with an infinite cost is chosen. Class: an extreme value of an accepted document that decides about all requests. Change: a capacity of 0 counts as not known, and adds no cost.

--- a/src/documents/BackendService.ts
+++ b/src/documents/BackendService.ts
@@ -14,7 +14,7 @@
         maximumConnections: number;
         /** The number of requests that one engine runs concurrently. */
         slots: number;
-        /** The capacity of one engine's KV cache, in tokens. */
+        /** The capacity of one engine's KV cache, in tokens; 0 where it is not known. */
         kvCacheCapacityTokens: number;
         /** The names of the models that the engines serve. */
         models: readonly string[];
--- a/src/forwarding/createPromptScheduler.ts
+++ b/src/forwarding/createPromptScheduler.ts
@@ -36,7 +36,9 @@
 
     function choose(task: ForwardingTask, candidates: readonly FleetInstance[]): FleetInstance | undefined {
         const { request: { prompt }, admission: { service } } = task;
-        const memoryTokens = service.kind === "engine" ? service.kvCacheCapacityTokens : Infinity;
+        const memoryTokens = service.kind === "engine" && service.kvCacheCapacityTokens > 0
+            ? service.kvCacheCapacityTokens
+            : Infinity;
         return prompt && placement.choose(
             prompt,
             getCacheScope(task, state),
