Choose a service by extreme weights too

Callers saw: under a document whose weights add up to more than a number can hold, each request of the route was refused as not run (503, no backend server); with weights near the smallest number, about half of them; with usual weights, one whose random position was lost in rounding errors. Cause: the position among the weights was compared with their sum, which was infinite or rounded, so that no service was left for it. Class: an extreme value of an accepted document that decides about all requests. Change: the shares of the largest weight are added, and what is left of the position goes to the last service in use.

--- a/src/forwarding/admitRequest.ts
+++ b/src/forwarding/admitRequest.ts
@@ -61,11 +61,16 @@
     return { kind: "admitted", table, route, service, workspace, softwareVersion: undefined };
 }
 
-/** Chooses one of the route's services at random, in proportion to their weights. */
+/**
+ * Chooses one of the route's services at random, in proportion to their weights. Their shares of the largest weight are
+ * added, as the sum of the weights may be too large for a number.
+ */
 function chooseService(table: RouteTable, route: Route, random: RandomSource): BackendService | undefined {
-    const totalWeight = route.services.reduce((total, { weight }) => total + weight, 0);
-    let position = random.getFraction() * totalWeight;
-    const chosen = route.services.find(({ weight }) => (position -= weight) < 0);
+    const largestWeight = Math.max(...route.services.map(({ weight }) => weight));
+    const shares = route.services.map(({ service, weight }) => ({ service, share: weight / largestWeight }));
+    let position = random.getFraction() * shares.reduce((total, { share }) => total + share, 0);
+    // Rounding errors may leave some of the position behind the last service.
+    const chosen = shares.find(({ share }) => (position -= share) < 0) ?? shares.findLast(({ share }) => share > 0);
     return chosen && table.getService(chosen.service);
 }
 
