--- a/src/forwarding/admitRequest.ts
+++ b/src/forwarding/admitRequest.ts
@@ -66,7 +66,7 @@
  * added, as the sum of the weights may be too large for a number.
  */
 function chooseService(table: RouteTable, route: Route, random: RandomSource): BackendService | undefined {
-    const largestWeight = Math.max(...route.services.map(({ weight }) => weight));
+    const largestWeight = route.services.reduce((largest, { weight }) => Math.max(largest, weight), 0);
     const shares = route.services.map(({ service, weight }) => ({ service, share: weight / largestWeight }));
     let position = random.getFraction() * shares.reduce((total, { share }) => total + share, 0);
     // Rounding errors may leave some of the position behind the last service.
--- a/tests/forwarding/admitRequest.tests.ts
+++ b/tests/forwarding/admitRequest.tests.ts
@@ -9,7 +9,7 @@
     function getService(weights: readonly number[], fraction: number): string {
         const names = ["models", "actions", "others"];
         const document = createTestDocument();
-        const services = weights.map((weight, index) => ({ service: names[index]!, weight }));
+        const services = weights.map((weight, index) => ({ service: names[Math.min(index, 2)]!, weight }));
         const state = createTestFeedState(createManualClock(), [], {
             routes: document.routes.map(route => ({ ...route, services })),
             services: names.map(name => ({ kind: "plain", name, healthPath: "/health", maximumConnections: 1 })),
@@ -33,5 +33,10 @@
     doTest([Number.MIN_VALUE, 0], ["models", "models", "models"]);
     doTest([0.1, 0.2, 0.4], ["models", "others", "others"]);
     doTest([0.7, 0.1, 0], ["models", "models", "actions"]);
+    it("chooses among as many weights as a document can hold", () => {
+        const weights = Array.from({ length: 500_000 }, (...[, index]) => Number(index === 1));
+        expect(getService(weights, 0.5)).to.equal("actions");
+    });
+
     doTest([1e-300, 1e308, 1], ["actions", "actions", "actions"]);
 });
