Read what a server has sent before it is taken for gone

Callers saw: nothing yet that is known; found by reading. A piece of a stream that had arrived, but was not read yet when the answer of another instance at the address was, did not count as a sign of life, and the stream was ended. Cause: everything that has arrived is read before a silence is judged, but not before evidence is. Evidence: the new row failed before. Change: all connections are polled once more after the answer of another instance.

--- a/src/forwarding/createLivenessMonitor.ts
+++ b/src/forwarding/createLivenessMonitor.ts
@@ -206,6 +206,10 @@
     async function getState(server: MonitoredServer): Promise<InstanceState> {
         const { address } = server.instance;
         const state = server.isActiveAgain ? InstanceState.Serving : await sendProbe(server);
+        if (state === InstanceState.Ended) {
+            // What the server has sent may have arrived with the answer of the other instance.
+            await options.pollConnections();
+        }
         if (server.isActiveAgain || state === InstanceState.Serving) {
             return InstanceState.Serving;
         }
--- a/tests/forwarding/createLivenessMonitor.tests.ts
+++ b/tests/forwarding/createLivenessMonitor.tests.ts
@@ -55,6 +55,7 @@
             states,
             probes,
             probedAddresses,
+            arrive: () => void arrived.push(() => monitor.recordActivity(id)),
             respondToProbes: (state: InstanceState) => pendingProbes.splice(0).forEach(respond => respond(state)),
             lines,
             monitor,
@@ -256,6 +257,18 @@
             expect(signal.aborted).to.equal(false);
         });
 
+        it("is not aborted by evidence where a piece of a stream has arrived and is not read yet", async () => {
+            const { clock, monitor, silentIds, arrive, respondToProbes, send } = createFixture();
+            silentIds.add(id);
+            send();
+            const signal = monitor.getGoneSignal(id);
+            await clock.advance(450);
+            arrive();
+            respondToProbes(InstanceState.Ended);
+            await clock.advance(200);
+            expect(signal.aborted).to.equal(false);
+        });
+
         it("is aborted at once by evidence, and the server is reported, though most servers are silent", async () => {
             const { clock, facts, monitor, silentIds, states, send } = createFixture();
             const ids = ["engine-1", "engine-2", "engine-3", "engine-4"];
