--- a/scripts/generateMetricsReference.ts
+++ b/scripts/generateMetricsReference.ts
@@ -4,7 +4,7 @@
  */
 import { mkdirSync, readFileSync, writeFileSync } from "node:fs";
 import { dirname } from "node:path";
-import { CounterName, createMetrics, GaugeName, HistogramName, RetryReason } from "../src/metrics";
+import { ConnectionEndReason, CounterName, createMetrics, GaugeName, HistogramName, RetryReason } from "../src/metrics";
 import { RefusalReason } from "../src/protocol";
 
 const pagePath = "docs/reference/metrics.md";
@@ -49,11 +49,21 @@
         "Written by `scripts/generateMetricsReference.ts`; shown at `/metrics` of the administration listener.",
         "## Counters",
         formatMetricTable(
-            [...Object.values(CounterName), "basilwing_refusals_total", "basilwing_retries_total"],
+            [
+                ...Object.values(CounterName),
+                "basilwing_refusals_total",
+                "basilwing_retries_total",
+                "basilwing_unanswered_requests_total",
+            ],
             helpTexts,
         ),
         `Values of \`reason\` in \`basilwing_refusals_total\`: ${formatLabelValues(refusalReasons)}.`,
         `Values of \`reason\` in \`basilwing_retries_total\`: ${formatLabelValues(Object.values(RetryReason))}.`,
+        `Values of \`reason\` in \`basilwing_unanswered_requests_total\`: ${
+            formatLabelValues(
+                Object.values(ConnectionEndReason).filter(reason => reason !== ConnectionEndReason.CallerLeft),
+            )
+        }.`,
         "## Gauges",
         formatMetricTable(Object.values(GaugeName), helpTexts),
         "## Durations",
--- a/src/forwarding/CallerReply.ts
+++ b/src/forwarding/CallerReply.ts
@@ -14,8 +14,11 @@
     write(bytes: Uint8Array): Promise<void>;
     /** Ends the body as complete. */
     end(): void;
-    /** Aborts the response, so that the caller sees that it is incomplete. */
-    abort(): void;
+    /**
+     * Aborts the response, so that the caller sees that it is incomplete.
+     * @param reason - Why it can't be completed.
+     */
+    abort(reason?: string): void;
     /** Sends a refusal. */
     refuse(refusal: Refusal): void;
 }
--- a/src/forwarding/forwardStream.ts
+++ b/src/forwarding/forwardStream.ts
@@ -81,7 +81,7 @@
                 if (request.signal.aborted) {
                     return { kind: "callerLeft" };
                 }
-                reply.abort();
+                reply.abort(value.reason);
                 return value;
             default:
                 return assertNever(value);
--- a/src/metrics/Metrics.ts
+++ b/src/metrics/Metrics.ts
@@ -2,6 +2,7 @@
  * The metrics of a process.
  */
 import { RefusalReason } from "../protocol";
+import { ConnectionEndReason } from "./ConnectionEndReason";
 import { CounterName } from "./CounterName";
 import { GaugeName } from "./GaugeName";
 import { HistogramName } from "./HistogramName";
@@ -14,6 +15,12 @@
     countRefusal(reason: RefusalReason): void;
     /** Counts a retry with its reason. */
     countRetry(reason: RetryReason): void;
+    /**
+     * Counts whole requests that got no complete answer, since the process ended their connection.
+     * @param reason - Why it ended the connection.
+     * @param count - The number of requests.
+     */
+    countUnanswered(reason: ConnectionEndReason, count: number): void;
     /**
      * Increments a counter.
      * @param name - The counter.
@@ -24,6 +31,8 @@
     getCount(name: CounterName): number;
     /** Gets the number of refusals by reason, in lower case. */
     getRefusals(): Readonly<Record<string, number>>;
+    /** Gets the number of whole requests without a complete answer by reason; reasons without any are left out. */
+    getUnanswered(): Readonly<Record<string, number>>;
     /**
      * Registers a gauge. Where several roles of a process register the same gauge, it shows the maximum value.
      * @param name - The gauge.
--- a/src/metrics/createMetrics.ts
+++ b/src/metrics/createMetrics.ts
@@ -4,6 +4,7 @@
 import { build, Histogram } from "hdr-histogram-js";
 import { Counter, Gauge, Registry } from "prom-client";
 import { RefusalReason } from "../protocol";
+import { ConnectionEndReason } from "./ConnectionEndReason";
 import { CounterName } from "./CounterName";
 import { GaugeName } from "./GaugeName";
 import { HistogramName } from "./HistogramName";
@@ -19,6 +20,7 @@
 export function createMetrics(): Metrics {
     const registry = new Registry();
     const refusalCounts = new Map<string, number>();
+    const unansweredCounts = new Map<ConnectionEndReason, number>();
     const counts = new Map<CounterName, number>();
     const gaugeReaders = new Map<GaugeName, (() => number)[]>();
     const histograms = new Map<HistogramName, Histogram>();
@@ -34,14 +36,25 @@
         labelNames: ["reason"],
         registers: [registry],
     });
+    const unanswered = new Counter({
+        name: "basilwing_unanswered_requests_total",
+        help: "Whole requests whose connection the process ended before their answer was complete, by reason.",
+        labelNames: ["reason"],
+        registers: [registry],
+    });
+    Object.values(ConnectionEndReason)
+        .filter(reason => reason !== ConnectionEndReason.CallerLeft)
+        .forEach(reason => unanswered.inc({ reason }, 0));
     const counters = createCounters();
     Object.values(HistogramName).forEach(addHistogram);
     return {
         countRefusal,
         countRetry,
+        countUnanswered,
         addCount,
         getCount,
         getRefusals,
+        getUnanswered: () => Object.fromEntries(unansweredCounts),
         addGauge,
         recordMilliseconds,
         getSummary,
@@ -58,6 +71,11 @@
         retries.inc({ reason });
     }
 
+    function countUnanswered(reason: ConnectionEndReason, count: number): void {
+        unansweredCounts.set(reason, (unansweredCounts.get(reason) ?? 0) + count);
+        unanswered.inc({ reason }, count);
+    }
+
     function addCount(name: CounterName, amount = 1): void {
         counts.set(name, (counts.get(name) ?? 0) + amount);
         counters.get(name)!.inc(amount);
--- a/tests/control/consensus/createTestGroup.ts
+++ b/tests/control/consensus/createTestGroup.ts
@@ -442,9 +442,11 @@
     return {
         countRefusal: () => undefined,
         countRetry: () => undefined,
+        countUnanswered: () => undefined,
         addCount: () => undefined,
         getCount: () => 0,
         getRefusals: () => ({}),
+        getUnanswered: () => ({}),
         addGauge: () => undefined,
         recordMilliseconds: () => undefined,
         getSummary: () => ({ count: 0, p50: 0, p95: 0, p99: 0, maximum: 0 }),
