--- a/tests/platform/callers/changedLimits.tests.ts
+++ b/tests/platform/callers/changedLimits.tests.ts
@@ -173,6 +173,9 @@
 
         it("whose body is on its way are answered after a lower limit on bodies", () =>
             doTest({ maximumBodyBytes: 1_000 }, { maximumBodyBytes: 10 }, 1_000, 200));
+        // Callers don't send a request again after this refusal.
+        it("whose body is on its way are answered after a higher limit on bodies", () =>
+            doTest({ maximumBodyBytes: 800 }, { maximumBodyBytes: 1_000 }, 1_000, 200));
         it("whose body is above the limits before and after a change are refused", () =>
             doTest({ maximumBodyBytes: 800 }, { maximumBodyBytes: 900 }, 1_000, 413));
         it("whose body is on its way are answered after a shorter idle limit", () =>
