--- a/src/logging/createBoundedWriter.ts
+++ b/src/logging/createBoundedWriter.ts
@@ -12,6 +12,8 @@
 const burstLines = 1_000;
 /** The characters that may be buffered for the reader; further lines are dropped. */
 const maximumBufferedCharacters = 1_048_576;
+/** The last lines of a process that are written whatever the limits: several failures, and the end of a drain. */
+const reservedLines = 32;
 
 /**
  * Creates a writer with an empty buffer.
@@ -25,15 +27,26 @@
     let availableLines = burstLines;
     let refilledMilliseconds = clock.getMonotonicMilliseconds();
     let droppedCount = 0;
-    return { write: writeLine };
+    let remainingReservedLines = 0;
+    let flushed: (() => void)[] = [];
+    return {
+        write: writeLine,
+        reserveLastLines: () => remainingReservedLines = reservedLines,
+        flush: () => new Promise(resolve => isWriting && !hasFailed ? flushed.push(resolve) : resolve()),
+    };
 
     function writeLine(line: string): void {
         refill();
-        if (hasFailed || availableLines < 1 || buffered.length > maximumBufferedCharacters) {
+        if (availableLines >= 1 && buffered.length <= maximumBufferedCharacters && !hasFailed) {
+            availableLines -= 1;
+        }
+        else if (remainingReservedLines > 0 && !hasFailed) {
+            remainingReservedLines -= 1;
+        }
+        else {
             droppedCount += 1;
             return;
         }
-        availableLines -= 1;
         if (droppedCount > 0) {
             buffered += `${JSON.stringify({ name: "basilwing", level: 40, msg: "dropped log lines", droppedCount })}\n`;
             droppedCount = 0;
@@ -67,6 +80,7 @@
             if (error && error.code !== "EAGAIN") {
                 // The loss of the log's reader must not stop the process, and can't be logged either.
                 hasFailed = true;
+                endFlushes();
                 return;
             }
             const end = offset + (error ? 0 : written);
@@ -76,6 +90,15 @@
             }
             isWriting = false;
             flush();
+            if (!isWriting) {
+                endFlushes();
+            }
         });
     }
+
+    function endFlushes(): void {
+        const ended = flushed;
+        flushed = [];
+        ended.forEach(end => end());
+    }
 }
--- a/src/logging/createLogger.ts
+++ b/src/logging/createLogger.ts
@@ -15,7 +15,11 @@
  * @param settings - The log level and destination.
  * @param writer - The destination of the lines instead of the one in the settings.
  */
-export function createLogger(instanceId: string, settings: LoggingSettings, writer?: BoundedWriter): Logger {
+export function createLogger(
+    instanceId: string,
+    settings: LoggingSettings,
+    writer?: Pick<BoundedWriter, "write">,
+): Logger {
     const { level, file } = settings;
     const destination = writer ?? (file === undefined ? process.stderr : createWriteStream(file, { flags: "a" }));
     const stream = createRedactingStream(destination) as NodeJS.WritableStream;
