--- a/scripts/generateMetricsReference.ts
+++ b/scripts/generateMetricsReference.ts
@@ -4,7 +4,15 @@
  */
 import { mkdirSync, readFileSync, writeFileSync } from "node:fs";
 import { dirname } from "node:path";
-import { ConnectionEndReason, CounterName, createMetrics, GaugeName, HistogramName, RetryReason } from "../src/metrics";
+import {
+    ConnectionEndReason,
+    CounterName,
+    createMetrics,
+    GaugeName,
+    HistogramName,
+    RetryReason,
+    TaskName,
+} from "../src/metrics";
 import { RefusalReason } from "../src/protocol";
 
 const pagePath = "docs/reference/metrics.md";
@@ -54,6 +62,7 @@
                 "basilwing_refusals_total",
                 "basilwing_retries_total",
                 "basilwing_unanswered_requests_total",
+                "basilwing_task_failures_total",
             ],
             helpTexts,
         ),
@@ -64,6 +73,7 @@
                 Object.values(ConnectionEndReason).filter(reason => reason !== ConnectionEndReason.CallerLeft),
             )
         }.`,
+        `Values of \`task\` in \`basilwing_task_failures_total\`: ${formatLabelValues(Object.values(TaskName))}.`,
         "## Gauges",
         formatMetricTable(Object.values(GaugeName), helpTexts),
         "## Durations",
--- a/src/metrics/Metrics.ts
+++ b/src/metrics/Metrics.ts
@@ -8,6 +8,7 @@
 import { HistogramName } from "./HistogramName";
 import { HistogramSummary } from "./HistogramSummary";
 import { RetryReason } from "./RetryReason";
+import { TaskName } from "./TaskName";
 
 /** The counters, gauges and histograms of a process. */
 export interface Metrics {
@@ -15,6 +16,8 @@
     countRefusal(reason: RefusalReason): void;
     /** Counts a retry with its reason. */
     countRetry(reason: RetryReason): void;
+    /** Counts a failure of a background task. */
+    countTaskFailure(task: TaskName): void;
     /**
      * Counts whole requests that got no complete answer, since the process ended their connection.
      * @param reason - Why it ended the connection.
--- a/src/metrics/createMetrics.ts
+++ b/src/metrics/createMetrics.ts
@@ -11,6 +11,7 @@
 import { HistogramSummary } from "./HistogramSummary";
 import { Metrics } from "./Metrics";
 import { RetryReason } from "./RetryReason";
+import { TaskName } from "./TaskName";
 
 const microsecondsPerMillisecond = 1_000;
 /** One hour; longer durations are recorded as this. */
@@ -45,12 +46,19 @@
     Object.values(ConnectionEndReason)
         .filter(reason => reason !== ConnectionEndReason.CallerLeft)
         .forEach(reason => unanswered.inc({ reason }, 0));
+    const taskFailures = new Counter({
+        name: "basilwing_task_failures_total",
+        help: "Background tasks that failed, by task.",
+        labelNames: ["task"],
+        registers: [registry],
+    });
     const counters = createCounters();
     Object.values(HistogramName).forEach(addHistogram);
     return {
         countRefusal,
         countRetry,
         countUnanswered,
+        countTaskFailure,
         addCount,
         getCount,
         getRefusals,
@@ -76,6 +84,10 @@
         unanswered.inc({ reason }, count);
     }
 
+    function countTaskFailure(task: TaskName): void {
+        taskFailures.inc({ task });
+    }
+
     function addCount(name: CounterName, amount = 1): void {
         counts.set(name, (counts.get(name) ?? 0) + amount);
         counters.get(name)!.inc(amount);
--- a/tests/control/consensus/createTestGroup.ts
+++ b/tests/control/consensus/createTestGroup.ts
@@ -443,6 +443,7 @@
         countRefusal: () => undefined,
         countRetry: () => undefined,
         countUnanswered: () => undefined,
+        countTaskFailure: () => undefined,
         addCount: () => undefined,
         getCount: () => 0,
         getRefusals: () => ({}),
