Take no planned restart of a server for a crash under its requests

Cause: after a lost response the crash observer asks whether the instance still serves, and took another instance's answer for a crash. A server that restarts as planned ends with its last request, so that a lost answer or a stream that breaks off there is followed by the restart before the first probe; and requests that are sent to its former id on an idle connection that the server has forgotten are lost as well, until the list names the new id. Each further loss at an instance that had ended was another crash, also counted by itself 1.5 s later.

Change: a run whose connection has ended is no evidence where the first probe finds another instance. Where the server was silent, or a probe has failed before, it still is. An instance that has ended is not asked again until it responds under its id. Recording of evidence in src/forwarding/endObservedRun.ts: it names what showed the loss.

--- a/scripts/measure/measureCrashQuarantine.ts
+++ b/scripts/measure/measureCrashQuarantine.ts
@@ -6,6 +6,7 @@
 
 const seedCount = 20;
 const stormMilliseconds = [9_000, 12_000, 15_000, 18_000, 21_000, 30_000];
+const restarts = { restartIntervalMilliseconds: 300, lostShare: 0.1 };
 const loads: readonly [string, Omit<CrashSimulationOptions, "seed">][] = [
     ["one guilty part", {}],
     ["two guilty parts", { guiltyParts: 2 }],
@@ -26,6 +27,8 @@
     ["one guilty part, an entry process restarted each second", {
         entryRestartMilliseconds: [10_000, 11_000, 12_000, 13_000, 14_000, 15_000],
     }],
+    ["no guilty part, three planned restarts a second, a tenth of the answers lost", { guiltyParts: 0, ...restarts }],
+    ["one guilty part, three planned restarts a second, a tenth of the answers lost", restarts],
     ["no guilty part, a tenth of the responses broken off", { guiltyParts: 0, brokenShare: 0.1 }],
 ];
 
--- a/scripts/measure/measureCrashingRequests.ts
+++ b/scripts/measure/measureCrashingRequests.ts
@@ -9,6 +9,7 @@
 
 const seedCount = 20;
 const stormMilliseconds = [9_000, 12_000, 15_000, 18_000, 21_000, 30_000];
+const restarts = { restartIntervalMilliseconds: 1_000, lostShare: 0.1 };
 const loads: readonly [string, Omit<RequestSimulationOptions, "seed">][] = [
     ["one guilty request", {}],
     ["one guilty request, engines", { kind: "engine" }],
@@ -32,6 +33,10 @@
     }],
     ["one guilty request, one other crash a second", { otherCrashesPerSecond: 1 }],
     ["none guilty, a tenth of the responses broken off", { guiltyRequests: 0, brokenShare: 0.1 }],
+    ["none guilty, planned restarts each second, a tenth of the answers lost", { guiltyRequests: 0, ...restarts }],
+    ["the same, engines", { guiltyRequests: 0, ...restarts, kind: "engine" }],
+    ["one guilty request, planned restarts each second, a tenth of the answers lost", restarts],
+    ["the same, engines", { ...restarts, kind: "engine" }],
     ["one guilty request, control can't be reached from 4 s to 20 s", { controlCutMilliseconds: [4_000, 20_000] }],
     ["one guilty request, five changes of the leader", {
         leaderChangeMilliseconds: [5_200, 5_900, 10_500, 11_000, 15_500],
--- a/src/crashQuarantine/ObservedRun.ts
+++ b/src/crashQuarantine/ObservedRun.ts
@@ -1,6 +1,7 @@
 /*
  * One attempt of a request at a backend server, as the crash observer follows it.
  */
+import { LossCause } from "./LossCause";
 
 /** A run that is in flight until it completes, is lost or ends otherwise; only the first of these counts. */
 export interface ObservedRun {
@@ -8,8 +9,11 @@
     recordBegin(): void;
     /** Records that the whole response was received. */
     complete(): void;
-    /** Records that the response was lost or broke off: the backend server may have crashed. */
-    lose(): void;
+    /**
+     * Records that the response was lost or broke off: the backend server may have crashed.
+     * @param cause - What showed it.
+     */
+    lose(cause: LossCause): void;
     /** Records an end that says nothing about the backend server. */
     end(): void;
 }
--- a/src/crashQuarantine/createCrashObserver.ts
+++ b/src/crashQuarantine/createCrashObserver.ts
@@ -17,6 +17,7 @@
 import { getSubjectKind } from "./getSubjectKind";
 import { getSubjectLimits } from "./getSubjectLimits";
 import { InstanceState } from "./InstanceState";
+import { LossCause } from "./LossCause";
 import { ObservedRun } from "./ObservedRun";
 import { RunSubjects } from "./RunSubjects";
 import { SubjectKind } from "./SubjectKind";
@@ -42,6 +43,9 @@
 /** The number of checks without a clear result after which the crash counts as unconfirmed. */
 const maximumChecks = 8;
 
+/** The number of ended instances that are remembered; beyond it, the oldest are forgotten. */
+const maximumEndedInstances = 256;
+
 /** A run in flight. */
 interface RunInFlight {
     subjects: RunSubjects;
@@ -53,6 +57,8 @@
 interface CrashCheck {
     /** The last time at which a run was added. */
     timeMilliseconds: number;
+    /** What showed the loss that began the check. */
+    cause: LossCause;
     /** Whether no probe has failed yet: later, runs are lost since the instance is down. */
     takesRuns: boolean;
     begunRuns: Set<RunInFlight>;
@@ -70,6 +76,7 @@
     const { incarnation, clock, logger, metrics, signal } = options;
     const runsByInstance = new Map<string, Set<RunInFlight>>();
     const checks = new Map<string, CrashCheck>();
+    const endedInstanceIds = new LRUCache<string, true>({ max: maximumEndedInstances });
     const completionTimes = new LRUCache<string, readonly number[]>({ max: maximumSubjects });
     let observations: TimedObservation[] = [];
     let observedRequestIds: ReadonlySet<string> = new Set();
@@ -82,6 +89,8 @@
         runsByInstance.set(instance.instanceId, runs.add(run));
         return {
             recordBegin: () => {
+                // It may have started again under its id.
+                endedInstanceIds.delete(instance.instanceId);
                 if (service.kind === "engine") {
                     run.beginMilliseconds ??= clock.getMonotonicMilliseconds();
                 }
@@ -91,9 +100,9 @@
                     recordCompletion(run);
                 }
             },
-            lose: () => {
-                if (runsByInstance.get(instance.instanceId)?.has(run)) {
-                    checkCrash(instance, service, run);
+            lose: cause => {
+                if (runsByInstance.get(instance.instanceId)?.has(run) && !endedInstanceIds.has(instance.instanceId)) {
+                    checkCrash(instance, service, run, cause);
                 }
                 removeRun(instance.instanceId, run);
             },
@@ -130,7 +139,12 @@
     }
 
     /** Checks whether the loss of a run is due to a crash; a run that is lost during the first probe joins the check. */
-    function checkCrash(instance: FleetInstance, service: BackendService, lostRun: RunInFlight): void {
+    function checkCrash(
+        instance: FleetInstance,
+        service: BackendService,
+        lostRun: RunInFlight,
+        cause: LossCause,
+    ): void {
         const { instanceId } = instance;
         const current = checks.get(instanceId);
         if (current) {
@@ -139,6 +153,7 @@
         }
         const check: CrashCheck = {
             timeMilliseconds: 0,
+            cause,
             takesRuns: true,
             begunRuns: new Set(),
             waitingRuns: new Set(),
@@ -172,7 +187,16 @@
                 return;
             }
             if (state === InstanceState.Ended || state === InstanceState.Refusing) {
-                addObservation(instance.instanceId, service, check);
+                endedInstanceIds.set(instance.instanceId, true);
+                if (wasReplacedBefore(check, state)) {
+                    logger.info(
+                        { instanceId: instance.instanceId, ...getCandidates(check) },
+                        "backend server was replaced before runs there were lost",
+                    );
+                }
+                else {
+                    addObservation(instance.instanceId, service, check);
+                }
                 return;
             }
             check.takesRuns = false;
@@ -184,6 +208,14 @@
         );
     }
 
+    /**
+     * Returns whether another instance serves where a connection has only just ended: after a crash a backend server is
+     * down for some time, while one that restarts as planned may end with any of its connections.
+     */
+    function wasReplacedBefore({ cause, takesRuns }: CrashCheck, state: InstanceState): boolean {
+        return state === InstanceState.Ended && takesRuns && cause === LossCause.Connection;
+    }
+
     async function checkOnce(instance: FleetInstance, service: BackendService): Promise<InstanceState> {
         const ended = new AbortController();
         const check = options.checkInstance(instance, service, ended.signal);
--- a/src/crashQuarantine/index.ts
+++ b/src/crashQuarantine/index.ts
@@ -21,6 +21,7 @@
 export * from "./getSubjectLimits";
 export * from "./GuiltySubject";
 export * from "./InstanceState";
+export * from "./LossCause";
 export * from "./ObservedRun";
 export * from "./publishCrashReport";
 export * from "./readCrashFacts";
--- a/src/forwarding/endObservedRun.ts
+++ b/src/forwarding/endObservedRun.ts
@@ -1,6 +1,7 @@
 /*
  * Tells the crash observer how an attempt ended.
  */
+import { LossCause } from "../crashQuarantine";
 import { AttemptEnd } from "./AttemptEnd";
 import { ForwardingTask } from "./ForwardingTask";
 import { SupersededReason } from "./SupersededReason";
@@ -14,12 +15,12 @@
  */
 export function endObservedRun(task: ForwardingTask, end: AttemptEnd, isServerSilent: boolean): void {
     const { observedRun, signal, supersededReason } = task;
-    const mayHaveCrashed = !signal.aborted || isServerSilent || supersededReason === SupersededReason.Silent;
+    const isSilence = isServerSilent || supersededReason === SupersededReason.Silent;
     if (end === "complete") {
         observedRun?.complete();
     }
-    else if (end === "lost" && mayHaveCrashed) {
-        observedRun?.lose();
+    else if (end === "lost" && (!signal.aborted || isSilence)) {
+        observedRun?.lose(isSilence ? LossCause.Silence : LossCause.Connection);
     }
     else {
         observedRun?.end();
--- a/tests/crashQuarantine/SimulatedFaults.ts
+++ b/tests/crashQuarantine/SimulatedFaults.ts
@@ -9,6 +9,13 @@
     otherCrashesPerSecond?: number;
     /** The share of the sound responses that break off without a crash. */
     brokenShare?: number;
+    /** The time between two planned restarts of backend servers in turn, each under another id and without time down. */
+    restartIntervalMilliseconds?: number;
+    /**
+     * The share of the answers that are lost with their connection, without a crash, and of the requests to a former id
+     * that end so instead of being refused.
+     */
+    lostShare?: number;
     /** When no entry process has contact to control; each then decides by its own observations. */
     controlCutMilliseconds?: readonly [from: number, to: number];
     /** The times at which another member becomes the leader, which has no evidence yet. */
--- a/tests/crashQuarantine/createSubjectEvidence.tests.ts
+++ b/tests/crashQuarantine/createSubjectEvidence.tests.ts
@@ -252,6 +252,12 @@
                 maximumLate: 3,
                 maximumFalse: 0,
             }));
+        it("finds a part in time while engines restart in turn and lose answers", () =>
+            doTest({ restartIntervalMilliseconds: 300, lostShare: 0.1, brokenShare: 0.1 }, {
+                verdicts: 1,
+                maximumLate: 3,
+                maximumFalse: 0,
+            }));
         it("goes on serving sound requests with the same first part", async () => {
             const { lateSoundShare } = await simulateCrashes({ seed: 1 });
             expect(lateSoundShare).to.be.at.least(0.9);
--- a/tests/crashQuarantine/simulateCrashingRequests.ts
+++ b/tests/crashQuarantine/simulateCrashingRequests.ts
@@ -78,6 +78,7 @@
         clock,
         random,
         brokenShare: options.brokenShare ?? 0,
+        lostShare: options.lostShare ?? 0,
         crashes: request => getGuiltyIndex(request) !== undefined && random.getFraction() < crashShare,
         onRun: request => {
             const index = getGuiltyIndex(request);
@@ -132,6 +133,10 @@
         if (random.getFraction() < (options.otherCrashesPerSecond ?? 0) * stepMilliseconds / 1_000) {
             servers.crash([random.getInteger(serverCount)]);
         }
+        const restartCount = now / (options.restartIntervalMilliseconds ?? Infinity);
+        if (restartCount > 0 && Number.isInteger(restartCount)) {
+            void servers.restart(restartCount % serverCount);
+        }
         const [cutFrom, cutTo] = options.controlCutMilliseconds ?? [Infinity, Infinity];
         control.setReachable(now < cutFrom || now >= cutTo);
         if (options.leaderChangeMilliseconds?.includes(now)) {
--- a/tests/forwarding/crashingRequests.tests.ts
+++ b/tests/forwarding/crashingRequests.tests.ts
@@ -4,6 +4,7 @@
 describe("createForwarder, with a request that crashes the servers that run it", () => {
     const seeds = [1, 2, 3];
     const maximumLateRuns = 3;
+    const restarts = { restartIntervalMilliseconds: 1_000, lostShare: 0.1 };
 
     async function doTest(options: Omit<RequestSimulationOptions, "seed">): Promise<void> {
         for (const seed of seeds) {
@@ -26,6 +27,13 @@
         doTest({ entryRestartMilliseconds: [5_300, 5_600, 6_000, 10_000, 10_300] }));
     it("stops sending it to a service of two servers", () => doTest({ serverCount: 2 }));
     it("stops sending it from one entry process", () => doTest({ entryCount: 1 }));
+    it("stops sending it while servers restart in turn and lose answers", () => doTest(restarts));
+    it("stops sending it while engines restart in turn and lose answers", () =>
+        doTest({ ...restarts, kind: "engine" }));
+    it("refuses no request that is lost beside a planned restart of its server", () =>
+        doTest({ ...restarts, guiltyRequests: 0, restartIntervalMilliseconds: 500 }));
+    it("refuses no request that is lost beside a planned restart of its engine", () =>
+        doTest({ ...restarts, guiltyRequests: 0, kind: "engine", restartIntervalMilliseconds: 300 }));
     it("refuses no request in crash storms", () =>
         doTest({ guiltyRequests: 0, stormMilliseconds: [6_000, 9_000, 12_000, 15_000] }));
     it("refuses no request where a server crashes each second", () =>
