Change limits in the soak, and record requests that end without a status

The soak could not show it: its documents never changed `limits` or the time limits of routes, its callers reused connections within a moment only, and a request that ended at its caller's limit was left out by a bound on the time. Each whole request without a status is recorded with the reason, the time left, the use of the connection, and whether the deployment and the entry process were undisturbed. One at the caller's limit is a breach unless the soak's own event loop stood still as it was sent or answered. - A connection that an undisturbed entry process ends within the stated time is a breach, and so is an entry process that ends by itself.

--- a/tests/platform/soak/SoakDeployment.ts
+++ b/tests/platform/soak/SoakDeployment.ts
@@ -15,6 +15,8 @@
     readonly backends: readonly SoakBackend[];
     /** The proxies in front of backend servers, the platform's list, and the listeners for callers and operators. */
     readonly proxies: readonly SoakProxy[];
+    /** The proxies in front of the listeners for callers, in the order of the entry processes. */
+    readonly callerProxies: readonly SoakProxy[];
     /** Where callers reach the entry processes, as `ip:port`. */
     readonly callerAddresses: readonly string[];
     /** Where operators reach control members, as `ip:port`. */
--- a/tests/platform/soak/SoakProcess.ts
+++ b/tests/platform/soak/SoakProcess.ts
@@ -10,6 +10,13 @@
     readonly role: "entry" | "control";
     /** Returns whether it is running and not paused. */
     isRunning(): boolean;
+    /**
+     * Returns whether it has been running since a time without a pause, a signal that ends it, or an exit.
+     * @param milliseconds - The time, in milliseconds since the epoch.
+     */
+    wasRunningSince(milliseconds: number): boolean;
+    /** Gets how often it has exited by itself. */
+    getUnplannedExitCount(): number;
     /** Kills it with SIGKILL; it is started again after a delay. */
     kill(): Promise<void>;
     /** Stops it with SIGTERM; it is started again after a delay. */
--- a/tests/platform/soak/createSoakClient.ts
+++ b/tests/platform/soak/createSoakClient.ts
@@ -1,7 +1,11 @@
 /*
  * Sends requests of a soak on keep-alive connections, which stay in use until the process at the other end is gone.
  */
-import { Agent, request as sendRequest } from "node:http";
+import { Agent, ClientRequest, request as sendRequest } from "node:http";
+import { createLimitedAgent, LimitedConnection } from "./createLimitedAgent";
+import { SoakConnectionEnd } from "./SoakConnectionEnd";
+import { SoakConnectionUse } from "./SoakConnectionUse";
+import { SoakEndReason } from "./SoakEndReason";
 import { soakModel } from "./soakModel";
 
 /** How long a caller waits for a response, in milliseconds. */
@@ -38,6 +42,10 @@
     text: string;
     /** Whether the body arrived in full. */
     isComplete: boolean;
+    /** The time from the sending to the end, in milliseconds. */
+    elapsedMilliseconds: number;
+    /** How the connection ended where the answer isn't complete. */
+    end: SoakConnectionEnd;
 }
 
 /** Sends requests. */
@@ -50,21 +58,57 @@
     stop(): void;
 }
 
+/** The options of a client that stays within the limits of the documents. */
+interface SoakClientOptions {
+    /** Gets the limit in force, in milliseconds, by which it goes where the last response states a shorter one. */
+    getIdleTimeoutMilliseconds?: () => number;
+    /** Called when an entry process closes a connection that is idle. */
+    onIdleClose: (entryIndex: number, connection: LimitedConnection) => void;
+}
+
 /**
  * Creates a client.
  * @param entryAddresses - Where callers reach the entry processes, as `ip:port`.
+ * @param options - The limits within which it stays; undefined where these never change. A client with limits closes a
+ * connection at its deadline after the sending, others when the connection was silent for as long.
  */
-export function createSoakClient(entryAddresses: readonly string[]): SoakClient {
-    const agents = entryAddresses.map(() => new Agent({ keepAlive: true, maxSockets: 40 }));
+export function createSoakClient(entryAddresses: readonly string[], options?: SoakClientOptions): SoakClient {
+    const limitedAgents = options && entryAddresses.map((...[, entryIndex]) =>
+        createLimitedAgent({
+            getIdleTimeoutMilliseconds: options.getIdleTimeoutMilliseconds,
+            onIdleClose: connection => options.onIdleClose(entryIndex, connection),
+        })
+    );
+    const agents = limitedAgents?.map(({ agent }) => agent)
+        ?? entryAddresses.map(() => new Agent({ keepAlive: true, maxSockets: 40 }));
     let count = 0;
-    return { deadlineMilliseconds, post, stop: () => agents.forEach(agent => agent.destroy()) };
+    return {
+        deadlineMilliseconds,
+        post,
+        stop: () =>
+            (limitedAgents ?? agents.map(agent => ({ stop: () => agent.destroy() }))).forEach(agent => agent.stop()),
+    };
 
     function post(request: SoakRequest): Promise<ExchangeOutcome> {
         const { entryIndex, requestId, prefix, key, promptParts } = request;
         const [host, port] = entryAddresses[entryIndex]!.split(":") as [string, string];
         count += 1;
         return new Promise(resolve => {
-            const outcome: ExchangeOutcome = { status: 0, seal: "", text: "", isComplete: false };
+            const sentMilliseconds = Date.now();
+            const end = createOpenEnd();
+            const outcome: ExchangeOutcome = {
+                status: 0,
+                seal: "",
+                text: "",
+                isComplete: false,
+                elapsedMilliseconds: 0,
+                end,
+            };
+            const finish = () => {
+                outcome.elapsedMilliseconds = Date.now() - sentMilliseconds;
+                end.remainingMilliseconds = deadlineMilliseconds - outcome.elapsedMilliseconds;
+                resolve(outcome);
+            };
             const clientRequest = sendRequest({
                 agent: agents[entryIndex],
                 host,
@@ -83,19 +127,40 @@
                 },
             }, response => {
                 outcome.status = response.statusCode ?? 0;
+                const keepAlive = response.headers["keep-alive"];
+                limitedAgents?.[entryIndex]!.recordResponse(response.socket, keepAlive?.toString());
+                end.statedMilliseconds = limitedAgents?.[entryIndex]!.getConnection(response.socket).statedMilliseconds
+                    ?? 0;
                 outcome.seal = String(response.headers["basilwing-response-seal"]);
                 response.setEncoding("utf8");
                 response.on("data", (chunk: string) => outcome.text += chunk);
                 response.on("end", () => outcome.isComplete = response.complete);
                 response.on("error", () => undefined);
-                response.on("close", () => resolve(outcome));
+                response.on("close", finish);
+            });
+            clientRequest.on("socket", socket => {
+                Object.assign(end, limitedAgents?.[entryIndex]!.getConnection(socket));
+                end.port = socket.localPort;
+                if (socket.connecting) {
+                    end.reason = SoakEndReason.NeverConnected;
+                    socket.once("connect", () => {
+                        end.reason = SoakEndReason.Other;
+                        end.port = socket.localPort;
+                    });
+                }
             });
-            clientRequest.setTimeout(deadlineMilliseconds, () => clientRequest.destroy());
-            clientRequest.on("error", () => resolve(outcome));
-            clientRequest.on("close", () => resolve(outcome));
+            clientRequest.on("finish", () => end.isWhole = true);
+            limitTime(clientRequest, () => end.reason = SoakEndReason.CallerLimit);
+            clientRequest.on("error", error => {
+                end.detail = error.message;
+                end.reason = end.reason === SoakEndReason.Other ? getReason(error) : end.reason;
+                finish();
+            });
+            clientRequest.on("close", finish);
             if (request.leavesAfterMilliseconds !== undefined) {
                 const timer = setTimeout(() => {
                     request.onLeaving?.();
+                    end.reason = SoakEndReason.CallerLeft;
                     clientRequest.destroy();
                 }, request.leavesAfterMilliseconds);
                 clientRequest.on("close", () => clearTimeout(timer));
@@ -103,4 +168,41 @@
             clientRequest.end(request.body ?? JSON.stringify({ requestId }));
         });
     }
+
+    /** Closes the connection of a request at the caller's time limit. */
+    function limitTime(clientRequest: ClientRequest, onLimit: () => void): void {
+        const close = () => {
+            onLimit();
+            clientRequest.destroy();
+        };
+        if (!options) {
+            clientRequest.setTimeout(deadlineMilliseconds, close);
+            return;
+        }
+        const timer = setTimeout(close, deadlineMilliseconds);
+        clientRequest.on("close", () => clearTimeout(timer));
+    }
+}
+
+function createOpenEnd(): SoakConnectionEnd {
+    return {
+        reason: SoakEndReason.Other,
+        detail: "",
+        isWhole: false,
+        remainingMilliseconds: deadlineMilliseconds,
+        port: undefined,
+        use: SoakConnectionUse.Fresh,
+        idleMilliseconds: 0,
+        statedMilliseconds: 0,
+    };
+}
+
+function getReason(error: NodeJS.ErrnoException): SoakEndReason {
+    if (error.message === "socket hang up") {
+        return SoakEndReason.Ended;
+    }
+    if (error.code?.startsWith("HPE_") === true) {
+        return SoakEndReason.InvalidBytes;
+    }
+    return error.code === "ECONNRESET" || error.code === "EPIPE" ? SoakEndReason.Reset : SoakEndReason.Other;
 }
--- a/tests/platform/soak/getSoakSize.ts
+++ b/tests/platform/soak/getSoakSize.ts
@@ -6,6 +6,10 @@
 const firstSeedWithAnswerFaults = 70_000;
 /** Seeds from this one on play a deployment of the size of the grown ones, also with faulty answers. */
 const firstGrownSeed = 80_000;
+/** Seeds from this one on play with limits that change and with callers whose connections are idle for long. */
+const firstSeedWithLimitChanges = 90_000;
+/** Seeds between that one and this one play the small deployment. */
+const firstGrownSeedWithLimitChanges = 100_000;
 
 /** The numbers of processes and stand-ins, and what they do. */
 export interface SoakSize {
@@ -19,12 +23,16 @@
     stoppedTogetherCount: number;
     /** Whether backend servers refuse requests, lose answers, forget connections and send second answers. */
     hasAnswerFaults: boolean;
+    /** Whether the limits change, connections are idle for long, and requests without a status are recorded. */
+    hasLimitChanges: boolean;
 }
 
 /** Gets the size of the deployment that a seed plays. */
 export function getSoakSize(seed: number): SoakSize {
     const hasAnswerFaults = seed >= firstSeedWithAnswerFaults;
-    if (seed < firstGrownSeed) {
+    const isSmall = seed < firstGrownSeed || seed >= firstSeedWithLimitChanges && seed < firstGrownSeedWithLimitChanges;
+    const hasLimitChanges = seed >= firstSeedWithLimitChanges;
+    if (isSmall) {
         return {
             controlCount: 3,
             entryCount: 2,
@@ -33,6 +41,7 @@
             sendIntervalMilliseconds: 12,
             stoppedTogetherCount: 1,
             hasAnswerFaults,
+            hasLimitChanges,
         };
     }
     return {
@@ -43,5 +52,6 @@
         sendIntervalMilliseconds: 5,
         stoppedTogetherCount: 6,
         hasAnswerFaults,
+        hasLimitChanges,
     };
 }
--- a/tests/platform/soak/runSoak.ts
+++ b/tests/platform/soak/runSoak.ts
@@ -2,18 +2,24 @@
  * Runs one soak: a deployment of real processes with traffic, faults that a seed determines, then planned changes and stops
  * once the deployment is stable, and a final check of the guarantees. Sound backend servers fall silent all the while.
  */
-import { mkdirSync } from "node:fs";
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
 import { createRandomSource } from "../../../src/runtime";
+import { createEndRecorder } from "./createEndRecorder";
 import { createFaultInjector } from "./createFaultInjector";
 import { createRunTracker } from "./createRunTracker";
+import { createSoakLimitChanges } from "./createSoakLimitChanges";
+import { createStandstillMonitor } from "./createStandstillMonitor";
 import { getSoakSize } from "./getSoakSize";
 import { soakBounds } from "./soakBounds";
 import { SoakFault } from "./SoakFault";
 import { soakPorts } from "./soakPorts";
 import { startCrashingCaller } from "./startCrashingCaller";
 import { startFlaps } from "./startFlaps";
+import { startIdleCallers } from "./startIdleCallers";
+import { startLimitChanges } from "./startLimitChanges";
 import { startSilences } from "./startSilences";
 import { startSoakCallers } from "./startSoakCallers";
 import { startSoakDeployment } from "./startSoakDeployment";
@@ -35,6 +41,10 @@
 const silenceSeedDistance = 2_000_003;
 /** Keeps the random numbers of the flapping servers apart from all others. */
 const flapSeedDistance = 3_000_017;
+/** Keeps the random numbers of the limits and of idle callers apart from all others. */
+const limitSeedDistance = 4_000_037;
+/** How long the limits change before the planned stops, while connections are idle, in milliseconds. */
+const idlePhaseMilliseconds = 6_000;
 /** How many planned changes are made beside silences once the deployment is stable. */
 const plannedChangeCount = 8;
 /** The share of requests that must be served again within the recovery bound. */
@@ -52,6 +62,10 @@
     sent: number;
     /** The attempts to resume a stream. */
     resumptions: { served: number; sent: number; };
+    /** The whole requests without a status, and the idle connections that were closed, by reason. */
+    withoutStatus: Readonly<Record<string, number>>;
+    /** The requests by how long their connections had been idle. */
+    connectionUses: Readonly<Record<string, number>>;
 }
 
 /**
@@ -69,7 +83,17 @@
     const network = `127.${20 + seed % 200}.${Math.floor(seed / 200) % 250}`;
     const deployment = await startSoakDeployment(network, folder, runTracker, seed);
     const { callerAddresses, operatorAddresses, entries, controls } = deployment;
-    const operator = startSoakOperator({ addresses: operatorAddresses, runTracker, random });
+    const limitRandom = createRandomSource(seed + limitSeedDistance);
+    const limits = createSoakLimitChanges(size.hasLimitChanges ? limitRandom : undefined);
+    const standstills = createStandstillMonitor();
+    const endRecorder = createEndRecorder({
+        entries,
+        callerProxies: deployment.callerProxies,
+        runTracker,
+        standstills,
+        limits,
+    });
+    const operator = startSoakOperator({ addresses: operatorAddresses, runTracker, random, limits });
     const injector = createFaultInjector(deployment, operator, random);
     runTracker.setStabilityCheck(injector.isStable);
     const faults: string[] = [];
@@ -86,30 +110,63 @@
             sendIntervalMilliseconds: size.sendIntervalMilliseconds,
             hasCrashingPart: seed % seedsPerCrashingPart === 0,
             isStable: injector.isStable,
+            limited: size.hasLimitChanges ? { endRecorder, limits } : undefined,
         });
+        const stopIdleCallers = size.hasLimitChanges
+            ? startIdleCallers({
+                entryAddresses: callerAddresses,
+                runTracker,
+                endRecorder,
+                limits,
+                random: limitRandom,
+            })
+            : () => Promise.resolve();
         const stopCrashingCaller = seed % seedsPerSoundRequests === 0 || seedsWithoutCrashingCaller.includes(seed)
             ? () => Promise.resolve()
-            : startCrashingCaller({ entryAddresses: callerAddresses, routeIndex: seed, runTracker, random });
+            : startCrashingCaller({
+                entryAddresses: callerAddresses,
+                routeIndex: seed,
+                runTracker,
+                random,
+                endRecorder: size.hasLimitChanges ? endRecorder : undefined,
+            });
         await runBesideSilences(injectFaultsBesideFlaps);
         await waitForRecovery(callers.getServedCounts);
         await runBesideSilences(performPlannedWork);
         await stopCrashingCaller();
+        await stopIdleCallers();
         await callers.stop();
         if (!await operator.waitForNewestDocument(soakBounds.recovery_s * millisecondsPerSecond)) {
             runTracker.addBreach("the newest acknowledged document can't be read back");
         }
+        checkExits();
         return {
             breaches: runTracker.getBreaches(),
             faults,
             ...callers.getServedCounts(0, Infinity),
             resumptions: callers.getResumptionCounts(),
+            withoutStatus: endRecorder.getCounts(),
+            connectionUses: endRecorder.getUseCounts(),
         };
     }
     finally {
         operator.stop();
+        standstills.stop();
+        writeFileSync(
+            join(folder, "ends.jsonl"),
+            endRecorder.getTraces().map(trace => `${JSON.stringify(trace)}\n`).join(""),
+        );
         await deployment.stop();
     }
 
+    function checkExits(): void {
+        for (const { ip, getUnplannedExitCount } of size.hasLimitChanges ? entries : []) {
+            if (getUnplannedExitCount() > 0) {
+                runTracker.addBreach(`the entry process at ${ip} ended by itself ${getUnplannedExitCount()} times`);
+            }
+        }
+    }
+
     function recordFault(description: string): void {
         faults.push(`${Date.now() - startTimeMilliseconds} ${description}`);
     }
@@ -118,7 +175,10 @@
         const stopSilences = hasSilences
             ? startSilences({ backends: deployment.backends, random: silenceRandom, onSilence: recordFault })
             : () => Promise.resolve();
-        await work().finally(stopSilences);
+        const stopLimitChanges = size.hasLimitChanges
+            ? startLimitChanges({ operator, random: limitRandom })
+            : () => Promise.resolve();
+        await work().finally(() => Promise.all([stopSilences(), stopLimitChanges()]));
     }
 
     async function injectFaultsBesideFlaps(): Promise<void> {
@@ -192,6 +252,7 @@
             await injector.inject(change);
             await sleep(silenceRandom.getInteger(maximumPauseMilliseconds));
         }
+        await sleep(size.hasLimitChanges ? idlePhaseMilliseconds : 0);
         for (let index = 0; index < entries.length; index += size.stoppedTogetherCount) {
             const stopped = entries.slice(index, index + size.stoppedTogetherCount);
             recordFault(`planned stop of ${stopped.map(({ ip }) => ip).join(" ")}`);
--- a/tests/platform/soak/startCrashingCaller.ts
+++ b/tests/platform/soak/startCrashingCaller.ts
@@ -4,6 +4,7 @@
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import { RandomSource } from "../../../src/runtime";
+import { EndRecorder } from "./createEndRecorder";
 import { createSoakClient } from "./createSoakClient";
 import { RunTracker } from "./RunTracker";
 import { soakCrashingBody } from "./soakCrashingBody";
@@ -23,6 +24,8 @@
     runTracker: RunTracker;
     /** Chooses the entry processes. */
     random: RandomSource;
+    /** Records the requests' ends where the caller stays within limits that change; undefined where they don't. */
+    endRecorder: EndRecorder | undefined;
 }
 
 /**
@@ -31,9 +34,9 @@
  * @returns Stops the caller.
  */
 export function startCrashingCaller(options: CrashingCallerOptions): () => Promise<void> {
-    const { entryAddresses, runTracker, random } = options;
+    const { entryAddresses, runTracker, random, endRecorder } = options;
     const route = soakRoutes[options.routeIndex % soakRoutes.length]!;
-    const client = createSoakClient(entryAddresses);
+    const client = createSoakClient(entryAddresses, endRecorder && { onIdleClose: endRecorder.recordIdleClose });
     const stopController = new AbortController();
     let count = 0;
     const sending = sendContinuously();
@@ -56,11 +59,13 @@
 
     async function send(entryIndex: number): Promise<number> {
         count += 1;
-        const requestId = `${Date.now()}-crash-${count}`;
+        const sentMilliseconds = Date.now();
+        const requestId = `${sentMilliseconds}-crash-${count}`;
+        const wasStable = runTracker.isStable();
         if (!route.mayRepeat) {
             runTracker.recordSingleRunRequest(requestId);
         }
-        const { status } = await client.post({
+        const outcome = await client.post({
             entryIndex,
             requestId,
             prefix: route.prefix,
@@ -68,6 +73,10 @@
             promptParts: ["a0:500"],
             body: soakCrashingBody,
         });
+        const { status } = outcome;
+        if (status === 0) {
+            endRecorder?.record({ requestId, entryIndex, sentMilliseconds, routeMilliseconds: 0, wasStable }, outcome);
+        }
         if (soakNotRunStatuses.has(status)) {
             runTracker.recordReportedNotRun(requestId);
         }
--- a/tests/platform/soak/startSoakCallers.ts
+++ b/tests/platform/soak/startSoakCallers.ts
@@ -4,7 +4,9 @@
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import { RandomSource } from "../../../src/runtime";
+import { EndRecorder } from "./createEndRecorder";
 import { createSoakClient, ExchangeOutcome } from "./createSoakClient";
+import { SoakLimitChanges } from "./createSoakLimitChanges";
 import { getStreamProblem } from "./getStreamProblem";
 import { parseSoakEvents } from "./parseSoakEvents";
 import { RunTracker } from "./RunTracker";
@@ -39,12 +41,14 @@
     hasCrashingPart: boolean;
     /** Returns whether no unplanned fault affects an entry process or did so a moment ago. */
     isStable(entryIndex: number): boolean;
+    /** The limits within which the callers stay, and what records their requests' ends; undefined where limits never change. */
+    limited: { endRecorder: EndRecorder; limits: SoakLimitChanges; } | undefined;
 }
 
 /** Starts the traffic, which runs until it is stopped. */
 export function startSoakCallers(options: SoakCallersOptions): SoakCallers {
-    const { entryAddresses, runTracker, random, isStable } = options;
-    const client = createSoakClient(entryAddresses);
+    const { entryAddresses, runTracker, random, isStable, limited } = options;
+    const client = createSoakClient(entryAddresses, limited && { onIdleClose: limited.endRecorder.recordIdleClose });
     const sentRequests: { time: number; isServed: boolean; }[] = [];
     const pending = new Set<Promise<void>>();
     const resumptions = { sent: 0, served: 0 };
@@ -116,17 +120,30 @@
             record.isServed = true;
             checkResponse(requestId, outcome);
         }
-        const isCut = !isLeaving && (outcome.status === 0 || !outcome.isComplete);
-        const isLate = Date.now() - record.time >= client.deadlineMilliseconds;
-        const isOwnCut = isCut && !isLate && !runTracker.wasBrokenOff(requestId);
-        if (isOwnCut && wasStable && isStable(entryIndex)) {
-            runTracker.recordCut(requestId, outcome.status);
+        if (limited) {
+            const sentMilliseconds = record.time;
+            const routeMilliseconds = limited.limits.getShortestTimeoutMilliseconds(route.prefix, sentMilliseconds);
+            limited.endRecorder.record(
+                { requestId, entryIndex, sentMilliseconds, routeMilliseconds, wasStable },
+                outcome,
+            );
+        }
+        else if (!isLeaving) {
+            checkEnd(requestId, outcome, record.time, wasStable && isStable(entryIndex));
         }
         if (route.isStream && outcome.status === 200 && !isLeaving) {
             await checkStream(requestId, outcome, route.mayRepeat && !isRevocable, promptParts);
         }
     }
 
+    function checkEnd(requestId: string, outcome: ExchangeOutcome, sentMilliseconds: number, isStable: boolean): void {
+        const isCut = outcome.status === 0 || !outcome.isComplete;
+        const isLate = Date.now() - sentMilliseconds >= client.deadlineMilliseconds;
+        if (isCut && !isLate && !runTracker.wasBrokenOff(requestId) && isStable) {
+            runTracker.recordCut(requestId, outcome.status);
+        }
+    }
+
     function checkResponse(requestId: string, { seal, text }: ExchangeOutcome): void {
         if (seal !== `seal-${requestId}` || !text.includes(requestId)) {
             runTracker.addBreach(`${requestId} got another request's answer`);
--- a/tests/platform/soak/startSoakDeployment.ts
+++ b/tests/platform/soak/startSoakDeployment.ts
@@ -93,6 +93,7 @@
         entries,
         backends,
         proxies,
+        callerProxies,
         callerAddresses: callerProxies.map(proxy => proxy.address),
         operatorAddresses: operatorProxies.map(proxy => proxy.address),
         stop: async () => {
--- a/tests/platform/soak/startSoakOperator.ts
+++ b/tests/platform/soak/startSoakOperator.ts
@@ -5,9 +5,11 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
 import { RandomSource } from "../../../src/runtime";
+import { SoakLimitChanges } from "./createSoakLimitChanges";
 import { RunTracker } from "./RunTracker";
 import { soakBounds } from "./soakBounds";
 import { soakIsolatedWorkspace } from "./soakIsolatedWorkspace";
+import { SoakLimits } from "./SoakLimits";
 import { soakModel } from "./soakModel";
 import { SoakOperator } from "./SoakOperator";
 import { soakRoutes } from "./soakRoutes";
@@ -23,10 +25,12 @@
     runTracker: RunTracker;
     /** Chooses versions and the control member of each call. */
     random: RandomSource;
+    /** Chooses the limits of each document. */
+    limits: SoakLimitChanges;
 }
 
 /** Starts the operator, which reads the document continuously until it is stopped. */
-export function startSoakOperator({ addresses, runTracker, random }: SoakOperatorOptions): SoakOperator {
+export function startSoakOperator({ addresses, runTracker, random, limits }: SoakOperatorOptions): SoakOperator {
     const acknowledged: { version: number; time: number; }[] = [];
     let version = 0;
     let weightsVersion = 1;
@@ -45,8 +49,13 @@
     async function changeDocument(): Promise<void> {
         version += 1 + random.getInteger(3);
         const sentVersion = version;
-        await sendUntilAccepted("PUT", "/basilwing/config", createDocument(sentVersion, hasRevocableTenant));
+        const sentLimits = limits.choose();
+        const document = createDocument(sentVersion, hasRevocableTenant, sentLimits);
+        await sendUntilAccepted("PUT", "/basilwing/config", document);
         acknowledged.push({ version: sentVersion, time: Date.now() });
+        if (sentVersion === getNewestAcknowledged(Infinity)) {
+            limits.recordAcknowledgement(sentLimits);
+        }
     }
 
     async function revokeKey(): Promise<void> {
@@ -138,7 +147,7 @@
     }
 }
 
-function createDocument(version: number, hasRevocableTenant: boolean): object {
+function createDocument(version: number, hasRevocableTenant: boolean, limits: SoakLimits): object {
     const revocableTenant = { name: "leaver", api_keys: ["key-leaver"], priority: 1, isolated: false };
     return {
         version,
@@ -147,7 +156,7 @@
             host: "soak.example",
             path_prefix: prefix,
             kind,
-            timeout_ms: 3_000,
+            timeout_ms: limits.routeTimeouts[prefix],
             target_latency_ms: 600,
             priority: 0,
             service,
@@ -164,7 +173,12 @@
             },
             { name: "actions", health_path: "/health", max_connections: 200 },
         ],
-        limits: { max_header_bytes: 16_384, max_body_bytes: 65_536, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
+        limits: {
+            max_header_bytes: 16_384,
+            max_body_bytes: limits.maximumBodyBytes,
+            header_timeout_ms: limits.headerTimeoutMilliseconds,
+            idle_timeout_ms: limits.idleTimeoutMilliseconds,
+        },
         tenants: [
             { name: "stayer", api_keys: ["key-stayer"], priority: 1, isolated: false },
             { name: soakIsolatedWorkspace, api_keys: ["key-loner"], priority: 1, isolated: true },
--- a/tests/platform/soak/startSoakProcess.ts
+++ b/tests/platform/soak/startSoakProcess.ts
@@ -36,12 +36,18 @@
     let isStopped = false;
     let isPaused = false;
     let isFirstStart = true;
+    let isEnding = false;
+    /** When it last started or went on after a pause, in milliseconds since the epoch. */
+    let runningSinceMilliseconds = Date.now();
+    let unplannedExitCount = 0;
     let pendingDataFolderChange: ((folder: string) => void) | undefined;
     let child = start();
     return {
         ip,
         role,
-        isRunning: () => !isPaused && typeof child.exitCode !== "number" && typeof child.signalCode !== "string",
+        isRunning,
+        wasRunningSince: milliseconds => isRunning() && !isEnding && runningSinceMilliseconds <= milliseconds,
+        getUnplannedExitCount: () => unplannedExitCount,
         kill: () => endChild("SIGKILL"),
         terminate: () => endChild("SIGTERM"),
         pause,
@@ -53,7 +59,13 @@
         },
     };
 
+    function isRunning(): boolean {
+        return !isPaused && typeof child.exitCode !== "number" && typeof child.signalCode !== "string";
+    }
+
     function start(): ChildProcess {
+        runningSinceMilliseconds = Date.now();
+        isEnding = false;
         pendingDataFolderChange?.(dataFolder);
         pendingDataFolderChange = undefined;
         writeFileSync(settingsFile, JSON.stringify(getSettings()));
@@ -63,6 +75,7 @@
             stdio: ["ignore", logDescriptor, logDescriptor],
         });
         startedChild.once("exit", () => {
+            unplannedExitCount += isEnding ? 0 : 1;
             if (!isStopped) {
                 setTimeout(() => {
                     if (!isStopped) {
@@ -99,6 +112,7 @@
         if (typeof endingChild.exitCode === "number" || typeof endingChild.signalCode === "string") {
             return;
         }
+        isEnding = true;
         const exited = once(endingChild, "exit");
         endingChild.kill(signal);
         const gracePeriod = sleep(soakBounds.grace_s * 1_000, undefined, { ref: false });
@@ -113,6 +127,7 @@
         pausedChild.kill("SIGSTOP");
         await sleep(milliseconds);
         pausedChild.kill("SIGCONT");
+        runningSinceMilliseconds = Date.now();
         isPaused = false;
     }
 }
--- a/tests/platform/soak/startSoakProxy.ts
+++ b/tests/platform/soak/startSoakProxy.ts
@@ -20,6 +20,11 @@
      * @param milliseconds - How long.
      */
     hold(milliseconds: number): Promise<void>;
+    /**
+     * Returns whether the listener refused the connection of a client.
+     * @param port - The client's port.
+     */
+    wasRefused(port: number): boolean;
     /** Resets all connections. */
     resetConnections(): void;
     /** Resets all connections and stops listening. */
@@ -34,6 +39,7 @@
 export async function startSoakProxy(ip: string, target: string): Promise<SoakProxy> {
     const [targetIp, targetPort] = target.split(":") as [string, string];
     const sockets = new Set<Socket>();
+    const refusedPorts = new Set<number>();
     let linkState = SoakLinkState.Open;
     let holdCount = 0;
     let heldActions: (() => void)[] = [];
@@ -41,6 +47,13 @@
     const allowHalfOpen = true;
     const server = createServer({ allowHalfOpen }, client => {
         const upstream = createConnection({ host: targetIp, port: Number(targetPort), allowHalfOpen });
+        const { remotePort } = client;
+        upstream.on("error", (error: NodeJS.ErrnoException) => {
+            if (error.code === "ECONNREFUSED" && remotePort !== undefined) {
+                refusedPorts.add(remotePort);
+            }
+        });
+        refusedPorts.delete(remotePort ?? 0);
         relay(client, upstream, false);
         relay(upstream, client, true);
     });
@@ -49,6 +62,7 @@
         address: `${ip}:${(server.address() as { port: number; }).port}`,
         setLinkState: newState => linkState = newState,
         hold,
+        wasRefused: port => refusedPorts.has(port),
         resetConnections,
         stop: () => {
             resetConnections();
