--- a/tests/platform/roles/failingTasks.tests.ts
+++ b/tests/platform/roles/failingTasks.tests.ts
@@ -1,7 +1,7 @@
 import { create } from "@bufbuild/protobuf";
 import { expect } from "chai";
 import { CallerServer } from "../../../platform/callers";
-import { createCrashObserver, InstanceState } from "../../../src/crashQuarantine";
+import { createCrashObserver, InstanceState, LossCause } from "../../../src/crashQuarantine";
 import { createFactSync } from "../../../src/facts";
 import { FeedTaskOptions, runFeed } from "../../../src/feed";
 import { CacheChangeSource, CallerReply, startKvCacheStoreView } from "../../../src/forwarding";
@@ -228,7 +228,8 @@
                 ...context,
             });
             for (let count = 0; count < 2; count++) {
-                observer.beginRun(createTestInstance(), testServices.plain, createTestSubjects([], "lost")).lose();
+                observer.beginRun(createTestInstance(), testServices.plain, createTestSubjects([], "lost"))
+                    .lose(LossCause.Silence);
                 await context.clock.advance(100);
             }
             return () => observer.getObservations().length === 1;
