Count crashes of backend servers that start again under their ids

Cause: the crash observer dismissed a loss as soon as the same id answered again, and asked no more about an instance that had once ended. Class: an identity that outlives what it names, as in the fleet tracker. Change: where an instance serves again after a time in which it did not, or after a silence, a later start on the list shows the crash, unless it was to leave. Ended instances are remembered with their start.

--- a/src/crashQuarantine/CrashObserverOptions.ts
+++ b/src/crashQuarantine/CrashObserverOptions.ts
@@ -19,6 +19,8 @@
      * @param signal - Ends the call.
      */
     checkInstance(instance: FleetInstance, service: BackendService, signal: AbortSignal): Promise<InstanceState>;
+    /** Gets an instance as the list shows it now; undefined where it does not. */
+    getListedInstance(instanceId: string): FleetInstance | undefined;
     /** Gets the requests that control suspects, whose completions the observer records. */
     getSuspectedRequestIds(): ReadonlySet<string>;
     /** The clock. */
--- a/src/crashQuarantine/createCrashObserver.ts
+++ b/src/crashQuarantine/createCrashObserver.ts
@@ -4,7 +4,8 @@
  * subjects of all requests that were in flight there when the first of them was lost. At an engine, a request whose
  * response had been arriving for some time did not cause the crash, which would have happened when it began; one whose
  * response had just begun is more suspicious than one that was still waiting. A plain service does not tell which
- * requests it has begun to run.
+ * requests it has begun to run. A backend server that was silent and serves again may have crashed and started again under
+ * its id, which the list shows later.
  */
 import { LRUCache } from "lru-cache";
 import { BackendService } from "../documents";
@@ -44,6 +45,9 @@
 /** The number of checks without a clear result after which the crash counts as unconfirmed. */
 const maximumChecks = 8;
 
+/** How long the list may take to show that an instance has started again, in milliseconds: its lag and that of polls. */
+const restartNewsMilliseconds = 3_000;
+
 /** The number of ended instances that are remembered; beyond it, the oldest are forgotten. */
 const maximumEndedInstances = 256;
 
@@ -77,7 +81,8 @@
     const { incarnation, clock, logger, metrics, signal } = options;
     const runsByInstance = new Map<string, Set<RunInFlight>>();
     const checks = new Map<string, CrashCheck>();
-    const endedInstanceIds = new LRUCache<string, true>({ max: maximumEndedInstances });
+    /** The starts of instances that have ended. */
+    const endedStarts = new LRUCache<string, true>({ max: maximumEndedInstances });
     const completionTimes = new LRUCache<string, readonly number[]>({ max: maximumSubjects });
     let observations: TimedObservation[] = [];
     let observedRequestIds: ReadonlySet<string> = new Set();
@@ -90,8 +95,8 @@
         runsByInstance.set(instance.instanceId, runs.add(run));
         return {
             recordBegin: () => {
-                // It may have started again under its id.
-                endedInstanceIds.delete(instance.instanceId);
+                // It may have started again under its id, which the list need not show.
+                endedStarts.delete(getStartKey(instance));
                 if (service.kind === "engine") {
                     run.beginMilliseconds ??= clock.getMonotonicMilliseconds();
                 }
@@ -102,7 +107,7 @@
                 }
             },
             lose: cause => {
-                if (runsByInstance.get(instance.instanceId)?.has(run) && !endedInstanceIds.has(instance.instanceId)) {
+                if (runsByInstance.get(instance.instanceId)?.has(run) && !endedStarts.has(getStartKey(instance))) {
                     checkCrash(instance, service, run, cause);
                 }
                 removeRun(instance.instanceId, run);
@@ -163,7 +168,14 @@
         runsByInstance.get(instanceId)?.forEach(run => addRun(check, run));
         startTask(
             TaskName.CrashCheck,
-            () => confirmCrash(instance, service, check).finally(() => checks.delete(instanceId)),
+            async () => {
+                const mayServeAgain = await confirmCrash(instance, service, check).finally(() =>
+                    checks.delete(instanceId)
+                );
+                if (mayServeAgain) {
+                    await confirmRestart(instance, service, check);
+                }
+            },
             options,
         );
     }
@@ -185,14 +197,15 @@
         }
     }
 
-    async function confirmCrash(instance: FleetInstance, service: BackendService, check: CrashCheck): Promise<void> {
+    /** Records a crash that probes show; returns whether the instance serves after a time in which it did not. */
+    async function confirmCrash(instance: FleetInstance, service: BackendService, check: CrashCheck): Promise<boolean> {
         for (let count = 0; count < maximumChecks && !signal.aborted; count++) {
             const state = await checkOnce(instance, service);
             if (state === InstanceState.Serving) {
-                return;
+                return !check.takesRuns || check.cause === LossCause.Silence;
             }
             if (state === InstanceState.Ended || state === InstanceState.Refusing) {
-                endedInstanceIds.set(instance.instanceId, true);
+                endedStarts.set(getStartKey(instance), true);
                 if (wasReplacedBefore(check, state)) {
                     logger.info(
                         { instanceId: instance.instanceId, ...getCandidates(check) },
@@ -202,7 +215,7 @@
                 else {
                     addObservation(instance.instanceId, service, check);
                 }
-                return;
+                return false;
             }
             check.takesRuns = false;
             await clock.sleep(checkIntervalMilliseconds, signal);
@@ -211,6 +224,23 @@
             { instanceId: instance.instanceId, ...getCandidates(check) },
             "can't tell whether a backend server has crashed",
         );
+        return true;
+    }
+
+    /** Records a crash if the list shows that the instance has started again, unless it was to leave. */
+    async function confirmRestart(instance: FleetInstance, service: BackendService, check: CrashCheck): Promise<void> {
+        const endMilliseconds = clock.getMonotonicMilliseconds() + restartNewsMilliseconds;
+        while (!signal.aborted && clock.getMonotonicMilliseconds() < endMilliseconds) {
+            const listed = options.getListedInstance(instance.instanceId);
+            if (instance.startMilliseconds === 0 || listed?.isLeaving) {
+                return;
+            }
+            if (listed && listed.startMilliseconds > instance.startMilliseconds) {
+                addObservation(instance.instanceId, service, check);
+                return;
+            }
+            await clock.sleep(checkIntervalMilliseconds, signal);
+        }
     }
 
     /**
@@ -273,6 +303,11 @@
     }
 }
 
+/** Gets a key of an instance that is another one after each start that the list shows. */
+function getStartKey({ instanceId, startMilliseconds }: FleetInstance): string {
+    return `${instanceId} ${startMilliseconds}`;
+}
+
 function getCandidates({ begunRuns, waitingRuns }: CrashCheck): CrashCandidates {
     return {
         begunSubjectIds: getSubjectIds([...begunRuns]),
--- a/src/crashQuarantine/createCrashQuarantine.ts
+++ b/src/crashQuarantine/createCrashQuarantine.ts
@@ -5,7 +5,7 @@
  */
 import { FactStore } from "../facts";
 import { FeedState } from "../feed";
-import { FleetView } from "../protocol";
+import { FleetInstance, FleetView } from "../protocol";
 import { CrashObserverOptions } from "./CrashObserverOptions";
 import { CrashQuarantine } from "./CrashQuarantine";
 import { CrashReport } from "./CrashReport";
@@ -23,7 +23,7 @@
 /** How long a decision of the entry process itself is used, in milliseconds: the evidence takes time to evaluate. */
 const ownDecisionMilliseconds = 100;
 
-interface CrashQuarantineOptions extends Omit<CrashObserverOptions, "getSuspectedRequestIds"> {
+interface CrashQuarantineOptions extends Omit<CrashObserverOptions, "getSuspectedRequestIds" | "getListedInstance"> {
     /** Provides the decisions of the control members. */
     state: Pick<FeedState, "getFleet" | "getDocumentAgeMilliseconds">;
     /** The facts of the entry process, also those of others that it keeps. */
@@ -36,7 +36,7 @@
  */
 export function createCrashQuarantine(options: CrashQuarantineOptions): CrashQuarantine {
     const { incarnation, state, facts, clock } = options;
-    const observer = createCrashObserver({ ...options, getSuspectedRequestIds });
+    const observer = createCrashObserver({ ...options, getSuspectedRequestIds, getListedInstance });
     const evidence = createSubjectEvidence(clock, EvidenceScope.SomeEntries);
     let view: FleetView | undefined;
     let quarantined = createSubjectSet([]);
@@ -68,6 +68,10 @@
         return suspected.hasAny(subjects);
     }
 
+    function getListedInstance(instanceId: string): FleetInstance | undefined {
+        return state.getFleet()?.instances.find(instance => instance.instanceId === instanceId);
+    }
+
     function getSuspectedRequestIds(): ReadonlySet<string> {
         readView();
         return suspected.requestIds;
--- a/tests/crashQuarantine/createCrashObserver.tests.ts
+++ b/tests/crashQuarantine/createCrashObserver.tests.ts
@@ -2,13 +2,18 @@
 import { createCrashObserver, InstanceState, LossCause } from "../../src/crashQuarantine";
 import { createSilentLogger, Logger } from "../../src/logging";
 import { createMetrics } from "../../src/metrics";
+import { FleetInstance } from "../../src/protocol";
 import { createTestInstance } from "../feed/createTestFeed";
 import { createManualClock } from "../support/createManualClock";
 import { createTestSubjects } from "./createTestSubjects";
 import { testServices } from "./testServices";
 
 describe("createCrashObserver", () => {
-    function createFixture(check: (count: number) => InstanceState | "never", logger = createSilentLogger()) {
+    function createFixture(
+        check: (count: number) => InstanceState | "never",
+        logger = createSilentLogger(),
+        getListedInstance: (milliseconds: number) => FleetInstance | undefined = () => undefined,
+    ) {
         const clock = createManualClock();
         let checkCount = 0;
         const observer = createCrashObserver({
@@ -17,13 +22,14 @@
                 const state = check(checkCount++);
                 return state === "never" ? new Promise(() => undefined) : Promise.resolve(state);
             },
+            getListedInstance: () => getListedInstance(clock.getMonotonicMilliseconds()),
             getSuspectedRequestIds: () => new Set(),
             clock,
             logger,
             metrics: createMetrics(),
             signal: new AbortController().signal,
         });
-        const instance = createTestInstance({ instanceId: "engine-1" });
+        const instance = createTestInstance({ instanceId: "engine-1", startMilliseconds: 1_000 });
         return { clock, observer, instance, getCheckCount: () => checkCount };
     }
 
@@ -153,6 +159,49 @@
         expect([await lose(false), await lose(false), await lose(true)]).to.deep.equal([[1, 1], [1, 1], [2, 2]]);
     });
 
+    describe("a server that starts again under its id, so that its crashes were never counted", () => {
+        /** Loses a run at a server whose list entry changes after a second; returns the number of crashes. */
+        async function doTest(
+            states: InstanceState[],
+            changes: Parameters<typeof createTestInstance>[0],
+            expected: number,
+        ) {
+            const { clock, observer, instance } = createFixture(
+                count => states[count] ?? InstanceState.Serving,
+                undefined,
+                milliseconds =>
+                    createTestInstance({
+                        instanceId: "engine-1",
+                        startMilliseconds: 1_000,
+                        ...milliseconds < 1_000 ? {} : changes,
+                    }),
+            );
+            observer.beginRun(instance, testServices.plain, createTestSubjects([], "lost")).lose(LossCause.Connection);
+            await clock.advance(5_000);
+            expect(observer.getObservations().length).to.equal(expected);
+        }
+
+        it("has crashed where it did not answer before", () =>
+            doTest([InstanceState.Unknown], { startMilliseconds: 2_000 }, 1));
+        it("has crashed where it did not answer to any probe", () =>
+            doTest(Array<InstanceState>(8).fill(InstanceState.Unknown), { startMilliseconds: 2_000 }, 1));
+        it("has not crashed where it answered at once, as it may have ended with the connection", () =>
+            doTest([], { startMilliseconds: 2_000 }, 0));
+        it("has not crashed where it was to leave", () =>
+            doTest([InstanceState.Unknown], { startMilliseconds: 2_000, isLeaving: true }, 0));
+        it("has not crashed without a later start", () => doTest([InstanceState.Unknown], {}, 0));
+
+        it("is asked again after its next start, without a response before", async () => {
+            const { clock, observer, instance } = createFixture(() => InstanceState.Refusing);
+            for (const startMilliseconds of [1_000, 9_000]) {
+                const started = { ...instance, startMilliseconds };
+                observer.beginRun(started, testServices.plain, createTestSubjects([])).lose(LossCause.Connection);
+                await clock.advance(100);
+            }
+            expect(observer.getObservations().length).to.equal(2);
+        });
+    });
+
     it("asks once for several lost requests", async () => {
         const { clock, observer, instance, getCheckCount } = createFixture(() => InstanceState.Refusing);
         const runs = [["a"], ["b"], ["c"]].map(subjectIds =>
--- a/tests/crashQuarantine/simulateCrashes.ts
+++ b/tests/crashQuarantine/simulateCrashes.ts
@@ -77,6 +77,7 @@
         createCrashObserver({
             incarnation: String(observerCount++),
             checkInstance,
+            getListedInstance: () => undefined,
             getSuspectedRequestIds: () => new Set(),
             clock,
             logger: createSilentLogger(),
--- a/tests/platform/roles/failingTasks.tests.ts
+++ b/tests/platform/roles/failingTasks.tests.ts
@@ -224,6 +224,7 @@
             const observer = createCrashObserver({
                 incarnation: "one",
                 checkInstance: failFirst(1, () => Promise.resolve(InstanceState.Ended)),
+                getListedInstance: () => undefined,
                 getSuspectedRequestIds: () => new Set(),
                 ...context,
             });
