Take no server for failed because of this process or the request

Callers saw: after a burst that used up the connections to sound servers, or after a request that can't be written to any server, requests at a silent server were not hedged, and ended without an answer at their time limit, as the other servers counted as failed for up to 4 s. Cause: an attempt that was not sent counted as a failure of the server, also where all connections that this process may open were in use (max_connections), or where undici refused the request: one with a second Host header, or of a workspace whose name holds characters beyond Latin-1. Each such request marked up to four servers. Class: an own failure taken for the server's. Change: the result of an attempt that was not sent tells whether the server is sound. The next server is tried as before.

--- a/src/forwarding/AttemptResult.ts
+++ b/src/forwarding/AttemptResult.ts
@@ -9,7 +9,12 @@
 /** The result of an attempt. */
 export type AttemptResult =
     /** The request was not sent, for instance because no connection could be established. */
-    | { kind: "notSent"; reason: string; }
+    | {
+        kind: "notSent";
+        reason: string;
+        /** Whether it is due to this process or to the request, so that the backend server has not failed; false by default. */
+        isServerSound?: boolean;
+    }
     /** The backend server states that it did not run the request. */
     | {
         kind: "notRun";
--- a/src/forwarding/createAttemptRecorder.ts
+++ b/src/forwarding/createAttemptRecorder.ts
@@ -50,7 +50,12 @@
                 task.counts.sent -= 1;
                 task.counts.run -= 1;
                 serverLimits.giveBack(instanceId);
-                recordLoss(task, instance, RetryReason.Unreachable, result.reason);
+                if (result.isServerSound) {
+                    recordFailedAttempt(task, instance, RetryReason.Unreachable, result.reason);
+                }
+                else {
+                    recordLoss(task, instance, RetryReason.Unreachable, result.reason);
+                }
                 return false;
             case "notRun":
                 task.counts.run -= 1;
--- a/tests/platform/backends/changedConnectionLimits.tests.ts
+++ b/tests/platform/backends/changedConnectionLimits.tests.ts
@@ -68,7 +68,8 @@
                 send(maximumConnections).result,
                 new Promise<undefined>(resolve => setImmediate(() => resolve(undefined))),
             ]);
-            expect(refused).to.deep.equal({ kind: "notSent", reason: "all connections are in use" });
+            const reason = "all connections are in use";
+            expect(refused).to.deep.equal({ kind: "notSent", reason, isServerSound: true });
             expect(await answer(open)).to.deep.equal(open.map(() => "done"));
         });
     }
--- a/tests/platform/backends/createBackendLink.tests.ts
+++ b/tests/platform/backends/createBackendLink.tests.ts
@@ -23,11 +23,16 @@
         return server;
     }
 
-    function send(address: string, requestId = "request-1", signal = new AbortController().signal) {
+    function send(
+        address: string,
+        requestId = "request-1",
+        signal = new AbortController().signal,
+        furtherHeaders: readonly string[] = [],
+    ) {
         return link.send({
             request: createTestRequest({
                 requestId,
-                headers: ["Host", "one.example", "Basilwing-Request-Id", requestId],
+                headers: ["Host", "one.example", "Basilwing-Request-Id", requestId, ...furtherHeaders],
             }),
             instance: createTestInstance({ address }),
             maximumConnections: 1,
@@ -60,6 +65,19 @@
         expect((await send("10.0.0.1:70000")).kind).to.equal("notSent");
     });
 
+    describe("a request that can't be sent to any server", () => {
+        async function doTest(headers: readonly string[]) {
+            const server = await startServer(() => undefined);
+            const result = await send(server.address, "request-1", undefined, headers);
+            expect(result).to.include({ kind: "notSent", isServerSound: true });
+            expect(server.requests).to.deep.equal([]);
+        }
+
+        it("is no failure of the server (a second host)", () => doTest(["host", "one.example"]));
+        it("is no failure of the server (characters beyond Latin-1)", () => doTest(["X-Name", "\u4e2d"]));
+        it("is no failure of the server (an expectation)", () => doTest(["Expect", "more"]));
+    });
+
     describe("a response", () => {
         async function doTest(text: string, end: "keep" | "finish" | "reset", expected: string) {
             const server = await startServer(socket => {
@@ -183,7 +201,7 @@
         const server = await startServer(() => undefined);
         await server.stop();
         servers = [];
-        expect((await send(server.address)).kind).to.equal("notSent");
+        expect(await send(server.address)).to.include({ kind: "notSent", isServerSound: false });
     });
 
     it("reports a request at once as not sent and never sends it if the caller leaves while connecting", async () => {
