Test that callers which leave behind invalid bytes have their connections ended

Both new rows pass without a change: they rule out that a connection stays open where its caller ends its side behind invalid bytes, or behind an invalid body.

--- a/tests/platform/callers/truncatedRequests.tests.ts
+++ b/tests/platform/callers/truncatedRequests.tests.ts
@@ -6,7 +6,7 @@
 import { startTestCallerServer } from "./startTestCallerServer";
 
 // Their connections stayed open for ever, and their requests in progress with them.
-describe("startCallerServer, to callers that leave in the middle of a request behind another one", () => {
+describe("startCallerServer, to callers that leave in the middle of a request, or of invalid bytes, behind a request", () => {
     let callerServer: CallerServer;
     let requests: ForwardedRequest[];
     beforeEach(async () => {
@@ -18,7 +18,7 @@
         callerServer.server.close();
     });
 
-    async function doTest(part: string): Promise<void> {
+    async function doTest(part: string, isInvalid = false): Promise<void> {
         const caller = openRawCaller(callerServer);
         caller.request("1");
         await once(callerServer.server, "request");
@@ -26,7 +26,12 @@
             await new Promise(resolve => setTimeout(resolve, 1));
         }
         const closed = once(caller.socket, "close");
-        caller.socket.end(part);
+        if (isInvalid) {
+            const failed = once(callerServer.server, "clientError");
+            caller.socket.write(part);
+            await failed;
+        }
+        caller.socket.end(isInvalid ? "" : part);
         await closed;
         while (callerServer.getOpenCount() > 0) {
             await new Promise(resolve => setTimeout(resolve, 1));
@@ -41,4 +46,7 @@
     it("ends their connections in the middle of a body", () => doTest(`${head}Content-Length: 10\r\n\r\nbody`));
     it("ends their connections in the middle of a chunk", () =>
         doTest(`${head}Transfer-Encoding: chunked\r\n\r\n10\r\nbody`));
+    it("ends their connections behind invalid bytes", () => doTest("\u0001\r\n\r\n", true));
+    it("ends their connections behind an invalid body", () =>
+        doTest(`${head}Transfer-Encoding: chunked\r\n\r\nzz\r\n`, true));
 });
