--- a/tests/platform/callers/unusualRequests.tests.ts
+++ b/tests/platform/callers/unusualRequests.tests.ts
@@ -61,6 +61,11 @@
             expect(metrics.getUnanswered()).to.deep.equal({});
         }
 
+        // Its connection was closed without an answer.
+        it("is refused if it asks for a tunnel", () =>
+            doTest(`CONNECT one.example:443 HTTP/1.1\r\n${headers}\r\n`, 400, false));
+        it("is refused if it asks for a tunnel to a path", () =>
+            doTest(`CONNECT /reads/1 HTTP/1.1\r\n${headers}\r\n`, 400, false));
         it("is answered if it asks for another protocol", () =>
             doTest(`GET /reads/1 HTTP/1.1\r\n${headers}Connection: Upgrade\r\nUpgrade: websocket\r\n\r\n`, 200, true));
         it("is answered if it asks for another protocol, with a body", () =>
@@ -94,6 +99,37 @@
                 .to.deep.equal([[200, ...expectedLater], true, {}]);
         }
 
+        it("a request for a tunnel", () =>
+            doTest(caller => void caller.write(`CONNECT one.example:443 HTTP/1.1\r\n${headers}\r\n`), []));
+        it("a request for a tunnel, before the end of the caller's side of it", () =>
+            doTest(caller => void caller.write(`CONNECT one.example:443 HTTP/1.1\r\n${headers}\r\nbytes`), []));
+        it("a request for a tunnel, while a long response is being sent", async () => {
+            const caller = openRawCaller(callerServer);
+            caller.request("held");
+            await waitUntil(() => held.length === 1);
+            held[0]!.start({ status: 200, headers: [] });
+            const connecting = once(callerServer.server, "connect");
+            caller.socket.write(`CONNECT one.example:443 HTTP/1.1\r\n${headers}\r\n`);
+            await connecting;
+            const part = Buffer.alloc(1_000_000, "a");
+            for (let index = 0; index < 20; index++) {
+                await held[0]!.write(part);
+            }
+            held[0]!.end();
+            await waitUntil(caller.hasEnded);
+            expect(caller.getText()).to.match(/\r\n0\r\n\r\n$/);
+        });
+        it("a request for a tunnel, and the process goes on if its caller resets the connection", async () => {
+            const caller = openRawCaller(callerServer);
+            caller.request("held");
+            await waitUntil(() => held.length === 1);
+            const connecting = once(callerServer.server, "connect");
+            caller.socket.write(`CONNECT one.example:443 HTTP/1.1\r\n${headers}\r\n`);
+            await connecting;
+            caller.socket.resetAndDestroy();
+            await waitUntil(() => callerServer.getOpenCount() === 0);
+            expect(metrics.getUnanswered()).to.deep.equal({});
+        });
         it("a request whose body is invalid", () =>
             doTest(
                 caller =>
