--- a/tests/platform/callers/unusualRequests.tests.ts
+++ b/tests/platform/callers/unusualRequests.tests.ts
@@ -188,6 +188,25 @@
         const none = { body: "" };
 
         it("to HEAD keeps the connection in step", () => doTest("HEAD", send(200, [], ""), { status: 200, ...none }));
+        // It told that the body of a GET would be empty.
+        it("to HEAD states the length that the backend server states", () =>
+            doTest("HEAD", send(200, ["Content-Length", "12"], ""), {
+                status: 200,
+                ...none,
+                head: "content-length: 12\r\n",
+            }));
+        it("with status 304 states the length that the backend server states", () =>
+            doTest("GET", send(304, ["Content-Length", "12"], ""), {
+                status: 304,
+                ...none,
+                head: "content-length: 12\r\n",
+            }));
+        it("to HEAD states no length where the backend server states none", () =>
+            doTest("HEAD", send(200, ["X-One", "1"], ""), {
+                status: 200,
+                ...none,
+                head: "HTTP/1.1 200 OK\r\nX-One: 1\r\nDate: ",
+            }));
         it("to HEAD keeps the connection in step if it has a body all the same", () =>
             doTest("HEAD", send(200, [], "body"), { status: 200, ...none }));
         it("to HEAD keeps the connection in step if it is a stream", () =>
