Log failures in the handling of other members' messages

Seen by reading: what a handler of the replicated log throws, such as the violated invariant of a conflicting entry at a committed index, was turned into an error of the call by the server and logged nowhere. Where a set of members could not be decoded, the entries had been stored already, without the members. Change: handlers are supervised: a failure is logged and counted as `memberMessage`, and the sender gets no response. The member goes on: nothing is acknowledged, whereas a restarted one would no longer know what is committed. Members are decoded before anything is changed. The test groups fail on any such failure, as they did before.

--- a/src/control/consensus/createFollower.ts
+++ b/src/control/consensus/createFollower.ts
@@ -92,12 +92,18 @@
             return true;
         }
         const newEntries = entries.slice(firstNew);
+        // Decoded first: entries whose members can't be decoded must not be stored without them.
+        const memberChanges = newEntries.filter(({ kind }) => kind === EntryKind.MEMBERS)
+            .map(({ index, data }) => ({ index, members: fromBinary(MemberSetSchema, data) }));
         const firstIndex = newEntries[0]!.index;
         if (firstIndex <= storage.getLastIndex() && !await truncateLog(firstIndex)) {
             return false;
         }
         const write = storage.addEntries(newEntries);
-        addMembers(newEntries);
+        memberChanges.forEach(({ index, members }) => state.members.addMembers(index, members));
+        if (memberChanges.length > 0) {
+            state.notifyStateChange();
+        }
         const outcome = await write;
         if (outcome.kind === "failed") {
             state.fail(outcome.reason);
@@ -126,14 +132,6 @@
         return outcome.kind === "stored";
     }
 
-    function addMembers(entries: readonly LogEntry[]): void {
-        const changes = entries.filter(entry => entry.kind === EntryKind.MEMBERS);
-        changes.forEach(entry => state.members.addMembers(entry.index, fromBinary(MemberSetSchema, entry.data)));
-        if (changes.length > 0) {
-            state.notifyStateChange();
-        }
-    }
-
     function getResponse(accepted: boolean, lastIndex: bigint): AppendResponse {
         return create(AppendResponseSchema, {
             term: state.getTerm(),
--- a/src/control/consensus/createReplicatedLog.ts
+++ b/src/control/consensus/createReplicatedLog.ts
@@ -3,8 +3,9 @@
  * task for each peer, the applier, and the maintenance of the group's members.
  */
 import { create, fromBinary } from "@bufbuild/protobuf";
-import { GaugeName } from "../../metrics";
+import { GaugeName, TaskName } from "../../metrics";
 import { EntryKind, MemberRole, MemberSet, MemberSetSchema } from "../../protocol";
+import { superviseTask } from "../../supervision";
 import { ConsensusHandlers } from "./ConsensusHandlers";
 import { ConsensusState } from "./ConsensusState";
 import { createApplier } from "./createApplier";
@@ -65,14 +66,27 @@
         getLeaderLeaseMilliseconds: leadership.getLeaseMilliseconds,
         addStatusListener: listener => state.addListener(() => listener(getStatus())),
         stop: state.stop,
-        handleVote: election.handleVote,
-        handleAppend: follower.handleAppend,
-        handleSnapshotPart: follower.handleSnapshotPart,
-        handleJoin: membership.handleJoin,
-        handleReadIndex: barrier.handleReadIndex,
-        handleLeadership: formerLease.handleLeadership,
+        handleVote: supervise(election.handleVote),
+        handleAppend: supervise(follower.handleAppend),
+        handleSnapshotPart: supervise(follower.handleSnapshotPart),
+        handleJoin: supervise(membership.handleJoin),
+        handleReadIndex: supervise(barrier.handleReadIndex),
+        handleLeadership: supervise(formerLease.handleLeadership),
     };
 
+    /** Logs failures of a handler, whose member appears as unreachable then. */
+    function supervise<TRequest, TResponse>(
+        handle: (request: TRequest) => Promise<TResponse | undefined>,
+    ): (request: TRequest) => Promise<TResponse | undefined> {
+        return async request => {
+            let response: TResponse | undefined;
+            await superviseTask(TaskName.MemberMessage, async () => {
+                response = await handle(request);
+            }, options);
+            return response;
+        };
+    }
+
     /** Starts a new group, whose members are stored as a snapshot at index 0. */
     async function startGroup(members: MemberSet): Promise<void> {
         await state.logQueue.run(async () => {
--- a/src/metrics/TaskName.ts
+++ b/src/metrics/TaskName.ts
@@ -28,6 +28,8 @@
     StreamOriginRestoration = "streamOriginRestoration",
     /** Takes part in the replicated log. */
     ReplicatedLog = "replicatedLog",
+    /** Handles a message of another member of the replicated log. */
+    MemberMessage = "memberMessage",
     /** Polls the platform's list of backend servers. */
     FleetListPolling = "fleetListPolling",
     /** Chooses the engines that load weights. */
--- a/src/supervision/failurePolicies.ts
+++ b/src/supervision/failurePolicies.ts
@@ -25,6 +25,8 @@
     [TaskName.StreamOriginRestoration]: FailurePolicy.GiveUp,
     // A promise to other members or the log itself may be half kept.
     [TaskName.ReplicatedLog]: FailurePolicy.EndProcess,
+    // Nothing is acknowledged. A restarted process would not know what is committed, and accept what this one refuses.
+    [TaskName.MemberMessage]: FailurePolicy.GiveUp,
     [TaskName.FleetListPolling]: FailurePolicy.Restart,
     // Waits as a new leader does until earlier orders have run out.
     [TaskName.Rollout]: FailurePolicy.Restart,
--- a/tests/control/consensus/createReplicatedLog.tests.ts
+++ b/tests/control/consensus/createReplicatedLog.tests.ts
@@ -2,6 +2,7 @@
 import { expect } from "chai";
 import { crc32 } from "node:zlib";
 import { ConsensusRole } from "../../../src/control/consensus";
+import { createMetrics } from "../../../src/metrics";
 import {
     AppendRequestSchema,
     EntryKind,
@@ -501,6 +502,56 @@
             }));
     });
 
+    // The server of the members' messages swallowed such failures, with a change of the log that was made in part.
+    describe("a message that can't be handled", () => {
+        const undecodable = Buffer.from([0xff]);
+
+        it("is counted, and its sender gets no response", async () => {
+            const metrics = createMetrics();
+            await withGroup({ options: { metrics } }, async (group, leader) => {
+                const [follower] = getOthers(group, leader);
+                const { term } = getStatus(leader);
+                await group.advance(leaseMilliseconds + 100);
+                const { storage } = follower!;
+                const { getTerm } = storage!;
+                storage!.getTerm = () => {
+                    throw new Error("broken");
+                };
+                const request = { group: "test", term, recipientId: storage!.memberId, previousIndex: 1n };
+                const response = await follower!.log!.handleAppend(create(AppendRequestSchema, request));
+                storage!.getTerm = getTerm;
+                expect(response).to.equal(undefined);
+                expect(await metrics.getText()).to.match(/task_failures_total\{task="memberMessage"\} \d/);
+            });
+        });
+
+        it("changes nothing where a set of members can't be decoded", async () => {
+            await withGroup({ options: { metrics: createMetrics() } }, async (group, leader) => {
+                const [follower] = getOthers(group, leader);
+                await group.advance(leaseMilliseconds + 100);
+                isolate(group, leader);
+                const { term, lastIndex } = getStatus(follower!);
+                const entry = create(LogEntrySchema, {
+                    index: lastIndex + 1n,
+                    term,
+                    kind: EntryKind.MEMBERS,
+                    data: undecodable,
+                });
+                const response = follower!.log!.handleAppend(create(AppendRequestSchema, {
+                    group: "test",
+                    term,
+                    previousIndex: lastIndex,
+                    previousTerm: term,
+                    entries: [entry],
+                    recipientId: follower!.storage!.memberId,
+                })).catch(() => undefined);
+                await group.advance(10);
+                expect(await response).to.equal(undefined);
+                expect(follower!.storage!.getLastIndex()).to.equal(lastIndex);
+            });
+        });
+    });
+
     describe("parts of a snapshot", () => {
         async function doTest(change: { checksum?: number; offset?: bigint; }, expected: object): Promise<void> {
             await withGroup({}, async (group, leader) => {
--- a/tests/control/consensus/createTestGroup.ts
+++ b/tests/control/consensus/createTestGroup.ts
@@ -442,7 +442,9 @@
     return {
         countRefusal: () => undefined,
         countRetry: () => undefined,
-        countTaskFailure: () => undefined,
+        countTaskFailure: name => {
+            throw new Error(`a task failed: ${name}`);
+        },
         addCount: () => undefined,
         getCount: () => 0,
         getRefusals: () => ({}),
