Go on with a silent run where no second one can be started

Shown by an injected failure: where the decision on a second run beside a silent one fails, the request failed with it (unknown), although its first run was in progress. By reading: nobody read that run any more, so a stream's attempt stayed open. Evidence: the new test failed on the former code (the request is rejected with the failure). Change: such a failure is logged, and the request goes on with its first run. Result: the test passes.

--- a/src/forwarding/startRuns.ts
+++ b/src/forwarding/startRuns.ts
@@ -118,9 +118,15 @@
 
     /** Starts a second run beside a silent one, if there is none and the request may be sent once more. */
     function startHedge(run: Run<T>, silentMilliseconds: number): void {
-        if (!hedge && silentMilliseconds >= getHedgedSilence() && dispatcher.tryReserveHedge(run.task)) {
-            run.task.isHedged = true;
-            hedge = startRun(signal => createHedgeTask(run.task, signal));
+        try {
+            if (!hedge && silentMilliseconds >= getHedgedSilence() && dispatcher.tryReserveHedge(run.task)) {
+                run.task.isHedged = true;
+                hedge = startRun(signal => createHedgeTask(run.task, signal));
+            }
+        }
+        catch (thrown) {
+            run.task.isHedged = false;
+            run.task.logger.error({ error: getErrorMessage(thrown) }, "second run failed to start");
         }
     }
 
