--- a/tests/control/consensus/createTestGroup.ts
+++ b/tests/control/consensus/createTestGroup.ts
@@ -443,7 +443,9 @@
         countRefusal: () => undefined,
         countRetry: () => undefined,
         countUnanswered: () => undefined,
-        countTaskFailure: () => undefined,
+        countTaskFailure: name => {
+            throw new Error(`a task failed: ${name}`);
+        },
         addCount: () => undefined,
         getCount: () => 0,
         getRefusals: () => ({}),
