Count the end of a backend server once for each of its starts

Callers saw: nothing yet that is known; found by the review. A sound request could become guilty: each run of a former start that was lost later, after a silence, was another crash, which also accused runs of the new start. And where the list tells no start, later crashes under an id were ignored until a run began there, so that a guilty request could go unfound. Cause: runs were kept by id, and an end that only the list showed was not remembered; one at an unknown start was kept for good. Change: runs, checks and ends are kept by start. An end at a known start holds for good, one at an unknown start for as long as the list may lag.

--- a/src/crashQuarantine/createCrashObserver.ts
+++ b/src/crashQuarantine/createCrashObserver.ts
@@ -45,8 +45,8 @@
 /** The number of checks without a clear result after which the crash counts as unconfirmed. */
 const maximumChecks = 8;
 
-/** How long the list may take to show that an instance has started again, in milliseconds: its lag and that of polls. */
-const restartNewsMilliseconds = 3_000;
+/** How long the list may take to show that an instance has ended or started again, in milliseconds: with that of polls. */
+const listLagMilliseconds = 3_000;
 
 /** The number of ended instances that are remembered; beyond it, the oldest are forgotten. */
 const maximumEndedInstances = 256;
@@ -79,10 +79,10 @@
  */
 export function createCrashObserver(options: CrashObserverOptions): CrashObserver {
     const { incarnation, clock, logger, metrics, signal } = options;
-    const runsByInstance = new Map<string, Set<RunInFlight>>();
+    /** The runs in flight, the checks, and until when ends are known, by start of an instance. */
+    const runsByStart = new Map<string, Set<RunInFlight>>();
     const checks = new Map<string, CrashCheck>();
-    /** The starts of instances that have ended. */
-    const endedStarts = new LRUCache<string, true>({ max: maximumEndedInstances });
+    const endTimes = new LRUCache<string, number>({ max: maximumEndedInstances });
     const completionTimes = new LRUCache<string, readonly number[]>({ max: maximumSubjects });
     let observations: TimedObservation[] = [];
     let observedRequestIds: ReadonlySet<string> = new Set();
@@ -90,42 +90,55 @@
     return { beginRun, getObservations, getCompletions };
 
     function beginRun(instance: FleetInstance, service: BackendService, subjects: RunSubjects): ObservedRun {
+        const startKey = getStartKey(instance);
         const run: RunInFlight = { subjects, beginMilliseconds: undefined };
-        const runs = runsByInstance.get(instance.instanceId) ?? new Set();
-        runsByInstance.set(instance.instanceId, runs.add(run));
+        const runs = runsByStart.get(startKey) ?? new Set();
+        runsByStart.set(startKey, runs.add(run));
         return {
             recordBegin: () => {
                 // It may have started again under its id, which the list need not show.
-                endedStarts.delete(getStartKey(instance));
+                endTimes.delete(startKey);
                 if (service.kind === "engine") {
                     run.beginMilliseconds ??= clock.getMonotonicMilliseconds();
                 }
             },
             complete: () => {
-                if (removeRun(instance.instanceId, run)) {
+                if (removeRun(startKey, run)) {
                     recordCompletion(run);
                 }
             },
             lose: cause => {
-                if (runsByInstance.get(instance.instanceId)?.has(run) && !endedStarts.has(getStartKey(instance))) {
+                if (runsByStart.get(startKey)?.has(run) && !hasEnded(startKey)) {
                     checkCrash(instance, service, run, cause);
                 }
-                removeRun(instance.instanceId, run);
+                removeRun(startKey, run);
             },
-            end: () => void removeRun(instance.instanceId, run),
+            end: () => void removeRun(startKey, run),
         };
     }
 
     /** Removes a run; returns whether it was in flight. */
-    function removeRun(instanceId: string, run: RunInFlight): boolean {
-        const runs = runsByInstance.get(instanceId);
+    function removeRun(startKey: string, run: RunInFlight): boolean {
+        const runs = runsByStart.get(startKey);
         const wasInFlight = runs?.delete(run) ?? false;
         if (runs?.size === 0) {
-            runsByInstance.delete(instanceId);
+            runsByStart.delete(startKey);
         }
         return wasInFlight;
     }
 
+    /** Records that an instance has ended, so that runs there that are lost later show nothing more. */
+    function recordEnd(instance: FleetInstance): void {
+        // One whose start is not known may serve again under the same key once the list has shown that it ended.
+        const isStartKnown = instance.startMilliseconds > 0;
+        const forgottenMilliseconds = isStartKnown ? Infinity : clock.getMonotonicMilliseconds() + listLagMilliseconds;
+        endTimes.set(getStartKey(instance), forgottenMilliseconds);
+    }
+
+    function hasEnded(startKey: string): boolean {
+        return clock.getMonotonicMilliseconds() < (endTimes.get(startKey) ?? -Infinity);
+    }
+
     /** Records a completion; that of a request only if it is accused, since its digest costs time. */
     function recordCompletion({ subjects }: RunInFlight): void {
         const now = clock.getMonotonicMilliseconds();
@@ -151,8 +164,8 @@
         lostRun: RunInFlight,
         cause: LossCause,
     ): void {
-        const { instanceId } = instance;
-        const current = checks.get(instanceId);
+        const startKey = getStartKey(instance);
+        const current = checks.get(startKey);
         if (current) {
             addRun(current, lostRun);
             return;
@@ -164,13 +177,13 @@
             begunRuns: new Set(),
             waitingRuns: new Set(),
         };
-        checks.set(instanceId, check);
-        runsByInstance.get(instanceId)?.forEach(run => addRun(check, run));
+        checks.set(startKey, check);
+        runsByStart.get(startKey)?.forEach(run => addRun(check, run));
         startTask(
             TaskName.CrashCheck,
             async () => {
                 const mayServeAgain = await confirmCrash(instance, service, check).finally(() =>
-                    checks.delete(instanceId)
+                    checks.delete(startKey)
                 );
                 if (mayServeAgain) {
                     await confirmRestart(instance, service, check);
@@ -205,7 +218,7 @@
                 return !check.takesRuns || check.cause === LossCause.Silence;
             }
             if (state === InstanceState.Ended || state === InstanceState.Refusing) {
-                endedStarts.set(getStartKey(instance), true);
+                recordEnd(instance);
                 if (wasReplacedBefore(check, state)) {
                     logger.info(
                         { instanceId: instance.instanceId, ...getCandidates(check) },
@@ -229,13 +242,14 @@
 
     /** Records a crash if the list shows that the instance has started again, unless it was to leave. */
     async function confirmRestart(instance: FleetInstance, service: BackendService, check: CrashCheck): Promise<void> {
-        const endMilliseconds = clock.getMonotonicMilliseconds() + restartNewsMilliseconds;
+        const endMilliseconds = clock.getMonotonicMilliseconds() + listLagMilliseconds;
         while (!signal.aborted && clock.getMonotonicMilliseconds() < endMilliseconds) {
             const listed = options.getListedInstance(instance.instanceId);
-            if (instance.startMilliseconds === 0 || listed?.isLeaving) {
+            if (instance.startMilliseconds === 0 || listed?.isLeaving || hasEnded(getStartKey(instance))) {
                 return;
             }
             if (listed && listed.startMilliseconds > instance.startMilliseconds) {
+                recordEnd(instance);
                 addObservation(instance.instanceId, service, check);
                 return;
             }
--- a/tests/crashQuarantine/createCrashObserver.tests.ts
+++ b/tests/crashQuarantine/createCrashObserver.tests.ts
@@ -191,6 +191,36 @@
             doTest([InstanceState.Unknown], { startMilliseconds: 2_000, isLeaving: true }, 0));
         it("has not crashed without a later start", () => doTest([InstanceState.Unknown], {}, 0));
 
+        it("has crashed once, however late the runs of its former start are lost", async () => {
+            const { clock, observer, instance } = createFixture(
+                () => InstanceState.Serving,
+                undefined,
+                () => createTestInstance({ instanceId: "engine-1", startMilliseconds: 2_000 }),
+            );
+            const begin = (subject: string, startMilliseconds: number) =>
+                observer.beginRun(
+                    { ...instance, startMilliseconds },
+                    testServices.plain,
+                    createTestSubjects([], subject),
+                );
+            const lostRuns = ["old-1", "old-2", "old-3"].map(subject => begin(subject, 1_000));
+            begin("new", 2_000);
+            for (const run of lostRuns) {
+                run.lose(LossCause.Silence);
+                await clock.advance(5_000);
+            }
+            expect(observer.getObservations().map(({ waitingSubjectIds }) => waitingSubjectIds))
+                .to.deep.equal([["request-old-1", "request-old-2", "request-old-3"]]);
+        });
+        it("has crashed each time where the list tells no start and it never responds", async () => {
+            const { clock, observer, instance } = createFixture(() => InstanceState.Refusing);
+            for (let count = 0; count < 3; count++) {
+                observer.beginRun({ ...instance, startMilliseconds: 0 }, testServices.plain, createTestSubjects([]))
+                    .lose(LossCause.Connection);
+                await clock.advance(4_000);
+            }
+            expect(observer.getObservations().length).to.equal(3);
+        });
         it("is asked again after its next start, without a response before", async () => {
             const { clock, observer, instance } = createFixture(() => InstanceState.Refusing);
             for (const startMilliseconds of [1_000, 9_000]) {
