Mark leaving backend servers by what the newest list says

A server whose entry showed an earlier start, as after its clock was set back, was not marked as leaving; a mark was forgotten where an entry without a start got one; and a late answer to a former start marked the later one. Change: an entry that is leaving shows so and marks its id with its start. Only an entry that does not leave and has a later start ends the mark. A termination is that of the start that was asked.

--- a/src/fleet/FleetTracker.ts
+++ b/src/fleet/FleetTracker.ts
@@ -29,9 +29,9 @@
     /**
      * Records that an instance has terminated, because another backend server responds at its address. The view shows
      * the instance as leaving as long as the list contains it without a later start.
-     * @param instanceId - The id of the terminated instance.
+     * @param instance - The terminated instance.
      */
-    recordTermination(instanceId: string): void;
+    recordTermination(instance: FleetInstance): void;
     /**
      * Records whether an engine is loading new weights or about to do so.
      * @param instanceId - The engine's instance id.
--- a/src/fleet/createFleetTracker.ts
+++ b/src/fleet/createFleetTracker.ts
@@ -33,7 +33,8 @@
     clock: Clock,
     onChange: () => void,
 ): FleetTracker {
-    const leavingIds = new Set<string>();
+    /** The starts of the backend servers that leave or have terminated, in Unix milliseconds; 0 where they are not known. */
+    const leavingStarts = new Map<string, number>();
     const loadingIds = new Set<string>();
     /** The latest start of each backend server that the list has shown, in Unix milliseconds. */
     const startTimes = new Map<string, number>();
@@ -72,32 +73,38 @@
     function setInstances(listedInstances: readonly FleetInstance[]): void {
         instances = listedInstances;
         const listedIds = new Set(listedInstances.map(instance => instance.instanceId));
-        listedInstances.forEach(recordStart);
-        listedInstances
-            .filter(instance => instance.isLeaving && !isOfFormerStart(instance))
-            .forEach(instance => leavingIds.add(instance.instanceId));
-        const observedIds = [...startTimes.keys(), ...leavingIds, ...reportedVersions.keys()];
+        // An entry of a former start, which is leaving, must not mark that of the later one.
+        listedInstances.filter(instance => instance.isLeaving).forEach(recordStart);
+        listedInstances.filter(instance => !instance.isLeaving).forEach(recordStart);
+        const observedIds = [...startTimes.keys(), ...leavingStarts.keys(), ...reportedVersions.keys()];
         observedIds.filter(id => !listedIds.has(id)).forEach(forget);
         recordListedVersions(listedInstances);
         update();
     }
 
     /** Records when a backend server started; what was observed of it before a later start no longer holds. */
-    function recordStart({ instanceId, startMilliseconds }: FleetInstance): void {
+    function recordStart({ instanceId, startMilliseconds, isLeaving }: FleetInstance): void {
         const formerMilliseconds = startTimes.get(instanceId) ?? startMilliseconds;
-        if (startMilliseconds > formerMilliseconds) {
-            forget(instanceId);
+        if (startMilliseconds > formerMilliseconds && formerMilliseconds > 0) {
+            reportedVersions.delete(instanceId);
         }
         startTimes.set(instanceId, Math.max(startMilliseconds, formerMilliseconds));
+        if (isLeaving) {
+            leavingStarts.set(instanceId, startMilliseconds);
+        }
+        else if (hasStartedSinceLeaving(instanceId, startMilliseconds)) {
+            leavingStarts.delete(instanceId);
+        }
     }
 
-    function isOfFormerStart({ instanceId, startMilliseconds }: FleetInstance): boolean {
-        return startMilliseconds > 0 && startMilliseconds < (startTimes.get(instanceId) ?? 0);
+    function hasStartedSinceLeaving(instanceId: string, startMilliseconds: number): boolean {
+        const leavingMilliseconds = leavingStarts.get(instanceId) ?? 0;
+        return leavingMilliseconds > 0 && startMilliseconds > leavingMilliseconds;
     }
 
     function forget(instanceId: string): void {
         startTimes.delete(instanceId);
-        leavingIds.delete(instanceId);
+        leavingStarts.delete(instanceId);
         reportedVersions.delete(instanceId);
     }
 
@@ -125,8 +132,10 @@
         update();
     }
 
-    function recordTermination(instanceId: string): void {
-        leavingIds.add(instanceId);
+    function recordTermination({ instanceId, startMilliseconds }: FleetInstance): void {
+        if (startMilliseconds === 0 || startMilliseconds >= (startTimes.get(instanceId) ?? 0)) {
+            leavingStarts.set(instanceId, startMilliseconds);
+        }
         update();
     }
 
@@ -161,7 +170,7 @@
         const versions = reportedVersions.get(instance.instanceId);
         return create(FleetInstanceSchema, {
             ...instance,
-            isLeaving: leavingIds.has(instance.instanceId),
+            isLeaving: instance.isLeaving || leavingStarts.has(instance.instanceId),
             isLoading: loadingIds.has(instance.instanceId),
             weights: instance.weights.map(loaded => ({
                 ...loaded,
--- a/src/fleet/runWeightsLoad.ts
+++ b/src/fleet/runWeightsLoad.ts
@@ -116,7 +116,7 @@
             fleetTracker.recordWeights(instanceId, [create(LoadedWeightsSchema, { model, weightsVersion })]);
         }
         if (outcome.kind === "misdirected") {
-            fleetTracker.recordTermination(instanceId);
+            fleetTracker.recordTermination(instance);
         }
         return outcome.kind === "holds" || outcome.kind === "misdirected";
     }
