Send no attempt that would be ended at once

Callers saw: shortly before their time was over, a request that had not run was sent once more, ended within milliseconds, and answered as unknown (504) in place of not run (503); a retry was used up. Cause: the time left for an attempt was compared with the deadline, but a request without a response ends before. Change: the time left is that of the request's signal. The signal and a reserved retry are released also where a step fails.

--- a/src/forwarding/ForwardingTask.ts
+++ b/src/forwarding/ForwardingTask.ts
@@ -29,6 +29,8 @@
      * once another run has superseded it.
      */
     readonly signal: AbortSignal;
+    /** Gets when the time of the request is over, on the monotonic clock, in milliseconds. */
+    getEndMilliseconds(): number;
     /** Records that the response to the caller has begun, so that it goes on until the deadline. */
     recordResponseBegun(): void;
     /** Names the run in the trackers of prefills; the first run has the id of the request. */
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -87,9 +87,12 @@
         if (task.counts.sent === 0) {
             retryBudgets.addFirstAttempt(task.admission.service.name);
         }
-        const outcome = await sendAttempts(task, lastEventId ?? task.request.lastEventId);
-        retryReservations.release(task);
-        return outcome;
+        try {
+            return await sendAttempts(task, lastEventId ?? task.request.lastEventId);
+        }
+        finally {
+            retryReservations.release(task);
+        }
     }
 
     async function sendAttempts(task: ForwardingTask, lastEventId: string | undefined): Promise<DispatchOutcome> {
@@ -141,7 +144,8 @@
      * backend servers, or the routing document is too old.
      */
     function getBlockingRefusal(task: ForwardingTask): Refusal | undefined {
-        if (task.signal.aborted || getRemainingMilliseconds(task) < minimumAttemptMilliseconds) {
+        const remainingMilliseconds = task.getEndMilliseconds() - clock.getMonotonicMilliseconds();
+        if (task.signal.aborted || remainingMilliseconds < minimumAttemptMilliseconds) {
             return getFailureRefusal(task);
         }
         if (options.crashQuarantine.isQuarantined(task.subjects)) {
--- a/src/forwarding/createForwarder.ts
+++ b/src/forwarding/createForwarder.ts
@@ -76,43 +76,33 @@
             { endSignals: [request.signal, plannedStop.signal], answerMilliseconds, deadlineMilliseconds },
             clock,
         );
-        const { signal } = requestSignal;
-        const admission = await admitResumption(request, firstAdmission, { ...options, signal });
-        if (admission.kind === "refused") {
+        try {
+            const { signal } = requestSignal;
+            const admission = await admitResumption(request, firstAdmission, { ...options, signal });
+            if (admission.kind === "refused") {
+                refuseUnadmitted(request, reply, admission.refusal, requestLogger);
+                return;
+            }
+            const result = await forwardTask({
+                ...createInitialTaskState(),
+                request,
+                reply,
+                admission,
+                subjects: createRunSubjects(request, admission),
+                deadlineMilliseconds,
+                signal,
+                getEndMilliseconds: requestSignal.getEndMilliseconds,
+                recordResponseBegun: requestSignal.recordResponseBegun,
+                runId: request.requestId,
+                logger: requestLogger,
+                softwareVersion: admission.softwareVersion,
+                polledMilliseconds,
+            });
+            logOutcome(result.task, result.outcome);
+        }
+        finally {
             requestSignal.release();
-            refuseUnadmitted(request, reply, admission.refusal, requestLogger);
-            return;
         }
-        const task: ForwardingTask = {
-            request,
-            reply,
-            admission,
-            subjects: createRunSubjects(request, admission),
-            deadlineMilliseconds,
-            signal,
-            recordResponseBegun: requestSignal.recordResponseBegun,
-            runId: request.requestId,
-            logger: requestLogger,
-            softwareVersion: admission.softwareVersion,
-            originRecord: undefined,
-            triedInstanceIds: new Set(),
-            hasWaitedForPrefill: false,
-            prefillTokens: 0,
-            placement: undefined,
-            observedRun: undefined,
-            attemptEnded: undefined,
-            onServerSilent: () => undefined,
-            isHedged: false,
-            supersededReason: undefined,
-            hasReservedRetry: false,
-            responseEnd: undefined,
-            polledMilliseconds,
-            sentAfterMilliseconds: undefined,
-            counts: { sent: 0, run: 0 },
-        };
-        const result = await forwardTask(task);
-        requestSignal.release();
-        logOutcome(result.task, result.outcome);
     }
 
     function refuseUnadmitted(
@@ -221,6 +211,26 @@
     }
 }
 
+/** Creates the state of the attempts of a request before the first one. */
+function createInitialTaskState() {
+    return {
+        originRecord: undefined,
+        triedInstanceIds: new Set<string>(),
+        hasWaitedForPrefill: false,
+        prefillTokens: 0,
+        placement: undefined,
+        observedRun: undefined,
+        attemptEnded: undefined,
+        onServerSilent: () => undefined,
+        isHedged: false,
+        supersededReason: undefined,
+        hasReservedRetry: false,
+        responseEnd: undefined,
+        sentAfterMilliseconds: undefined,
+        counts: { sent: 0, run: 0 },
+    };
+}
+
 /** Returns whether the log tells which request it was: one that was lost, or is refused as one that crashes servers. */
 function needsRequestSubject({ counts }: ForwardingTask, outcome: ForwardOutcome): boolean {
     const isQuarantined = outcome.kind === "refused" && outcome.refusal.reason === RefusalReason.QUARANTINED;
--- a/src/forwarding/createRequestSignal.ts
+++ b/src/forwarding/createRequestSignal.ts
@@ -21,7 +21,12 @@
     }
     endSignals.forEach(endSignal => endSignal.addEventListener("abort", end, { once: true }));
     detach(endInTime());
-    return { signal: ended.signal, recordResponseBegun: () => void (endMilliseconds = deadlineMilliseconds), release };
+    return {
+        signal: ended.signal,
+        getEndMilliseconds: () => endMilliseconds,
+        recordResponseBegun: () => void (endMilliseconds = deadlineMilliseconds),
+        release,
+    };
 
     async function endInTime(): Promise<void> {
         let remainingMilliseconds = getRemainingMilliseconds();
--- a/tests/forwarding/answersInTime.tests.ts
+++ b/tests/forwarding/answersInTime.tests.ts
@@ -6,7 +6,7 @@
 import { createTestStreamOrigins } from "../streamOrigins/createTestStreamOrigins";
 import { createManualClock, ManualClock } from "../support/createManualClock";
 import { createTestForwarder } from "./createTestForwarder";
-import { createTestLink, createTestResponse, lostResult } from "./createTestLink";
+import { createTestLink, createTestResponse, lostResult, overloadedResult } from "./createTestLink";
 import { createTestReply } from "./createTestReply";
 import { createTestRequest } from "./createTestRequest";
 
@@ -26,6 +26,7 @@
         const routes = createTestDocument().routes.map(route => ({ ...route, timeoutMilliseconds: routeMilliseconds }));
         const instances = [
             createTestInstance({ instanceId: "actions-1", service: "actions", weights: [] }),
+            createTestInstance({ instanceId: "actions-2", service: "actions", weights: [] }),
             createTestInstance({ instanceId: "engine-1" }),
         ];
         updateTestFeedState(state, clock, instances, { routes });
@@ -75,6 +76,17 @@
         expect([reply.getText(), reply.getRefusal()]).to.deep.equal(["200 read whole", undefined]);
     });
 
+    it("is not sent again shortly before, where the attempt would be ended at once", async () => {
+        const trial = createTrial(async clock => {
+            await clock.sleep(560);
+            return overloadedResult;
+        });
+        const { reply, ended } = await trial.forward({ ...read, callerMilliseconds: 600 });
+        await trial.clock.advance(600);
+        await ended;
+        expect([trial.link.attempts.length, reply.getRefusal()?.kind]).to.deep.equal([1, "notRun"]);
+    });
+
     it("keeps a stream that has begun until its deadline", async () => {
         const trial = createTrial((clock, signal) => ({
             ...createTestResponse([]) as Extract<AttemptResult, { kind: "answered"; }>,
