Accuse parts of prompts by crashes at which a response had begun

Cause: a part makes an engine crash once its request begins, but where no response had begun, the parts of all waiting requests were accused. That is the evidence of engines that restart while they are silent, of requests that are sent to a former id, and of crashes whose cause another entry process has not reported. Such crashes without a part also made a guilty one look sound, as it was at less than a fifth of the crashes, those of plain servers included.

Change: parts are accused by crashes at which a response had begun; the others count only where there are eight of them, so that a part that crashes engines before they respond is still found. The share of the crashes is that among comparable ones. Requests are accused as before.

Tests: "where no response had begun" in createSubjectEvidence.tests.ts; three of its five rows failed on the code before, one of them a guilty part that was not found.

--- a/scripts/measure/measureCrashQuarantine.ts
+++ b/scripts/measure/measureCrashQuarantine.ts
@@ -29,6 +29,11 @@
     }],
     ["no guilty part, three planned restarts a second, a tenth of the answers lost", { guiltyParts: 0, ...restarts }],
     ["one guilty part, three planned restarts a second, a tenth of the answers lost", restarts],
+    ["three guilty parts, one other crash a second, three planned restarts a second, a tenth of the answers lost", {
+        ...restarts,
+        guiltyParts: 3,
+        otherCrashesPerSecond: 1,
+    }],
     ["no guilty part, a tenth of the responses broken off", { guiltyParts: 0, brokenShare: 0.1 }],
 ];
 
--- a/src/crashQuarantine/createSubjectEvidence.ts
+++ b/src/crashQuarantine/createSubjectEvidence.ts
@@ -12,12 +12,14 @@
 import { Crash } from "./Crash";
 import { CrashObservation } from "./CrashObservation";
 import { EvidenceScope } from "./EvidenceScope";
+import { getConclusiveCrashes } from "./getConclusiveCrashes";
 import { getCrashCandidates } from "./getCrashCandidates";
 import { getSeparateTimes } from "./getSeparateTimes";
 import { getSubjectKind } from "./getSubjectKind";
 import { getSubjectLimits } from "./getSubjectLimits";
 import { groupCrashesBySubject } from "./groupCrashesBySubject";
 import { GuiltySubject } from "./GuiltySubject";
+import { hasBegun } from "./hasBegun";
 import { hasLead } from "./hasLead";
 import { isAmbiguous } from "./isAmbiguous";
 import { SubjectEvidence } from "./SubjectEvidence";
@@ -215,9 +217,11 @@
         );
         const isPart = kind === SubjectKind.PromptPart;
         const guiltyRequests = isPart ? getGuiltyRequests(crashes) : [];
-        const accusations = [...groupCrashesBySubject(openCrashes.filter(crash => canAccuse(crash, kind)), kind)]
+        const accusations = [...groupCrashesBySubject(openCrashes, kind)]
             .map(([subjectId, ownCrashes]) => {
-                const accusing = getAccusingCrashes(subjectId, ownCrashes, guiltyRequests);
+                const accusing = isPart
+                    ? getConclusiveCrashes(getAccusingCrashes(subjectId, ownCrashes, guiltyRequests), scope)
+                    : ownCrashes;
                 const times = getSeparateTimes(accusing, commonCauseMilliseconds);
                 return {
                     subjectId,
@@ -249,11 +253,6 @@
         return Math.min(1, Math.max(minimumSoundShare, soundShareOfOthers * median));
     }
 
-    /** Returns whether the candidates of a crash may be guilty; a part makes an engine crash once its request begins. */
-    function canAccuse({ begunSubjectIds }: Crash, kind: SubjectKind): boolean {
-        return scope === EvidenceScope.AllEntries || kind !== SubjectKind.PromptPart || begunSubjectIds.size > 0;
-    }
-
     function isSound(
         accusation: Accusation,
         kind: SubjectKind,
@@ -262,7 +261,8 @@
     ): boolean {
         const { subjectId, crashes: ownCrashes, times } = accusation;
         const { commonCauseMilliseconds, minimumCrashShare } = getSubjectLimits(kind);
-        const laterCrashes = openCrashes.filter(crash => crash.timeMilliseconds >= times[0]!);
+        const comparable = ownCrashes.every(hasBegun) ? openCrashes.filter(hasBegun) : openCrashes;
+        const laterCrashes = comparable.filter(crash => crash.timeMilliseconds >= times[0]!);
         const crashCount = getSeparateTimes(laterCrashes, commonCauseMilliseconds).length;
         return hasCompletedOften(subjectId, kind, ownCrashes, soundShare)
             || times.length < minimumCrashShare * crashCount;
--- a/tests/crashQuarantine/createSubjectEvidence.tests.ts
+++ b/tests/crashQuarantine/createSubjectEvidence.tests.ts
@@ -113,6 +113,46 @@
         expect(getGuiltyIds()).to.deep.equal([]);
     });
 
+    describe("where no response had begun", () => {
+        /** Gets the guilty parts after crashes at which their requests only waited, and crashes at which they had begun. */
+        async function doTest(
+            { waiting = [], begun = [] }: { waiting?: readonly string[][]; begun?: readonly string[][]; },
+            expected: readonly string[],
+        ): Promise<void> {
+            const clock = createManualClock();
+            const evidence = createSubjectEvidence(clock);
+            for (const [index, waitingSubjectIds] of waiting.entries()) {
+                evidence.addObservation({ ...createObservation(`engine-${index}`, []), waitingSubjectIds });
+                await clock.advance(1_000);
+            }
+            for (const [index, subjectIds] of begun.entries()) {
+                evidence.addObservation(createObservation(`other-${index}`, subjectIds));
+                await clock.advance(1_000);
+            }
+            expect(evidence.getGuiltySubjects().map(({ subjectId }) => subjectId)).to.deep.equal(expected);
+        }
+
+        const repeat = (count: number, ids: string[]) => Array<string[]>(count).fill(ids);
+
+        it("accuses no part of a few crashes, as of engines that have ended otherwise", () =>
+            doTest({ waiting: repeat(7, ["a"]) }, []));
+        it("accuses a part of twice as many crashes", () => doTest({ waiting: repeat(8, ["a"]) }, ["a"]));
+        it("counts no such crash beside those at which a response had begun", () =>
+            doTest({ waiting: repeat(7, ["a"]), begun: repeat(3, ["a", "bad"]) }, []));
+        it("finds a part in spite of many such crashes without it", () =>
+            doTest(
+                { waiting: Array.from({ length: 25 }, (...[, index]) => [`x${index}`]), begun: repeat(4, ["bad"]) },
+                [
+                    "bad",
+                ],
+            ));
+        it("finds a part in spite of many such crashes among its own", () =>
+            doTest({
+                waiting: [["bad"], ...Array.from({ length: 25 }, (...[, index]) => [`x${index}`])],
+                begun: repeat(4, ["bad"]),
+            }, ["bad"]));
+    });
+
     it("accuses no sound part that was at some crashes of a guilty request without it, and at some of a guilty part", async () => {
         const request = `${requestSubjectPrefix}bad`;
         const crashes = [[request, "own"], [request, "own"], [request, "own", "x"], [request, "own", "x"], [
