--- a/tests/platform/soak/soakRegressions.ts
+++ b/tests/platform/soak/soakRegressions.ts
@@ -32,6 +32,8 @@
     "streams were cut at sound engines that were silent for a second or two, as these were taken for gone";
 const repeatedRefusal =
     "a refusal that arrived a second time on its connection was taken for that of the next attempt, which ran";
+const lateAnswer =
+    "whole requests got no answer, as that of an entry process at their time limit came after their callers had left";
 
 /** The seeds, each with the cause of the failure at the time. */
 export const soakRegressions: readonly { seed: number; cause: string; }[] = [
@@ -58,4 +60,5 @@
     { seed: 60000, cause: silentServer },
     { seed: 60001, cause: silentServer },
     { seed: 70302, cause: repeatedRefusal },
+    { seed: 90008, cause: lateAnswer },
 ];
