Count a connection as idle for longer where the soak stood still

The soak reported a whole request on an idle connection as cut, although it reached the entry process after the stated time. Cause: the process that hosts callers and proxies stood still (559 ms of the 600 ms observed), so that the request left it late. The new test failed before (one breach). Change: a connection counts as used within the stated time only if its idle time and the standstills since add up to less.

--- a/tests/platform/soak/createEndRecorder.tests.ts
+++ b/tests/platform/soak/createEndRecorder.tests.ts
@@ -37,7 +37,7 @@
             port: 1_000,
             use: input.use ?? SoakConnectionUse.Fresh,
             idleMilliseconds: 0,
-            statedMilliseconds: 0,
+            statedMilliseconds: 1_000,
         };
         const status = input.status ?? 0;
         const outcome: ExchangeOutcome = { status, seal: "", text: "", isComplete: false, elapsedMilliseconds, end };
@@ -101,6 +101,11 @@
             breachCount: 1,
         });
     });
+    it("counts those that a standstill of the soak made late", () =>
+        doTest(
+            { reason: SoakEndReason.Reset, use: SoakConnectionUse.Idle, stillMilliseconds: 1_000 },
+            { counts: { "reset idle": 1 }, breachCount: 0 },
+        ));
     it("counts those that were closed after it", () => {
         doTest({ reason: SoakEndReason.Ended, use: SoakConnectionUse.IdleBeyondStated }, {
             counts: { "ended idleBeyondStated": 1 },
--- a/tests/platform/soak/createEndRecorder.ts
+++ b/tests/platform/soak/createEndRecorder.ts
@@ -103,8 +103,7 @@
             }
             return;
         }
-        const isWithinLimit = ![SoakConnectionUse.IdleBeyondStated, SoakConnectionUse.IdleTooLong].includes(end.use);
-        if (isUndisturbed && isWithinLimit) {
+        if (isUndisturbed && isWithinLimit(end, sentMilliseconds)) {
             runTracker.addBreach(`${requestId} got no answer: ${JSON.stringify(trace)}`);
         }
         else if (!runTracker.wasBrokenOff(requestId)) {
@@ -112,6 +111,25 @@
         }
     }
 
+    /** Returns whether the request reached its connection within the stated time, also where the soak stood still meanwhile. */
+    function isWithinLimit(
+        { use, idleMilliseconds, statedMilliseconds }: SoakConnectionEnd,
+        sentMilliseconds: number,
+    ): boolean {
+        const startMilliseconds = sentMilliseconds - idleMilliseconds - observedMilliseconds;
+        const stillMilliseconds = standstills.getStillMilliseconds(startMilliseconds, Date.now());
+        switch (use) {
+            case SoakConnectionUse.Fresh:
+                return true;
+            case SoakConnectionUse.Kept:
+            case SoakConnectionUse.Idle:
+                return idleMilliseconds + stillMilliseconds < statedMilliseconds;
+            case SoakConnectionUse.IdleBeyondStated:
+            case SoakConnectionUse.IdleTooLong:
+                return false;
+        }
+    }
+
     function getReason(entryIndex: number, end: SoakConnectionEnd, isUndisturbed: boolean): SoakEndReason {
         if (end.reason === SoakEndReason.CallerLimit || end.reason === SoakEndReason.CallerLeft) {
             return end.reason;
