Count the retries that are sent and those that the budget refuses, by service

Operators saw: a request that found the retry budget used up was refused as overloaded like any other, and nothing showed what was saved, taken or refused, nor the number of entry processes by which a process divides the reserve. basilwing_retries_total counts failed attempts, also those after which nothing is sent. No decision is changed.

--- a/scripts/generateMetricsReference.ts
+++ b/scripts/generateMetricsReference.ts
@@ -61,6 +61,8 @@
                 ...Object.values(CounterName),
                 "basilwing_refusals_total",
                 "basilwing_retries_total",
+                "basilwing_refused_retries_total",
+                "basilwing_sent_retries_total",
                 "basilwing_unanswered_requests_total",
                 "basilwing_task_failures_total",
             ],
--- a/src/feed/createFeedState.ts
+++ b/src/feed/createFeedState.ts
@@ -60,7 +60,7 @@
         // What may fail comes first: a response that is taken over in part would confirm state that is not there.
         const newTable = createNewerTable(response);
         recordVersions(response.fleet ?? fleet);
-        entryCount = Math.max(1, response.entryCount);
+        recordEntryCount(Math.max(1, response.entryCount));
         memberAddresses = response.memberAddresses.length > 0 ? response.memberAddresses : memberAddresses;
         if (response.fleet) {
             fleet = response.fleet;
@@ -84,6 +84,13 @@
         }
     }
 
+    function recordEntryCount(count: number): void {
+        if (count !== entryCount) {
+            logger.info({ entryCount: count, formerEntryCount: entryCount }, "number of entry processes changed");
+        }
+        entryCount = count;
+    }
+
     async function confirmFleet(timeoutMilliseconds: number, maximumAgeMilliseconds = 0): Promise<boolean> {
         if (fleetConfirmed && getElapsedMilliseconds(clock, fleetConfirmed) < maximumAgeMilliseconds) {
             return true;
--- a/src/forwarding/RetryReservations.ts
+++ b/src/forwarding/RetryReservations.ts
@@ -10,6 +10,11 @@
      * @returns Whether the attempt may be sent.
      */
     tryReserve(task: ForwardingTask): boolean;
+    /**
+     * Takes a retry for a second run of the request beside its first.
+     * @returns Whether there was one left.
+     */
+    tryTake(task: ForwardingTask): boolean;
     /** Records that an attempt was sent, which uses its retry up. */
     recordSent(task: ForwardingTask): void;
     /** Gives a retry back that no attempt of the request has used. */
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -3,7 +3,7 @@
  * its route's kind. One that may have run is sent again only where the route's kind and its maximum number of attempts
  * allow it. Every attempt after one that was sent takes a retry from the budget that all entry processes share.
  */
-import { CounterName, RetryReason, TaskName } from "../metrics";
+import { CounterName, GaugeName, RetryReason, TaskName } from "../metrics";
 import { FleetInstance, RefusalReason } from "../protocol";
 import { createNodeRanking } from "../routing";
 import { createFleetLoads } from "../serverLoads";
@@ -72,7 +72,9 @@
     });
     const recorder = createAttemptRecorder({ ...options, loads, liveness, scheduler, canRunAgain });
     const retryBudgets = createRetryBudgets(options.retryShare, options.retryReserve, state.getEntryCount);
-    const retryReservations = createRetryReservations(retryBudgets);
+    const retryReservations = createRetryReservations(retryBudgets, metrics);
+    metrics.addGauge(GaugeName.EntryProcesses, state.getEntryCount);
+    metrics.addGauge(GaugeName.SavedRetries, retryBudgets.getFewestSavedRetries);
     return {
         dispatch,
         recordPrefillEnd: recorder.recordPrefillEnd,
@@ -266,7 +268,7 @@
         }
         const isAllowed = canRunAgain(task) && !hasTriedAll(task) && !getBlockingRefusal(task)
             && selector.canTakeOver({ ...task, softwareVersion: getHedgeSoftwareVersion(task) })
-            && retryBudgets.tryTakeRetry(task.admission.service.name);
+            && retryReservations.tryTake(task);
         if (isAllowed) {
             metrics.countRetry(RetryReason.SilentServer);
             task.logger.info({
--- a/src/forwarding/createRetryBudgets.ts
+++ b/src/forwarding/createRetryBudgets.ts
@@ -19,9 +19,15 @@
     return {
         addFirstAttempt: service => getBudget(service).addFirstAttempt(),
         tryTakeRetry: service => getBudget(service).tryTakeRetry(),
+        getSavedRetries: service => getBudget(service).getSavedRetries(),
+        getFewestSavedRetries,
         giveBackRetry: service => getBudget(service).giveBackRetry(),
     };
 
+    function getFewestSavedRetries(): number {
+        return budgets.size === 0 ? 0 : Math.min(...[...budgets.values()].map(budget => budget.getSavedRetries()));
+    }
+
     function getBudget(service: string): RetryBudget {
         const budget = budgets.get(service)
             ?? createRetryBudget(usedShare * share, () => usedShare * reserve / getEntryCount());
--- a/src/limits/RetryBudget.ts
+++ b/src/limits/RetryBudget.ts
@@ -8,6 +8,8 @@
     addFirstAttempt(): void;
     /** Takes one retry from the budget; returns false where none is left. */
     tryTakeRetry(): boolean;
+    /** Gets the number of retries that are left; fractions are not yet retries. */
+    getSavedRetries(): number;
     /** Gives a retry back that was taken and not sent. */
     giveBackRetry(): void;
 }
--- a/src/limits/createRetryBudget.ts
+++ b/src/limits/createRetryBudget.ts
@@ -19,7 +19,7 @@
         ? () => maximumSavedRetries
         : maximumSavedRetries;
     let savedRetries = retriesPerFirstAttempt > 0 ? getMaximumSavedRetries() : 0;
-    return { addFirstAttempt, tryTakeRetry, giveBackRetry };
+    return { addFirstAttempt, tryTakeRetry, giveBackRetry, getSavedRetries };
 
     function addFirstAttempt(): void {
         savedRetries = Math.min(getMaximumSavedRetries(), savedRetries + retriesPerFirstAttempt);
@@ -29,9 +29,13 @@
         savedRetries = Math.min(getMaximumSavedRetries(), savedRetries + 1);
     }
 
-    function tryTakeRetry(): boolean {
+    function getSavedRetries(): number {
         savedRetries = Math.min(getMaximumSavedRetries(), savedRetries);
-        if (savedRetries < 1) {
+        return savedRetries;
+    }
+
+    function tryTakeRetry(): boolean {
+        if (getSavedRetries() < 1) {
             return false;
         }
         savedRetries -= 1;
--- a/src/metrics/GaugeName.ts
+++ b/src/metrics/GaugeName.ts
@@ -7,6 +7,10 @@
     RequestsInFlight = "basilwing_requests_in_flight",
     /** The longest delay since the gauge was last read. */
     EventLoopDelay = "basilwing_event_loop_delay_milliseconds",
+    /** The number of entry processes by which an entry process divides what they share. */
+    EntryProcesses = "basilwing_entry_processes",
+    /** The retries that an entry process may send at once to the service for which it has saved the fewest. */
+    SavedRetries = "basilwing_saved_retries",
     QueueLength = "basilwing_queue_length",
     IndexedBlocks = "basilwing_indexed_pieces",
     ConfigurationRevision = "basilwing_configuration_revision",
--- a/src/metrics/Metrics.ts
+++ b/src/metrics/Metrics.ts
@@ -16,6 +16,10 @@
     countRefusal(reason: RefusalReason): void;
     /** Counts a retry with its reason. */
     countRetry(reason: RetryReason): void;
+    /** Counts an attempt beyond the first of its request, sent to a backend server of a service. */
+    countSentRetry(service: string): void;
+    /** Counts a request to a service that was not sent again, since the retry budget was used up. */
+    countRefusedRetry(service: string): void;
     /** Counts a failure of a background task. */
     countTaskFailure(task: TaskName): void;
     /**
--- a/src/metrics/createMetrics.ts
+++ b/src/metrics/createMetrics.ts
@@ -37,6 +37,18 @@
         labelNames: ["reason"],
         registers: [registry],
     });
+    const sentRetries = new Counter({
+        name: "basilwing_sent_retries_total",
+        help: "Attempts sent beyond the first of their request, by service.",
+        labelNames: ["service"],
+        registers: [registry],
+    });
+    const refusedRetries = new Counter({
+        name: "basilwing_refused_retries_total",
+        help: "Requests that were not sent again, as the retry budget was used up, by service.",
+        labelNames: ["service"],
+        registers: [registry],
+    });
     const unanswered = new Counter({
         name: "basilwing_unanswered_requests_total",
         help: "Whole requests whose connection the process ended before their answer was complete, by reason.",
@@ -57,6 +69,8 @@
     return {
         countRefusal,
         countRetry,
+        countSentRetry: service => sentRetries.inc({ service }),
+        countRefusedRetry: service => refusedRetries.inc({ service }),
         countUnanswered,
         countTaskFailure,
         addCount,
--- a/tests/control/consensus/createTestGroup.ts
+++ b/tests/control/consensus/createTestGroup.ts
@@ -442,6 +442,8 @@
     return {
         countRefusal: () => undefined,
         countRetry: () => undefined,
+        countSentRetry: () => undefined,
+        countRefusedRetry: () => undefined,
         countUnanswered: () => undefined,
         countTaskFailure: name => {
             throw new Error(`a task failed: ${name}`);
--- a/tests/forwarding/createRetryReservations.tests.ts
+++ b/tests/forwarding/createRetryReservations.tests.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { AttemptResult, BackendAttempt } from "../../src/forwarding";
+import { createMetrics } from "../../src/metrics";
 import { createTestFeedState, createTestInstance } from "../feed/createTestFeed";
 import { createTestServerLimits } from "../serverLimits/createTestServerLimits";
 import { createManualClock } from "../support/createManualClock";
@@ -29,10 +30,12 @@
         const state = createTestFeedState(clock, instances);
         const link = createTestLink(respond, answersProbe);
         const serverLimits = createTestServerLimits(state, clock);
+        const metrics = createMetrics();
         let callCount = -1;
         const forwarder = createTestForwarder(state, link, clock, {
             retryShare: 1e-6,
             retryReserve: 1.25,
+            metrics,
             serverLimits: {
                 ...serverLimits,
                 tryTake: instanceId => {
@@ -41,7 +44,12 @@
                 },
             },
         });
-        return { clock, link, forward };
+        return { clock, link, forward, getRetryMetrics };
+
+        async function getRetryMetrics(): Promise<readonly string[]> {
+            const names = /^basilwing_(sent_retries_total|refused_retries_total|saved_retries|entry_processes)\b/;
+            return (await metrics.getText()).split("\n").filter(line => names.test(line)).sort();
+        }
 
         async function forward(requestId = "request-1"): Promise<string | undefined> {
             const reply = createTestReply();
@@ -104,4 +112,16 @@
         });
         expect([await forward(), link.attempts.length]).to.deep.equal(["200 done whole", 2]);
     });
+
+    it("is counted by service, as are the requests that find none left", async () => {
+        const { forward, getRetryMetrics } = createFixture({ respond: () => overloadedResult });
+        await forward("request-1");
+        await forward("request-2");
+        expect(await getRetryMetrics()).to.deep.equal([
+            "basilwing_entry_processes 1",
+            "basilwing_refused_retries_total{service=\"actions\"} 2",
+            "basilwing_saved_retries 8e-7",
+            "basilwing_sent_retries_total{service=\"actions\"} 1",
+        ]);
+    });
 });
