Check the retry budget, runs and deadlines in the soak, beside restarts in series

The soak checked none of it, killed entry processes a few times a run, and its servers seldom failed.

--- a/tests/platform/soak/RunTracker.ts
+++ b/tests/platform/soak/RunTracker.ts
@@ -3,9 +3,10 @@
  */
 
 import { CrashingSubject } from "./CrashingSubject";
+import { ArrivalTracker } from "./createArrivalTracker";
 
 /** Records what is observed from outside the system, and the guarantees that are broken. */
-export interface RunTracker {
+export interface RunTracker extends Pick<ArrivalTracker, "recordRequest" | "recordArrival" | "getBudgetShare"> {
     /**
      * Records that a backend server starts to run a request.
      * @param requestId - The request's id, which starts with when it was sent in milliseconds since the epoch, and a hyphen.
--- a/tests/platform/soak/SoakBackend.ts
+++ b/tests/platform/soak/SoakBackend.ts
@@ -19,6 +19,8 @@
      * @param milliseconds - How long.
      */
     fallSilent(milliseconds: number): Promise<void>;
+    /** Makes it fail a share of the requests that it runs, other than those that crash it. */
+    setFailingShare(share: number): void;
     /** Resets all connections, drops its orders and continues under a new instance id. */
     crash(): void;
     /** Refuses requests until it has answered those that it runs, then closes its connections and continues under a new id. */
--- a/tests/platform/soak/createFaultInjector.ts
+++ b/tests/platform/soak/createFaultInjector.ts
@@ -20,6 +20,8 @@
 export interface FaultInjector {
     /** Injects a fault at a random target, and waits until it has ended. */
     inject(fault: SoakFault): Promise<void>;
+    /** Kills all entry processes at once. */
+    killAllEntries(): Promise<void>;
     /** Returns whether no unplanned fault is active or has ended within the stable window. */
     isStable(): boolean;
 }
@@ -42,6 +44,7 @@
     let hasRevokedKey = false;
     return {
         inject,
+        killAllEntries: () => trackUnplanned(() => Promise.all(entries.map(entry => entry.kill()))),
         isStable: () => activeFaultCount === 0 && Date.now() - lastFaultEndMilliseconds > soakBounds.stable_window_ms,
     };
 
@@ -63,15 +66,15 @@
             case SoakFault.TerminateEntry:
                 return pick(entries).terminate();
             default:
-                return injectUnplanned(fault);
+                return trackUnplanned(() => applyUnplannedFault(fault));
         }
     }
 
     /** Injects an unplanned fault. The deployment counts as stable again only some time after it has ended. */
-    async function injectUnplanned(fault: Exclude<SoakFault, PlannedFault>): Promise<void> {
+    async function trackUnplanned(injectFault: () => Promise<unknown>): Promise<void> {
         activeFaultCount += 1;
         try {
-            await applyUnplannedFault(fault);
+            await injectFault();
         }
         finally {
             activeFaultCount -= 1;
--- a/tests/platform/soak/createRunTracker.ts
+++ b/tests/platform/soak/createRunTracker.ts
@@ -2,6 +2,7 @@
  * Records which requests the backend servers of a soak ran, and finds breaches of the system's guarantees.
  */
 import { CrashingSubject } from "./CrashingSubject";
+import { createArrivalTracker } from "./createArrivalTracker";
 import { RunTracker } from "./RunTracker";
 import { soakBounds } from "./soakBounds";
 import { soakIsolatedWorkspace } from "./soakIsolatedWorkspace";
@@ -17,6 +18,7 @@
 
 /** Creates an empty tracker. */
 export function createRunTracker(): RunTracker {
+    const arrivalTracker = createArrivalTracker();
     const runCounts = new Map<string, number>();
     const singleRunIds = new Set<string>();
     const reportedNotRunIds = new Set<string>();
@@ -31,6 +33,9 @@
     const lateCrashingArrivals: Record<CrashingSubject, string[]> = { part: [], request: [] };
     let isStable = () => false;
     return {
+        recordRequest: arrivalTracker.recordRequest,
+        recordArrival: arrivalTracker.recordArrival,
+        getBudgetShare: arrivalTracker.getBudgetShare,
         recordRun,
         recordSalt,
         recordLeaving: requestId => void leavingTimes.set(requestId, Date.now()),
@@ -105,6 +110,7 @@
             .map(({ requestId, status }) =>
                 `${requestId} was cut (status ${status}) though nothing unplanned happened`
             );
-        return [...breaches, ...cut, ...repeated, ...misreported, ...repeatedCrashes, ...abandoned];
+        const unallowed = arrivalTracker.getBreaches(getRunCount);
+        return [...breaches, ...cut, ...repeated, ...misreported, ...repeatedCrashes, ...abandoned, ...unallowed];
     }
 }
--- a/tests/platform/soak/createSoakClient.tests.ts
+++ b/tests/platform/soak/createSoakClient.tests.ts
@@ -21,7 +21,7 @@
                 input.respond(socket);
             }
         });
-        const client = createSoakClient([server.address], { onIdleClose: () => undefined });
+        const client = createSoakClient([server.address], undefined, { onIdleClose: () => undefined });
         const request = { entryIndex: 0, requestId: "a", prefix: "/read/", key: undefined, promptParts: [] };
         if (input.isSecond === true) {
             expect((await client.post(request)).isComplete).to.equal(true);
--- a/tests/platform/soak/createSoakClient.ts
+++ b/tests/platform/soak/createSoakClient.ts
@@ -3,10 +3,12 @@
  */
 import { Agent, ClientRequest, request as sendRequest } from "node:http";
 import { createLimitedAgent, LimitedConnection } from "./createLimitedAgent";
+import { RunTracker } from "./RunTracker";
 import { SoakConnectionEnd } from "./SoakConnectionEnd";
 import { SoakConnectionUse } from "./SoakConnectionUse";
 import { SoakEndReason } from "./SoakEndReason";
 import { soakModel } from "./soakModel";
+import { soakRoutes } from "./soakRoutes";
 
 /** How long a caller waits for a response, in milliseconds. */
 const deadlineMilliseconds = 3_000;
@@ -69,10 +71,15 @@
 /**
  * Creates a client.
  * @param entryAddresses - Where callers reach the entry processes, as `ip:port`.
+ * @param runTracker - Is told of each request; undefined for none.
  * @param options - The limits within which it stays; undefined where these never change. A client with limits closes a
  * connection at its deadline after the sending, others when the connection was silent for as long.
  */
-export function createSoakClient(entryAddresses: readonly string[], options?: SoakClientOptions): SoakClient {
+export function createSoakClient(
+    entryAddresses: readonly string[],
+    runTracker: Pick<RunTracker, "recordRequest"> | undefined,
+    options?: SoakClientOptions,
+): SoakClient {
     const limitedAgents = options && entryAddresses.map((...[, entryIndex]) =>
         createLimitedAgent({
             getIdleTimeoutMilliseconds: options.getIdleTimeoutMilliseconds,
@@ -95,6 +102,7 @@
         count += 1;
         return new Promise(resolve => {
             const sentMilliseconds = Date.now();
+            recordRequest(requestId, prefix, sentMilliseconds);
             const end = createOpenEnd();
             const outcome: ExchangeOutcome = {
                 status: 0,
@@ -169,6 +177,21 @@
         });
     }
 
+    function recordRequest(requestId: string, prefix: string, sentMilliseconds: number): void {
+        const route = soakRoutes.find(soakRoute => soakRoute.prefix === prefix);
+        if (route) {
+            const { service, isStream, maximumAttempts } = route;
+            runTracker?.recordRequest({
+                requestId,
+                service,
+                isStream,
+                maximumAttempts,
+                sentMilliseconds,
+                deadlineMilliseconds,
+            });
+        }
+    }
+
     /** Closes the connection of a request at the caller's time limit. */
     function limitTime(clientRequest: ClientRequest, onLimit: () => void): void {
         const close = () => {
--- a/tests/platform/soak/getSoakSize.ts
+++ b/tests/platform/soak/getSoakSize.ts
@@ -10,6 +10,10 @@
 const firstSeedWithLimitChanges = 90_000;
 /** Seeds between that one and this one play the small deployment. */
 const firstGrownSeedWithLimitChanges = 100_000;
+/** Seeds from this one on play a small deployment whose entry processes restart in series while servers fail. */
+const firstSeedWithRestarts = 120_000;
+/** Seeds from this one on do so in a deployment of the size of the grown ones. */
+const firstGrownSeedWithRestarts = 130_000;
 
 /** The numbers of processes and stand-ins, and what they do. */
 export interface SoakSize {
@@ -25,23 +29,28 @@
     hasAnswerFaults: boolean;
     /** Whether the limits change, connections are idle for long, and requests without a status are recorded. */
     hasLimitChanges: boolean;
+    /** Whether the entry processes are killed, stopped and reloaded in series while servers fail many requests. */
+    hasRestarts: boolean;
 }
 
 /** Gets the size of the deployment that a seed plays. */
 export function getSoakSize(seed: number): SoakSize {
     const hasAnswerFaults = seed >= firstSeedWithAnswerFaults;
-    const isSmall = seed < firstGrownSeed || seed >= firstSeedWithLimitChanges && seed < firstGrownSeedWithLimitChanges;
+    const isSmall = seed < firstGrownSeed || isWithin(firstSeedWithLimitChanges, firstGrownSeedWithLimitChanges)
+        || isWithin(firstSeedWithRestarts, firstGrownSeedWithRestarts);
     const hasLimitChanges = seed >= firstSeedWithLimitChanges;
+    const hasRestarts = seed >= firstSeedWithRestarts;
     if (isSmall) {
         return {
             controlCount: 3,
-            entryCount: 2,
+            entryCount: hasRestarts ? 3 : 2,
             engineCount: 3,
             plainServiceCount: 2,
             sendIntervalMilliseconds: 12,
             stoppedTogetherCount: 1,
             hasAnswerFaults,
             hasLimitChanges,
+            hasRestarts,
         };
     }
     return {
@@ -53,5 +62,10 @@
         stoppedTogetherCount: 6,
         hasAnswerFaults,
         hasLimitChanges,
+        hasRestarts,
     };
+
+    function isWithin(first: number, end: number): boolean {
+        return seed >= first && seed < end;
+    }
 }
--- a/tests/platform/soak/runSoak.ts
+++ b/tests/platform/soak/runSoak.ts
@@ -17,9 +17,11 @@
 import { SoakFault } from "./SoakFault";
 import { soakPorts } from "./soakPorts";
 import { startCrashingCaller } from "./startCrashingCaller";
+import { startFailures } from "./startFailures";
 import { startFlaps } from "./startFlaps";
 import { startIdleCallers } from "./startIdleCallers";
 import { startLimitChanges } from "./startLimitChanges";
+import { startRestarts } from "./startRestarts";
 import { startSilences } from "./startSilences";
 import { startSoakCallers } from "./startSoakCallers";
 import { startSoakDeployment } from "./startSoakDeployment";
@@ -45,6 +47,10 @@
 const flapSeedDistance = 3_000_017;
 /** Keeps the random numbers of the limits and of idle callers apart from all others. */
 const limitSeedDistance = 4_000_037;
+/** Keeps the random numbers of the restarts and of the failing servers apart from all others. */
+const restartSeedDistance = 5_000_011;
+/** How long faults last at least where entry processes restart in series: longer than the window of the retry budget. */
+const minimumRestartsMilliseconds = 12_000;
 /** How long the limits change before the planned stops, while connections are idle, in milliseconds. */
 const idlePhaseMilliseconds = 6_000;
 /** How many planned changes are made beside silences once the deployment is stable. */
@@ -66,6 +72,8 @@
     resumptions: { served: number; sent: number; };
     /** The whole requests without a status, and the idle connections that were closed, by reason. */
     withoutStatus: Readonly<Record<string, number>>;
+    /** The largest share of its allowance that the retries of a service have reached in a window of the budget. */
+    budgetShare: number;
     /** The requests by how long their connections had been idle. */
     connectionUses: Readonly<Record<string, number>>;
 }
@@ -74,7 +82,7 @@
  * Runs a soak.
  * @param seed - Determines the faults, their times and the loopback network.
  * @param folder - The folder for the processes' settings, data and logs; created where missing.
- * @param faultMilliseconds - How long faults are injected.
+ * @param faultMilliseconds - How long faults are injected, at least.
  * @throws An error where an entry process doesn't become ready in time.
  */
 export async function runSoak(seed: number, folder: string, faultMilliseconds: number): Promise<SoakResult> {
@@ -133,7 +141,7 @@
                 random,
                 endRecorder: size.hasLimitChanges ? endRecorder : undefined,
             });
-        await runBesideSilences(injectFaultsBesideFlaps);
+        await runBesideSilences(injectFaultsBesideSeries);
         await waitForRecovery(callers.getServedCounts);
         await runBesideSilences(performPlannedWork);
         await stopCrashingCaller();
@@ -149,6 +157,7 @@
             ...callers.getServedCounts(0, Infinity),
             resumptions: callers.getResumptionCounts(),
             withoutStatus: endRecorder.getCounts(),
+            budgetShare: runTracker.getBudgetShare(),
             connectionUses: endRecorder.getUseCounts(),
         };
     }
@@ -184,11 +193,21 @@
         await work().finally(() => Promise.all([stopSilences(), stopLimitChanges()]));
     }
 
-    async function injectFaultsBesideFlaps(): Promise<void> {
-        const stopFlaps = size.hasAnswerFaults
-            ? startFlaps({ backends: deployment.backends, random: createRandomSource(seed + flapSeedDistance) })
-            : () => Promise.resolve();
-        await injectFaults().finally(stopFlaps);
+    async function injectFaultsBesideSeries(): Promise<void> {
+        const { backends } = deployment;
+        const restartRandom = createRandomSource(seed + restartSeedDistance);
+        const stops = [
+            ...size.hasAnswerFaults
+                ? [startFlaps({ backends, random: createRandomSource(seed + flapSeedDistance) })]
+                : [],
+            ...size.hasRestarts
+                ? [
+                    startRestarts({ injector, random: restartRandom, onRestart: recordFault }),
+                    startFailures({ backends, random: restartRandom, onFailure: recordFault }),
+                ]
+                : [],
+        ];
+        await injectFaults().finally(() => Promise.all(stops.map(stop => stop())));
     }
 
     async function waitForReadiness(): Promise<void> {
@@ -216,7 +235,7 @@
     async function injectFaults(): Promise<void> {
         const kinds = Object.values(SoakFault);
         const running: Promise<void>[] = [];
-        const end = Date.now() + faultMilliseconds;
+        const end = Date.now() + Math.max(faultMilliseconds, size.hasRestarts ? minimumRestartsMilliseconds : 0);
         while (Date.now() < end) {
             const fault = kinds[random.getInteger(kinds.length)]!;
             recordFault(fault);
--- a/tests/platform/soak/runSoaks.ts
+++ b/tests/platform/soak/runSoaks.ts
@@ -88,6 +88,7 @@
             sent: 0,
             resumptions: { served: 0, sent: 0 },
             withoutStatus: {},
+            budgetShare: 0,
             connectionUses: {},
             faults: [],
         };
--- a/tests/platform/soak/soakBounds.ts
+++ b/tests/platform/soak/soakBounds.ts
@@ -12,5 +12,6 @@
     version_ms: 10_000,
     retry_budget_ratio: 0.2,
     retry_budget_slack: 56,
+    budget_window_s: 10,
     lease_ms: 3_000,
 };
--- a/tests/platform/soak/soakRegressions.ts
+++ b/tests/platform/soak/soakRegressions.ts
@@ -34,6 +34,8 @@
     "a refusal that arrived a second time on its connection was taken for that of the next attempt, which ran";
 const lateAnswer =
     "whole requests got no answer, as that of an entry process at their time limit came after their callers had left";
+const forgottenRetries =
+    "backend servers got more retries than the budget allows, as each start of an entry process brought a full budget";
 
 /** The seeds, each with the cause of the failure at the time. */
 export const soakRegressions: readonly { seed: number; cause: string; }[] = [
@@ -61,4 +63,6 @@
     { seed: 60001, cause: silentServer },
     { seed: 70302, cause: repeatedRefusal },
     { seed: 90008, cause: lateAnswer },
+    { seed: 120000, cause: forgottenRetries },
+    { seed: 120001, cause: forgottenRetries },
 ];
--- a/tests/platform/soak/startCrashingCaller.ts
+++ b/tests/platform/soak/startCrashingCaller.ts
@@ -36,7 +36,11 @@
 export function startCrashingCaller(options: CrashingCallerOptions): () => Promise<void> {
     const { entryAddresses, runTracker, random, endRecorder } = options;
     const route = soakRoutes[options.routeIndex % soakRoutes.length]!;
-    const client = createSoakClient(entryAddresses, endRecorder && { onIdleClose: endRecorder.recordIdleClose });
+    const client = createSoakClient(
+        entryAddresses,
+        runTracker,
+        endRecorder && { onIdleClose: endRecorder.recordIdleClose },
+    );
     const stopController = new AbortController();
     let count = 0;
     const sending = sendContinuously();
--- a/tests/platform/soak/startIdleCallers.ts
+++ b/tests/platform/soak/startIdleCallers.ts
@@ -56,7 +56,7 @@
     };
 
     async function call(address: string, entryIndex: number): Promise<void> {
-        const client = createSoakClient([address], {
+        const client = createSoakClient([address], runTracker, {
             getIdleTimeoutMilliseconds: limits.getIdleTimeoutMilliseconds,
             onIdleClose: (...[, connection]) => endRecorder.recordIdleClose(entryIndex, connection),
         });
--- a/tests/platform/soak/startSoakBackend.ts
+++ b/tests/platform/soak/startSoakBackend.ts
@@ -72,6 +72,7 @@
     let orderCount = 0;
     let highestFencingToken = 0;
     let isLoading = false;
+    let failingShare = 0;
     let silence = Promise.resolve();
     let silenceCount = 0;
     const server = createServer((request, response) => void handle(request, response));
@@ -90,6 +91,7 @@
         proxy,
         getListEntry,
         fallSilent,
+        setFailingShare: share => failingShare = share,
         crash,
         restart,
         stop: () => {
@@ -170,6 +172,12 @@
         const answeredId = String(request.headers["basilwing-request-id"]);
         response.on("finish", () => answerFaults?.endAnswer(socket, answeredId, response.statusCode));
         const body = await readText(request);
+        const statedMilliseconds = request.headers["basilwing-deadline-ms"];
+        runTracker.recordArrival(
+            answeredId,
+            statedMilliseconds === undefined ? undefined : Number(statedMilliseconds),
+            !isBehind() && runTracker.isStable(),
+        );
         const expectedInstanceId = request.headers["basilwing-expect-instance"];
         const expectedVersion = request.headers["basilwing-expect-version"];
         if (
@@ -272,6 +280,10 @@
             await crashUnder(subject, requestId, response, headers);
             return;
         }
+        if (failingShare > 0 && random.getFraction() < failingShare) {
+            sendJson(response, 500, {}, headers);
+            return;
+        }
         if (!isEngine) {
             await sleep(serviceMilliseconds);
             sendJson(response, 200, { answer: requestId }, headers);
--- a/tests/platform/soak/startSoakCallers.ts
+++ b/tests/platform/soak/startSoakCallers.ts
@@ -48,7 +48,11 @@
 /** Starts the traffic, which runs until it is stopped. */
 export function startSoakCallers(options: SoakCallersOptions): SoakCallers {
     const { entryAddresses, runTracker, random, isStable, limited } = options;
-    const client = createSoakClient(entryAddresses, limited && { onIdleClose: limited.endRecorder.recordIdleClose });
+    const client = createSoakClient(
+        entryAddresses,
+        runTracker,
+        limited && { onIdleClose: limited.endRecorder.recordIdleClose },
+    );
     const sentRequests: { time: number; isServed: boolean; }[] = [];
     const pending = new Set<Promise<void>>();
     const resumptions = { sent: 0, served: 0 };
