Begin each contact with control with an empty retry budget

Callers saw: nothing themselves. Cause: a retry budget lives in the memory of one process, and each start brought one that was full: what the former process had taken within the same window was forgotten, so that the sum had no bound but the number of starts. At a start of all, the number of processes by which the reserve is divided was also 1, 2, 3 at first. Class: a limit over a window whose record ends with the process. Change: a budget begins empty with each contact with control, and earns its share of the process's own requests at once. It gets its part of the reserve once the contact has lasted for 1.1 windows, less what was taken meanwhile: whatever ran before it is outside any window with that, and the other processes have learnt of it. The number of processes is the largest that was named within the time for which control counts a process as active. A process without contact for as long saves one retry at most. The window comes from the settings.

--- a/src/feed/FeedState.ts
+++ b/src/feed/FeedState.ts
@@ -37,6 +37,11 @@
     getMemberAddresses(): readonly string[];
     /** Gets the number of entry processes that share the limits of the system; at least 1. */
     getEntryCount(): number;
+    /**
+     * Gets the time at which the contact with control began, on the monotonic clock, in milliseconds; undefined before the first
+     * response, and once the last one is so old that control no longer counts this process.
+     */
+    getContactStartMilliseconds(): number | undefined;
     /** Gets the time since the document was last confirmed as the newest, in milliseconds; Infinity if it never was. */
     getDocumentAgeMilliseconds(): number;
     /**
--- a/src/feed/createEntryRegistry.ts
+++ b/src/feed/createEntryRegistry.ts
@@ -2,14 +2,9 @@
  * Counts the entry processes by their polls.
  */
 import { Clock } from "../runtime";
+import { entryActivityMilliseconds } from "./entryActivityMilliseconds";
 import { EntryRegistry } from "./EntryRegistry";
 
-/**
- * How long an entry process counts as active after its last poll, in milliseconds. This spans several polls, so that
- * one lost poll does not change the count.
- */
-const activeMilliseconds = 10_000;
-
 /**
  * Creates an empty registry.
  * @param clock - Measures the time since each poll.
@@ -23,7 +18,7 @@
     }
 
     function getIds(): readonly string[] {
-        const oldestActive = clock.getMonotonicMilliseconds() - activeMilliseconds;
+        const oldestActive = clock.getMonotonicMilliseconds() - entryActivityMilliseconds;
         for (const [entryId, time] of pollTimes) {
             if (time < oldestActive) {
                 pollTimes.delete(entryId);
--- a/src/feed/createFeedState.ts
+++ b/src/feed/createFeedState.ts
@@ -6,6 +6,7 @@
 import { ClockReading, getElapsedMilliseconds, readClocks } from "../membership";
 import { FleetView, PollResponse } from "../protocol";
 import { waitWithTimeout } from "../runtime";
+import { createControlContact } from "./createControlContact";
 import { DesiredWeights } from "./DesiredWeights";
 import { FeedState } from "./FeedState";
 import { FeedStateOptions } from "./FeedStateOptions";
@@ -26,7 +27,7 @@
     let fleet: FleetView | undefined;
     let fleetRevision = "";
     let fleetReceived = readClocks(clock);
-    let entryCount = 1;
+    const contact = createControlContact(clock, logger);
     let memberAddresses: readonly string[] = [];
     let resolveInitialState: () => void = () => undefined;
     /** When each software version was in a view last, on the monotonic clock, in milliseconds, by service. */
@@ -49,7 +50,8 @@
             return () => confirmationListeners.delete(listener);
         },
         getMemberAddresses: () => memberAddresses,
-        getEntryCount: () => entryCount,
+        getEntryCount: contact.getEntryCount,
+        getContactStartMilliseconds: contact.getStartMilliseconds,
         getDocumentAgeMilliseconds: () =>
             documentConfirmed === undefined ? Infinity : getElapsedMilliseconds(clock, documentConfirmed),
         getDesiredWeights,
@@ -60,7 +62,7 @@
         // What may fail comes first: a response that is taken over in part would confirm state that is not there.
         const newTable = createNewerTable(response);
         recordVersions(response.fleet ?? fleet);
-        recordEntryCount(Math.max(1, response.entryCount));
+        contact.recordResponse(response.entryCount);
         memberAddresses = response.memberAddresses.length > 0 ? response.memberAddresses : memberAddresses;
         if (response.fleet) {
             fleet = response.fleet;
@@ -84,13 +86,6 @@
         }
     }
 
-    function recordEntryCount(count: number): void {
-        if (count !== entryCount) {
-            logger.info({ entryCount: count, formerEntryCount: entryCount }, "number of entry processes changed");
-        }
-        entryCount = count;
-    }
-
     async function confirmFleet(timeoutMilliseconds: number, maximumAgeMilliseconds = 0): Promise<boolean> {
         if (fleetConfirmed && getElapsedMilliseconds(clock, fleetConfirmed) < maximumAgeMilliseconds) {
             return true;
--- a/src/forwarding/ForwarderOptions.ts
+++ b/src/forwarding/ForwarderOptions.ts
@@ -37,8 +37,10 @@
     supersededWeightsGraceMilliseconds: number;
     /** The number of retries that all entry processes together may send for each request. */
     retryShare: number;
-    /** The number of retries that all entry processes together may send beyond that share. */
+    /** The number of retries that all entry processes together may send beyond that share, within a window. */
     retryReserve: number;
+    /** The length of that window, in milliseconds. */
+    retryWindowMilliseconds: number;
     /** The planned stop of the process. */
     plannedStop: Pick<PlannedStop, "signal" | "isTooLate">;
     /** Waits until everything that has arrived has been read, so that callers that have left are known. */
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -71,7 +71,13 @@
         random,
     });
     const recorder = createAttemptRecorder({ ...options, loads, liveness, scheduler, canRunAgain });
-    const retryBudgets = createRetryBudgets(options.retryShare, options.retryReserve, state.getEntryCount);
+    const retryBudgets = createRetryBudgets({
+        share: options.retryShare,
+        reserve: options.retryReserve,
+        windowMilliseconds: options.retryWindowMilliseconds,
+        state,
+        clock,
+    });
     const retryReservations = createRetryReservations(retryBudgets, metrics);
     metrics.addGauge(GaugeName.EntryProcesses, state.getEntryCount);
     metrics.addGauge(GaugeName.SavedRetries, retryBudgets.getFewestSavedRetries);
--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -43,6 +43,7 @@
 export * from "./ResponseEnd";
 export * from "./ResponseFraming";
 export * from "./RetryBudgets";
+export * from "./RetryBudgetsOptions";
 export * from "./startKvCacheStoreView";
 export * from "./StreamEvent";
 export * from "./unresponsiveServerFactKind";
--- a/src/limits/RetryBudget.ts
+++ b/src/limits/RetryBudget.ts
@@ -10,6 +10,8 @@
     tryTakeRetry(): boolean;
     /** Gets the number of retries that are left; fractions are not yet retries. */
     getSavedRetries(): number;
+    /** Raises the number of retries that are left to a number, up to the maximum; has no effect where more are left. */
+    raiseTo(savedRetries: number): void;
     /** Gives a retry back that was taken and not sent. */
     giveBackRetry(): void;
 }
--- a/src/limits/createRetryBudget.ts
+++ b/src/limits/createRetryBudget.ts
@@ -7,24 +7,30 @@
 const defaultMaximumSavedRetries = 10;
 
 /**
- * Creates a budget with the maximum of saved retries, or with none where first attempts add none.
+ * Creates a budget.
  * @param retriesPerFirstAttempt - The number of retries that each first attempt adds, usually below 1.
  * @param maximumSavedRetries - The maximum number of saved retries; a function where the maximum changes.
+ * @param initialRetries - The number of retries saved at first; the maximum by default, or none where first attempts add none.
  */
 export function createRetryBudget(
     retriesPerFirstAttempt: number,
     maximumSavedRetries: number | (() => number) = defaultMaximumSavedRetries,
+    initialRetries?: number,
 ): RetryBudget {
     const getMaximumSavedRetries = typeof maximumSavedRetries === "number"
         ? () => maximumSavedRetries
         : maximumSavedRetries;
-    let savedRetries = retriesPerFirstAttempt > 0 ? getMaximumSavedRetries() : 0;
-    return { addFirstAttempt, tryTakeRetry, giveBackRetry, getSavedRetries };
+    let savedRetries = initialRetries ?? (retriesPerFirstAttempt > 0 ? getMaximumSavedRetries() : 0);
+    return { addFirstAttempt, tryTakeRetry, getSavedRetries, raiseTo, giveBackRetry };
 
     function addFirstAttempt(): void {
         savedRetries = Math.min(getMaximumSavedRetries(), savedRetries + retriesPerFirstAttempt);
     }
 
+    function raiseTo(count: number): void {
+        savedRetries = Math.min(getMaximumSavedRetries(), Math.max(savedRetries, count));
+    }
+
     function giveBackRetry(): void {
         savedRetries = Math.min(getMaximumSavedRetries(), savedRetries + 1);
     }
--- a/tests/crashQuarantine/simulateCrashingRequests.ts
+++ b/tests/crashQuarantine/simulateCrashingRequests.ts
@@ -197,6 +197,7 @@
             supersededWeightsGraceMilliseconds: 10_000,
             retryShare: 0.2,
             retryReserve: 50,
+            retryWindowMilliseconds: 0,
             random: entryRandom,
         });
         return { forwarder, stop: () => stopController.abort() };
--- a/tests/forwarding/crashingParts.tests.ts
+++ b/tests/forwarding/crashingParts.tests.ts
@@ -69,6 +69,7 @@
             supersededWeightsGraceMilliseconds: 10_000,
             retryShare: 0.2,
             retryReserve: 50,
+            retryWindowMilliseconds: 0,
             clock,
             random: createRandomSource(1),
             logger: createSilentLogger(),
--- a/tests/forwarding/createForwarder.tests.ts
+++ b/tests/forwarding/createForwarder.tests.ts
@@ -84,6 +84,7 @@
             supersededWeightsGraceMilliseconds: 10_000,
             retryShare: 0.2,
             retryReserve: options.retryReserve ?? 50,
+            retryWindowMilliseconds: 0,
             clock,
             random: createRandomSource(1),
             logger: options.logger ?? createSilentLogger(),
--- a/tests/forwarding/createRetryBudgets.tests.ts
+++ b/tests/forwarding/createRetryBudgets.tests.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import * as fc from "fast-check";
 import { createRetryBudgets } from "../../src/forwarding";
+import { createManualClock } from "../support/createManualClock";
 import { RetryEvent, RetryEventKind, RetryHistory, simulatedBudget, simulateRetries } from "./simulateRetries";
 
 describe("the retries of several entry processes", () => {
@@ -9,10 +10,7 @@
     const historyCount = Number(process.env.RETRY_HISTORIES ?? 300);
 
     function play(history: RetryHistory) {
-        return simulateRetries(
-            history,
-            state => createRetryBudgets(simulatedBudget.share, simulatedBudget.reserve, state.getEntryCount),
-        );
+        return simulateRetries(history, (state, clock) => createRetryBudgets({ ...simulatedBudget, state, clock }));
     }
 
     function doTest(changes: Partial<RetryHistory>): void {
@@ -78,3 +76,64 @@
         );
     });
 });
+
+describe("createRetryBudgets", () => {
+    /** The steps: time that passes, requests that are sent first, control that is lost or found. */
+    type Step = { milliseconds: number; } | { requests: number; } | { contact: boolean; } | { entryCount: number; };
+
+    /** Counts the retries that can be taken after the steps, or after each step. */
+    async function doTest(steps: readonly Step[], expected: number, takesBetween = false) {
+        const clock = createManualClock();
+        let startMilliseconds: number | undefined = 0;
+        let entryCount = 2;
+        let takenCount = 0;
+        const budgets = createRetryBudgets({
+            share: 0.25,
+            reserve: 25,
+            windowMilliseconds: 10_000,
+            state: { getContactStartMilliseconds: () => startMilliseconds, getEntryCount: () => entryCount },
+            clock,
+        });
+        for (const step of steps) {
+            if ("milliseconds" in step) {
+                await clock.advance(step.milliseconds);
+            }
+            else if ("requests" in step) {
+                Array.from({ length: step.requests }, () => budgets.addFirstAttempt("models"));
+            }
+            else if ("contact" in step) {
+                startMilliseconds = step.contact ? clock.getMonotonicMilliseconds() : undefined;
+            }
+            else {
+                entryCount = step.entryCount;
+            }
+            if (takesBetween) {
+                takeAll();
+            }
+        }
+        takeAll();
+        expect(takenCount).to.equal(expected);
+
+        function takeAll(): void {
+            while (budgets.tryTakeRetry("models")) {
+                takenCount += 1;
+            }
+        }
+    }
+
+    it("begin empty", () => doTest([{ milliseconds: 10_000 }], 0));
+    it("earn a share of the requests from the start", () => doTest([{ requests: 20 }], 4));
+    it("save no more than their part", () => doTest([{ requests: 500 }], 10));
+    it("get their part of the reserve once the contact has lasted", () => doTest([{ milliseconds: 11_000 }], 10));
+    it("get it for a service that is new then, too", () => doTest([{ milliseconds: 60_000 }], 10));
+    it("get what is left of it after the retries that were earned meanwhile", () =>
+        doTest([{ requests: 20 }, { milliseconds: 11_000 }], 10, true));
+    it("get none before the first contact", () => doTest([{ contact: false }, { milliseconds: 60_000 }], 0));
+    it("save one retry without contact", () =>
+        doTest([{ milliseconds: 11_000 }, { contact: false }, { requests: 500 }], 1));
+    it("begin empty again after a contact was lost", () =>
+        doTest([{ milliseconds: 11_000 }, { contact: false }, { contact: true }, { milliseconds: 10_900 }], 0));
+    it("get their part again once the new contact has lasted", () =>
+        doTest([{ milliseconds: 11_000 }, { contact: false }, { contact: true }, { milliseconds: 11_000 }], 10));
+    it("save less once there are more processes", () => doTest([{ milliseconds: 11_000 }, { entryCount: 4 }], 5));
+});
--- a/tests/forwarding/createTestForwarder.ts
+++ b/tests/forwarding/createTestForwarder.ts
@@ -39,6 +39,7 @@
         supersededWeightsGraceMilliseconds: 10_000,
         retryShare: 0.2,
         retryReserve: 50,
+        retryWindowMilliseconds: 0,
         clock,
         random: createRandomSource(1),
         logger: createSilentLogger(),
--- a/tests/forwarding/requestLimits.tests.ts
+++ b/tests/forwarding/requestLimits.tests.ts
@@ -82,6 +82,7 @@
                 supersededWeightsGraceMilliseconds: 10_000,
                 retryShare: 0.2,
                 retryReserve: 50,
+                retryWindowMilliseconds: 0,
                 clock,
                 random: createRandomSource(index),
                 logger: createSilentLogger(),
--- a/tests/platform/backends/endlessResponses.tests.ts
+++ b/tests/platform/backends/endlessResponses.tests.ts
@@ -67,6 +67,7 @@
             supersededWeightsGraceMilliseconds: 10_000,
             retryShare: 0.2,
             retryReserve: 50,
+            retryWindowMilliseconds: 0,
             clock,
             random: createRandomSource(1),
             logger: createSilentLogger(),
--- a/tests/platform/operators/acceptedDocuments.tests.ts
+++ b/tests/platform/operators/acceptedDocuments.tests.ts
@@ -131,6 +131,7 @@
         const forwarder = createTestForwarder(state, link, clock, {
             maximumDocumentAgeMilliseconds: Infinity,
             retryReserve: 1_000,
+            retryWindowMilliseconds: 0,
         });
         return { clock, state, requestSteps, forwarder };
     }
--- a/tests/platform/settings/decodePlatformSettings.tests.ts
+++ b/tests/platform/settings/decodePlatformSettings.tests.ts
@@ -13,7 +13,14 @@
         data_dir: JSON.parse("null") as unknown,
         fault_tolerance: { machines: 1, zones: 0, regions: 0 },
         limits: { cpu_share: 0.513, memory_mb: 350 },
-        bounds: { grace_s: 8, revoke_ms: 5_000, retry_budget_ratio: 0.2, retry_budget_slack: 56, lease_ms: 3_000 },
+        bounds: {
+            grace_s: 8,
+            revoke_ms: 5_000,
+            retry_budget_ratio: 0.2,
+            retry_budget_slack: 56,
+            budget_window_s: 8,
+            lease_ms: 3_000,
+        },
         cloud_api: { address: "10.200.0.117:8784", rate_per_s: 44, duties: [], lag_ms: 800 },
         to_come: true,
     };
@@ -40,6 +47,7 @@
             replacedWeightsMilliseconds: 10_000,
             retryBudgetRatio: 0.2,
             retryBudgetReserve: 56,
+            retryBudgetWindowMilliseconds: 8_000,
             orderLeaseMilliseconds: 3_000,
         });
         expect(outcome.kind === "decoded" && getInternalSeedAddresses(outcome.settings))
