--- a/tests/platform/soak/createFaultInjector.ts
+++ b/tests/platform/soak/createFaultInjector.ts
@@ -22,6 +22,8 @@
     inject(fault: SoakFault): Promise<void>;
     /** Kills all entry processes at once. */
     killAllEntries(): Promise<void>;
+    /** Kills all control members right after one has acknowledged a change, and empties the data folder of one of them. */
+    wipeAfterAcknowledgement(): Promise<void>;
     /** Returns whether no unplanned fault is active or has ended within the stable window. */
     isStable(): boolean;
 }
@@ -45,6 +47,7 @@
     return {
         inject,
         killAllEntries: () => trackUnplanned(() => Promise.all(entries.map(entry => entry.kill()))),
+        wipeAfterAcknowledgement,
         isStable: () => activeFaultCount === 0 && Date.now() - lastFaultEndMilliseconds > soakBounds.stable_window_ms,
     };
 
@@ -122,12 +125,17 @@
             return;
         }
         hasEmptiedDisk = true;
-        control.changeDataFolderBeforeRestart(folder =>
-            readdirSync(folder).forEach(name => rmSync(join(folder, name), { recursive: true }))
-        );
+        control.changeDataFolderBeforeRestart(removeFiles);
         await control.kill();
     }
 
+    async function wipeAfterAcknowledgement(): Promise<void> {
+        const wiped = pick(controls);
+        await operator.changeDocument();
+        wiped.changeDataFolderBeforeRestart(removeFiles);
+        await trackUnplanned(() => Promise.all(controls.map(control => control.kill())));
+    }
+
     /** Appends bytes to the newest log segment, as a torn write leaves them. */
     async function tearLogTail(control: SoakProcess): Promise<void> {
         control.changeDataFolderBeforeRestart(folder => {
@@ -159,6 +167,10 @@
     }
 }
 
+function removeFiles(folder: string): void {
+    readdirSync(folder).forEach(name => rmSync(join(folder, name), { recursive: true }));
+}
+
 type PlannedFault =
     | SoakFault.ReloadSettings
     | SoakFault.ChangeDocument
--- a/tests/platform/soak/runSoak.ts
+++ b/tests/platform/soak/runSoak.ts
@@ -147,6 +147,10 @@
         await stopCrashingCaller();
         await stopIdleCallers();
         await callers.stop();
+        if (size.hasRestarts) {
+            recordFault("all control members are killed, one disk is emptied");
+            await injector.wipeAfterAcknowledgement();
+        }
         if (!await operator.waitForNewestDocument(soakBounds.recovery_s * millisecondsPerSecond)) {
             runTracker.addBreach("the newest acknowledged document can't be read back");
         }
