Let restarts in a soak meet processes with and without their part of the reserve

Change: odd seeds begin restarts 12 s after the start, once the parts of the reserve are there; even ones play without silences, and callers send every 7 ms.

--- a/tests/platform/soak/getSoakSize.ts
+++ b/tests/platform/soak/getSoakSize.ts
@@ -46,7 +46,7 @@
             entryCount: hasRestarts ? 3 : 2,
             engineCount: 3,
             plainServiceCount: 2,
-            sendIntervalMilliseconds: 12,
+            sendIntervalMilliseconds: hasRestarts ? 7 : 12,
             stoppedTogetherCount: 1,
             hasAnswerFaults,
             hasLimitChanges,
--- a/tests/platform/soak/runSoak.ts
+++ b/tests/platform/soak/runSoak.ts
@@ -49,8 +49,10 @@
 const limitSeedDistance = 4_000_037;
 /** Keeps the random numbers of the restarts and of the failing servers apart from all others. */
 const restartSeedDistance = 5_000_011;
-/** How long faults last at least where entry processes restart in series: longer than the window of the retry budget. */
-const minimumRestartsMilliseconds = 12_000;
+/** How long entry processes restart in series at least, and run before that: longer than the window of the retry budget. */
+const restartsPhaseMilliseconds = 12_000;
+/** Of this many neighbouring seeds with restarts, one plays without silences, and restarts as soon as the processes are ready. */
+const seedsPerSilentRestarts = 2;
 /** How long the limits change before the planned stops, while connections are idle, in milliseconds. */
 const idlePhaseMilliseconds = 6_000;
 /** How many planned changes are made beside silences once the deployment is stable. */
@@ -108,7 +110,7 @@
     runTracker.setStabilityCheck(injector.isStable);
     const faults: string[] = [];
     const startTimeMilliseconds = Date.now();
-    const hasSilences = seed >= firstSeedWithSilences;
+    const hasSilences = seed >= firstSeedWithSilences && !(size.hasRestarts && seed % seedsPerSilentRestarts === 0);
     const silenceRandom = createRandomSource(seed + silenceSeedDistance);
     try {
         await operator.changeDocument();
@@ -141,6 +143,7 @@
                 random,
                 endRecorder: size.hasLimitChanges ? endRecorder : undefined,
             });
+        await sleep(size.hasRestarts && hasSilences ? restartsPhaseMilliseconds : 0);
         await runBesideSilences(injectFaultsBesideSeries);
         await waitForRecovery(callers.getServedCounts);
         await runBesideSilences(performPlannedWork);
@@ -239,7 +242,7 @@
     async function injectFaults(): Promise<void> {
         const kinds = Object.values(SoakFault);
         const running: Promise<void>[] = [];
-        const end = Date.now() + Math.max(faultMilliseconds, size.hasRestarts ? minimumRestartsMilliseconds : 0);
+        const end = Date.now() + Math.max(faultMilliseconds, size.hasRestarts ? restartsPhaseMilliseconds : 0);
         while (Date.now() < end) {
             const fault = kinds[random.getInteger(kinds.length)]!;
             recordFault(fault);
