--- a/tests/platform/soak/soakRegressions.ts
+++ b/tests/platform/soak/soakRegressions.ts
@@ -63,6 +63,7 @@
     { seed: 60001, cause: silentServer },
     { seed: 70302, cause: repeatedRefusal },
     { seed: 90008, cause: lateAnswer },
+    { seed: 120000, cause: forgottenRetries },
     { seed: 120001, cause: forgottenRetries },
     { seed: 120008, cause: forgottenRetries },
 ];
