--- a/src/forwarding/LoadReport.ts
+++ b/src/forwarding/LoadReport.ts
@@ -10,4 +10,6 @@
     waiting: number;
     /** The number of requests that it can run at once. */
     slots: number;
+    /** How long work takes on its machine at the moment, in percent of the usual time; absent where it does not say. */
+    workPercent?: number;
 }
--- a/src/forwarding/LoadTracker.ts
+++ b/src/forwarding/LoadTracker.ts
@@ -2,6 +2,7 @@
  * An entry process's view of the load of each backend server.
  */
 import { ServerLoad } from "../serverLoads";
+import { ServerSpeed } from "../serverSpeeds";
 import { LoadReport } from "./LoadReport";
 
 /** Tracks the load of backend servers. */
@@ -34,6 +35,14 @@
     getPendingPrefillTokens(instanceId: string): number;
     /** Gets the estimated prompt tokens of the requests in flight at an engine, from all entry processes. */
     getPromptTokens(instanceId: string): number;
-    /** Gets the load that this entry process has caused at engines. */
+    /** Gets the number of requests that a backend server can run at once, by its last report; undefined where unknown. */
+    getSlots(instanceId: string): number | undefined;
+    /** Gets how long work takes at a backend server in relation to the usual time; 1 where that is unknown. */
+    getWorkFactor(instanceId: string): number;
+    /** Gets how long work takes at a backend server with the age of that figure; undefined where it is unknown. */
+    getSpeed(instanceId: string): ServerSpeed | undefined;
+    /** Gets the known work factors of the backend servers from which this entry process has recent reports. */
+    getKnownWorkFactors(): readonly number[];
+    /** Gets the load that this entry process has caused at engines, and what they have reported of their speed. */
     getOwnLoads(): readonly ServerLoad[];
 }
--- a/src/forwarding/PlacementRecord.ts
+++ b/src/forwarding/PlacementRecord.ts
@@ -13,6 +13,10 @@
     requestCount: number;
     /** The prompt tokens sent by this entry process that it had not prefilled yet. */
     unreadTokens: number;
+    /** How long work takes there, in relation to the usual time; undefined where that is unknown. */
+    workFactor: number | undefined;
+    /** The age of that figure, in milliseconds. */
+    workFactorAgeMilliseconds: number | undefined;
     /** How the attempt uses the cache. */
     cache: CacheUse;
     /** The age of the fleet view from which the backend server was chosen, in milliseconds. */
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -8,6 +8,7 @@
 import { createNodeRanking } from "../routing";
 import { createFleetLoads } from "../serverLoads";
 import { startTask } from "../supervision";
+import { addSpeedGauges } from "./addSpeedGauges";
 import { allowsAnotherRun } from "./allowsAnotherRun";
 import { AttemptDispatcher } from "./AttemptDispatcher";
 import { AttemptResult } from "./AttemptResult";
@@ -26,6 +27,7 @@
 import { getAttemptParameters } from "./getAttemptParameters";
 import { getCacheScope } from "./getCacheScope";
 import { getHedgeSoftwareVersion } from "./getHedgeSoftwareVersion";
+import { getSpeedFields } from "./getSpeedFields";
 import { getTaskRefusal } from "./getTaskRefusal";
 import { recordStreamOrigin } from "./recordStreamOrigin";
 import { Refusal } from "./Refusal";
@@ -80,6 +82,7 @@
     });
     const retryReservations = createRetryReservations(retryBudgets, metrics);
     metrics.addGauge(GaugeName.EntryProcesses, state.getEntryCount);
+    addSpeedGauges(metrics, loads);
     metrics.addGauge(GaugeName.SavedRetries, retryBudgets.getFewestSavedRetries);
     return {
         dispatch,
@@ -186,6 +189,7 @@
             softwareVersion: instance.softwareVersion,
             requestCount: loads.getRequestCount(instanceId),
             unreadTokens: loads.getPendingPrefillTokens(instanceId),
+            ...getSpeedFields(loads.getSpeed(instanceId)),
             cache: parameters.cache,
             fleetAgeMilliseconds: Math.round(state.getFleetAgeMilliseconds()),
         };
--- a/src/forwarding/createEnginePlacement.ts
+++ b/src/forwarding/createEnginePlacement.ts
@@ -104,13 +104,18 @@
         for (const candidate of getConsideredCandidates(candidates, ownerRanks, isKnownHolder)) {
             const rank = ownerRanks.get(candidate);
             const isHolder = rank === 0 || isKnownHolder(candidate);
+            const workFactor = loads.getWorkFactor(candidate.instanceId);
             const prefillCost = isHolder
                 ? 0
-                : missedPrefillWeight * sharedTokens / prefillTokensPerMillisecond + prefixMissMilliseconds;
+                : missedPrefillWeight * sharedTokens / prefillTokensPerMillisecond * workFactor
+                    + prefixMissMilliseconds;
+            const ownPrefillMilliseconds = Math.max(0, prompt.promptTokens - sharedTokens)
+                / prefillTokensPerMillisecond;
             const ownerCost = rank === undefined ? nonOwnerMilliseconds : rank * millisecondsPerRequest;
-            const cost = prefillCost + ownerCost + getLoadCost(candidate)
+            const cost = prefillCost + ownerCost + getLoadCost(candidate, workFactor)
                 + getWeightsCost(candidate, prompt.model, desiredWeights)
-                + getMemoryCost(candidate, prompt, memoryTokens);
+                + getMemoryCost(candidate, prompt, memoryTokens)
+                + ownPrefillMilliseconds * (workFactor - 1);
             if (cost < bestCost) {
                 best = candidate;
                 bestCost = cost;
@@ -260,10 +265,10 @@
     }
 
     /** Gets what a candidate's load and state add to the time to the first token, in milliseconds. */
-    function getLoadCost({ instanceId, isLoading }: FleetInstance): number {
-        return loads.getPendingPrefillTokens(instanceId) / prefillTokensPerMillisecond
-            + loads.getQueueLength(instanceId) * millisecondsPerQueuedRequest
-            + loads.getRequestCount(instanceId) * millisecondsPerRequest
+    function getLoadCost({ instanceId, isLoading }: FleetInstance, workFactor: number): number {
+        return loads.getPendingPrefillTokens(instanceId) / prefillTokensPerMillisecond * workFactor
+            + loads.getQueueLength(instanceId) * millisecondsPerQueuedRequest * workFactor
+            + loads.getRequestCount(instanceId) * millisecondsPerRequest * workFactor
             + (isLoading ? loadingWeightsMilliseconds : 0)
             + (loads.isSuspected(instanceId) ? suspectedMilliseconds : 0);
     }
--- a/src/forwarding/createLoadTracker.ts
+++ b/src/forwarding/createLoadTracker.ts
@@ -2,10 +2,11 @@
  * Tracks the load of backend servers: what they report with their responses, corrected by the attempts that this entry
  * process has started and ended since, and what the other entry processes have in flight at engines. The others' prompts
  * that were waiting for their prefill some time ago have partly been prefilled since; only what is left of a long backlog
- * counts.
+ * counts. How long work takes at an engine is estimated from what it reports to all entry processes.
  */
 import { Clock } from "../runtime";
 import { FleetLoads, ServerLoad } from "../serverLoads";
+import { createServerSpeeds, ServerSpeed } from "../serverSpeeds";
 import { LoadReport } from "./LoadReport";
 import { LoadTracker } from "./LoadTracker";
 import { prefillTokensPerMillisecond } from "./prefillTokensPerMillisecond";
@@ -50,6 +51,7 @@
     fleetLoads: Pick<FleetLoads, "getOthers">,
 ): LoadTracker {
     const loads = new Map<string, InstanceLoad>();
+    const speeds = createServerSpeeds(clock);
     return {
         recordSent,
         recordPrefillEnd,
@@ -67,6 +69,10 @@
         getPendingPrefillTokens,
         getPromptTokens: instanceId =>
             (loads.get(instanceId)?.promptTokens ?? 0) + (fleetLoads.getOthers(instanceId)?.promptTokens ?? 0),
+        getSlots: instanceId => loads.get(instanceId)?.report?.slots,
+        getWorkFactor,
+        getSpeed,
+        getKnownWorkFactors: () => speeds.getReportedIds().map(getWorkFactor),
         getOwnLoads,
     };
 
@@ -118,6 +124,9 @@
         load.netAttemptsSinceReport = 0;
         load.consecutiveFailures = 0;
         load.suspectedUntilMilliseconds = 0;
+        if (report.workPercent !== undefined) {
+            speeds.recordReport(instanceId, report.workPercent);
+        }
     }
 
     function recordFailure(instanceId: string): void {
@@ -154,19 +163,30 @@
     function getPendingPrefillTokens(instanceId: string): number {
         const others = fleetLoads.getOthers(instanceId);
         const othersTokens = others
-            ? others.pendingPrefillTokens - prefillTokensPerMillisecond * others.ageMilliseconds
+            ? others.pendingPrefillTokens
+                - prefillTokensPerMillisecond / getWorkFactor(instanceId) * others.ageMilliseconds
             : 0;
         return (loads.get(instanceId)?.pendingPrefillTokens ?? 0) + Math.max(0, othersTokens);
     }
 
+    function getSpeed(instanceId: string): ServerSpeed | undefined {
+        return speeds.getSpeed(instanceId, fleetLoads.getOthers(instanceId));
+    }
+
+    function getWorkFactor(instanceId: string): number {
+        return getSpeed(instanceId)?.workFactor ?? 1;
+    }
+
     function getOwnLoads(): readonly ServerLoad[] {
+        const reportedIds = new Set(speeds.getReportedIds());
         return [...loads]
-            .filter(([, { isEngine, ownAttempts }]) => isEngine && ownAttempts > 0)
+            .filter(([id, { isEngine, ownAttempts }]) => isEngine && (ownAttempts > 0 || reportedIds.has(id)))
             .map(([instanceId, { ownAttempts, pendingPrefillTokens, promptTokens }]) => ({
                 instanceId,
                 requestCount: ownAttempts,
                 pendingPrefillTokens,
                 promptTokens,
+                ...speeds.getOwnEvidence(instanceId) ?? { workWeight: 0, weightedWork: 0 },
             }));
     }
 }
--- a/src/metrics/GaugeName.ts
+++ b/src/metrics/GaugeName.ts
@@ -11,6 +11,11 @@
     EntryProcesses = "basilwing_entry_processes",
     /** The retries that an entry process may send at once to the service for which it has saved the fewest. */
     SavedRetries = "basilwing_saved_retries",
+    /** The backend servers that have reported their speed to an entry process in the last 5 s. */
+    ServersWithSpeed = "basilwing_servers_with_work_factor",
+    /** The work factors of the slowest and the fastest of them in percent; 100 where there are none. */
+    HighestWorkPercent = "basilwing_highest_work_percent",
+    LowestWorkPercent = "basilwing_lowest_work_percent",
     QueueLength = "basilwing_queue_length",
     IndexedBlocks = "basilwing_indexed_pieces",
     ConfigurationRevision = "basilwing_configuration_revision",
--- a/src/serverLoads/ServerLoad.ts
+++ b/src/serverLoads/ServerLoad.ts
@@ -1,9 +1,10 @@
 /*
- * The load of an engine that entry processes have caused.
+ * The load of an engine that entry processes have caused, and what they know of its speed.
  */
+import { SpeedEvidence } from "../serverSpeeds";
 
-/** The requests at an engine. */
-export interface ServerLoad {
+/** The requests at an engine, and what it has reported of its speed. */
+export interface ServerLoad extends SpeedEvidence {
     /** The id of the engine. */
     instanceId: string;
     /** The number of requests in flight. */
--- a/src/serverLoads/addUpLoads.ts
+++ b/src/serverLoads/addUpLoads.ts
@@ -1,5 +1,5 @@
 /*
- * Adds up the load that entry processes report.
+ * Adds up the load and the evidence of speeds that entry processes report.
  */
 import { ServerLoad } from "./ServerLoad";
 
@@ -9,13 +9,16 @@
  */
 export function addUpLoads(loads: Iterable<ServerLoad>): readonly ServerLoad[] {
     const sums = new Map<string, ServerLoad>();
-    for (const { instanceId, requestCount, pendingPrefillTokens, promptTokens } of loads) {
+    for (const load of loads) {
+        const { instanceId } = load;
         const sum = sums.get(instanceId);
         sums.set(instanceId, {
             instanceId,
-            requestCount: requestCount + (sum?.requestCount ?? 0),
-            pendingPrefillTokens: pendingPrefillTokens + (sum?.pendingPrefillTokens ?? 0),
-            promptTokens: promptTokens + (sum?.promptTokens ?? 0),
+            requestCount: load.requestCount + (sum?.requestCount ?? 0),
+            pendingPrefillTokens: load.pendingPrefillTokens + (sum?.pendingPrefillTokens ?? 0),
+            promptTokens: load.promptTokens + (sum?.promptTokens ?? 0),
+            workWeight: load.workWeight + (sum?.workWeight ?? 0),
+            weightedWork: load.weightedWork + (sum?.weightedWork ?? 0),
         });
     }
     return [...sums.values()];
--- a/src/serverLoads/createFleetLoads.ts
+++ b/src/serverLoads/createFleetLoads.ts
@@ -58,6 +58,8 @@
             requestCount: Math.max(0, (sum?.requestCount ?? 0) - (own?.requestCount ?? 0)),
             pendingPrefillTokens: Math.max(0, (sum?.pendingPrefillTokens ?? 0) - (own?.pendingPrefillTokens ?? 0)),
             promptTokens: Math.max(0, (sum?.promptTokens ?? 0) - (own?.promptTokens ?? 0)),
+            workWeight: Math.max(0, (sum?.workWeight ?? 0) - (own?.workWeight ?? 0)),
+            weightedWork: Math.max(0, (sum?.weightedWork ?? 0) - (own?.weightedWork ?? 0)),
             ageMilliseconds,
         };
     }
--- a/tests/forwarding/createEnginePlacement.tests.ts
+++ b/tests/forwarding/createEnginePlacement.tests.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { createHash } from "node:crypto";
 import { DesiredWeights } from "../../src/feed";
 import {
     createEnginePlacement,
@@ -9,7 +10,7 @@
 import { FleetInstance } from "../../src/protocol";
 import { createNodeRanking } from "../../src/routing";
 import { createRandomSource } from "../../src/runtime";
-import { createFleetLoads } from "../../src/serverLoads";
+import { createFleetLoads, fleetLoadFactKind, ServerLoad } from "../../src/serverLoads";
 import { createTestFactStore } from "../facts/createTestFacts";
 import { createTestInstance } from "../feed/createTestFeed";
 import { createManualClock } from "../support/createManualClock";
@@ -45,6 +46,10 @@
         return { clock, facts, loads, placement: { ...placement, choose } };
     }
 
+    function createServerLoad(instanceId: string, requestCount: number, pendingPrefillTokens: number): ServerLoad {
+        return { instanceId, requestCount, pendingPrefillTokens, promptTokens: 12_000, workWeight: 0, weightedWork: 0 };
+    }
+
     const engines = createEngines([1, 1, 1, 1, 1, 1, 1, 1]);
 
     it("chooses the same engine in every entry process", () => {
@@ -106,6 +111,54 @@
         expect(new Set(chosen)).to.deep.equal(new Set([substitute.instanceId]));
     });
 
+    it("leaves a slow engine at a shorter queue than a fast one, and ignores what is no speed", () => {
+        const countUntilLeft = (workPercent: number | undefined) => {
+            const { placement, loads } = createTrial();
+            const owner = placement.choose(createPrompt(1), "", engines, [])!;
+            for (let count = 0; count < 100; count++) {
+                const report = { running: count, waiting: count, slots: 64 };
+                const speed = workPercent === undefined ? {} : { workPercent };
+                loads.recordReport(owner.instanceId, { ...report, ...speed });
+                if (placement.choose(createPrompt(1), "", engines, []) !== owner) {
+                    return count;
+                }
+            }
+            return Infinity;
+        };
+        const usual = countUntilLeft(undefined);
+        expect(countUntilLeft(300)).to.be.lessThan(usual);
+        expect(countUntilLeft(50)).to.be.greaterThan(usual);
+        [100, 1e12, 1e-6].forEach(workPercent => expect(countUntilLeft(workPercent)).to.equal(usual));
+    });
+
+    it("chooses as before speeds were known where engines report three figures or none", async () => {
+        const { clock, facts, loads, placement } = createTrial();
+        const random = createRandomSource(11);
+        const digest = createHash("sha256");
+        const others = engines.slice(0, 5).map(({ instanceId }, index) =>
+            createServerLoad(instanceId, 4 * index, 20_000 * index)
+        );
+        for (let round = 0; round < 2_000; round++) {
+            const { instanceId } = engines[random.getInteger(engines.length)]!;
+            if (round % 200 === 0) {
+                facts.publish(fleetLoadFactKind, "fleet", others);
+            }
+            if (round % 3 === 0) {
+                const running = random.getInteger(64);
+                loads.recordReport(instanceId, { running, waiting: random.getInteger(12), slots: 64 });
+            }
+            const prompt = createPrompt(random.getInteger(40), round);
+            const chosen = placement.choose(prompt, "", engines, [])!.instanceId;
+            digest.update(`${chosen} ${loads.getPendingPrefillTokens(instanceId)}\n`);
+            loads.recordSent(chosen, 6_400, random.getInteger(6_400));
+            loads.recordPrefillEnd(instanceId, random.getInteger(9_000));
+            loads.recordAttemptEnd(instanceId, 6_400);
+            await clock.advance(random.getInteger(12));
+        }
+        // Recorded on the code before speeds; to be recorded anew where a change intends other choices.
+        expect(digest.digest("hex").slice(0, 16)).to.equal("d30eb3b3e79dbd42");
+    });
+
     it("leaves a prefix's owner once the prompts in flight there fill its memory", () => {
         const { placement, loads } = createTrial();
         const owner = placement.choose(createPrompt(1), "", engines, [])!;
--- a/tests/serverLoads/simulatePlacement.tests.ts
+++ b/tests/serverLoads/simulatePlacement.tests.ts
@@ -49,4 +49,19 @@
             expect(shared).to.be.at.most(separate / 2);
         }
     });
+
+    it("halves the late requests at engines of unequal speed that report it", () => {
+        const [reported, unreported] = [true, false].map(reportsSpeeds =>
+            simulatePlacement({
+                seed: 7,
+                ...sizes[1]!,
+                summariesPerSecond: 2.4,
+                labelsPerSecond: 4.6,
+                sharesLoads: true,
+                lastingFactors: [0.7, 0.7, 1.7],
+                reportsSpeeds,
+            }).lateShare
+        );
+        expect(reported).to.be.at.most(unreported! / 2);
+    });
 });
--- a/tests/serverLoads/simulatePlacement.ts
+++ b/tests/serverLoads/simulatePlacement.ts
@@ -4,6 +4,7 @@
 import { addUpLoads, createFleetLoads, fleetLoadFactKind, ownLoadFactKind } from "../../src/serverLoads";
 import { createTestFactStore } from "../facts/createTestFacts";
 import { createTestInstance } from "../feed/createTestFeed";
+import { createNoise } from "../serverSpeeds/createNoise";
 
 /** The load of a simulation. */
 export interface PlacementSimulationOptions {
@@ -19,6 +20,10 @@
     decodeMilliseconds?: number;
     /** Whether entry processes know the load that the others have caused. */
     sharesLoads: boolean;
+    /** The lasting work factors of the engines, one after the other; all have the usual speed without noise by default. */
+    lastingFactors?: readonly number[];
+    /** Whether engines report their speed. */
+    reportsSpeeds?: boolean;
 }
 
 /** What a simulation has shown. */
@@ -70,6 +75,7 @@
     );
     const entries = Array.from({ length: entryCount }, (...[, index]) => createEntry(index));
     const leaderFacts = createTestFactStore(clock, "control", [ownLoadFactKind, fleetLoadFactKind]);
+    const factors = new Map(engines.map(({ instanceId }, index) => [instanceId, createWorkFactor(index)]));
     const freeAt = new Map<string, number>();
     const cachedTokens = new Map<string, number>();
     /** The tokens of the prefixes that each engine has cached, the least recently used first. */
@@ -127,6 +133,23 @@
         }
     }
 
+    /** Creates the work factor of an engine, which is read at increasing times. */
+    function createWorkFactor(index: number): () => number {
+        const { lastingFactors } = options;
+        if (!lastingFactors) {
+            return () => 1;
+        }
+        const getNext = createNoise(lastingFactors[index % lastingFactors.length]!, createRandomSource(index));
+        let factor = getNext();
+        let time = 0;
+        return () => {
+            for (; time < now; time++) {
+                factor = getNext();
+            }
+            return factor;
+        };
+    }
+
     function sendRequest(): void {
         const { summariesPerSecond, labelsPerSecond } = options;
         const isSummary = random.getFraction() < summariesPerSecond / (summariesPerSecond + labelsPerSecond);
@@ -151,7 +174,8 @@
         requestCounts.set(instanceId, (requestCounts.get(instanceId) ?? 0) + 1);
         const readsShared = !useCache(instanceId, prefix, kind.sharedTokens) && random.getFraction() >= fetchedShare;
         const readTokens = kind.ownTokens + (readsShared ? kind.sharedTokens : 0);
-        const end = Math.max(now, freeAt.get(instanceId) ?? 0) + readTokens / tokensPerMillisecond;
+        const workFactor = factors.get(instanceId)!();
+        const end = Math.max(now, freeAt.get(instanceId) ?? 0) + readTokens / tokensPerMillisecond * workFactor;
         freeAt.set(instanceId, end);
         prefills.push({
             firstTokenMilliseconds: end,
@@ -189,7 +213,12 @@
 
     function endPrefills(): void {
         for (const pending of takeUntil(prefills, now)) {
-            entries[pending.entry]!.loads.recordPrefillEnd(pending.instanceId, pending.prefillTokens);
+            const { loads } = entries[pending.entry]!;
+            loads.recordPrefillEnd(pending.instanceId, pending.prefillTokens);
+            if (options.reportsSpeeds) {
+                const workPercent = 100 * factors.get(pending.instanceId)!();
+                loads.recordReport(pending.instanceId, { running: 0, waiting: 0, slots: 64, workPercent });
+            }
             decodes.push(pending);
         }
         for (const { entry, instanceId, promptTokens } of takeUntil(decodes, now - decodeMilliseconds)) {
