--- a/src/forwarding/chooseLeastLoadedInstance.ts
+++ b/src/forwarding/chooseLeastLoadedInstance.ts
@@ -11,6 +11,9 @@
 const remoteDataCentreCost = 0.5;
 /** The cost of a backend server that failed recently, in requests: more than any queue. */
 const suspectedInstanceCost = 1_000;
+/** The plausible numbers of slots. Others would decide the mean alone, or overflow it. */
+const minimumSlots = 1;
+const maximumSlots = 65_536;
 
 /**
  * Chooses the least loaded candidate.
@@ -26,43 +29,56 @@
     dataCentre: string,
     random: RandomSource,
 ): FleetInstance | undefined {
-    const workFactors = candidates.map(({ instanceId }) => loads.getWorkFactor(instanceId));
-    const hasSpeeds = workFactors.some(workFactor => workFactor !== 1);
-    const meanSlots = hasSpeeds ? getMeanSlots() : 1;
+    const workFactors = candidates.map(({ instanceId }) => loads.getSpeed(instanceId)?.workFactor);
+    const knownFactors = workFactors.filter(workFactor => workFactor !== undefined);
+    const hasSpeeds = knownFactors.length > 0;
+    // A server without reports counts as the fastest one. At light load it would otherwise get no requests beside a faster
+    // server, and would never be measured.
+    const unknownFactor = Math.min(1, ...knownFactors);
+    const requestWork = hasSpeeds ? getRequestWork() : candidates.map(() => 1);
+    const leastRequestWork = Math.min(...requestWork);
     let best: FleetInstance | undefined;
     let bestCost = Infinity;
+    let isBestSuspected = true;
     for (const [index, candidate] of candidates.entries()) {
-        const cost = getCost(candidate, workFactors[index]!);
-        if (cost < bestCost) {
+        const isSuspected = loads.isSuspected(candidate.instanceId);
+        const cost = getCost(candidate, requestWork[index]!, isSuspected);
+        // A queue at a slow server with few slots may cost more than a failure.
+        const isBetter = hasSpeeds && isSuspected !== isBestSuspected ? isBestSuspected : cost < bestCost;
+        if (!best || isBetter) {
             best = candidate;
             bestCost = cost;
+            isBestSuspected = isSuspected;
         }
     }
     return best;
 
-    function getCost({ instanceId, dataCentre: candidateDataCentre }: FleetInstance, workFactor: number): number {
+    function getCost(
+        { instanceId, dataCentre: candidateDataCentre }: FleetInstance,
+        work: number,
+        isSuspected: boolean,
+    ): number {
         const remoteCost = candidateDataCentre === dataCentre ? 0 : remoteDataCentreCost;
-        const suspectedCost = loads.isSuspected(instanceId) ? suspectedInstanceCost : 0;
-        const load = hasSpeeds ? getExpectedWork(instanceId, workFactor) : loads.getRequestCount(instanceId);
-        return load + remoteCost + suspectedCost + random.getFraction() / 4;
+        const suspectedCost = isSuspected ? suspectedInstanceCost : 0;
+        // Where speeds are known, the new request counts: an idle slow server takes longer for it than an idle fast one.
+        const load = (loads.getRequestCount(instanceId) + (hasSpeeds ? 1 : 0)) * work;
+        const cost = load + remoteCost * leastRequestWork + suspectedCost + random.getFraction() / 4 * leastRequestWork;
+        return Number.isFinite(cost) ? cost : Number.MAX_VALUE;
     }
 
-    /**
-     * Gets the work that is ahead of the end of another request, in requests at the usual speed on a server with the mean
-     * number of slots. The other request counts: an idle slow server takes longer for it than an idle fast one.
-     */
-    function getExpectedWork(instanceId: string, workFactor: number): number {
-        const slots = getSlots(instanceId) ?? meanSlots;
-        return (loads.getRequestCount(instanceId) + 1) * workFactor * meanSlots / slots;
-    }
-
-    function getMeanSlots(): number {
-        const known = candidates.map(({ instanceId }) => getSlots(instanceId)).filter(slots => slots !== undefined);
-        return known.length > 0 ? known.reduce((sum, slots) => sum + slots, 0) / known.length : 1;
+    /** Gets the work of one request at each candidate, in requests at the usual speed with the mean number of slots. */
+    function getRequestWork(): readonly number[] {
+        const slots = candidates.map(({ instanceId }) => getSlots(instanceId));
+        const knownSlots = slots.filter(count => count !== undefined);
+        const meanSlots = knownSlots.reduce((sum, count) => sum + count, 0) / knownSlots.length;
+        return workFactors.map((workFactor = unknownFactor, index) => {
+            const count = slots[index];
+            return count === undefined ? workFactor : workFactor * meanSlots / count;
+        });
     }
 
     function getSlots(instanceId: string): number | undefined {
-        const slots = loads.getSlots(instanceId) ?? 0;
-        return slots > 0 ? slots : undefined;
+        const slots = loads.getSlots(instanceId);
+        return slots !== undefined && slots >= minimumSlots && slots <= maximumSlots ? slots : undefined;
     }
 }
--- a/tests/serverSpeeds/simulateServerSpeeds.tests.ts
+++ b/tests/serverSpeeds/simulateServerSpeeds.tests.ts
@@ -40,12 +40,16 @@
         for (let round = 0; round < 2_000; round++) {
             const id = `${state!.getInteger(instances.length)}`;
             loads.recordReport(id, {
-                running: state!.getInteger(9),
+                running: state!.getInteger(9) + (round % 50 === 0 ? 2_000 : 0),
                 waiting: state!.getInteger(4),
                 slots: 1 + round % 7,
             });
+            if (round % 3 === 0) {
+                loads.recordFailure(`${state!.getInteger(instances.length)}`);
+            }
             const costs = instances.map(({ instanceId, dataCentre }) =>
-                loads.getRequestCount(instanceId) + (dataCentre === "a" ? 0 : 0.5) + formerRandom!.getFraction() / 4
+                loads.getRequestCount(instanceId) + (dataCentre === "a" ? 0 : 0.5)
+                + (loads.isSuspected(instanceId) ? 1_000 : 0) + formerRandom!.getFraction() / 4
             );
             const expected = instances[costs.indexOf(Math.min(...costs))];
             expect(chooseLeastLoadedInstance(instances, loads, "a", random!)).to.equal(expected);
