--- a/src/serverSpeeds/ServerSpeed.ts
+++ b/src/serverSpeeds/ServerSpeed.ts
@@ -6,6 +6,9 @@
 export interface ServerSpeed {
     /** How long work takes there, in relation to the usual time. */
     workFactor: number;
-    /** The age of the newest report that the factor contains, in milliseconds. */
+    /**
+     * The age of this entry process's newest report, or of the load sums with the others' evidence where these are newer,
+     * in milliseconds. The reports in the sums are older than these.
+     */
     ageMilliseconds: number;
 }
--- a/src/serverSpeeds/ServerSpeeds.ts
+++ b/src/serverSpeeds/ServerSpeeds.ts
@@ -15,7 +15,7 @@
     /**
      * Gets the speed of a backend server; undefined where there are no recent reports.
      * @param instanceId - The backend server.
-     * @param others - The evidence of the other entry processes at an earlier time.
+     * @param others - The evidence of the other entry processes at an earlier time, with the age of the load sums.
      */
     getSpeed(
         instanceId: string,
--- a/src/serverSpeeds/createServerSpeeds.ts
+++ b/src/serverSpeeds/createServerSpeeds.ts
@@ -13,7 +13,7 @@
 const decayMilliseconds = 1_500;
 /** The weight of the usual speed, in reports. */
 const usualSpeedWeight = 0.5;
-/** How long the last report is used. */
+/** How long own reports are used after the newest one, and others' evidence after the load sums that contain it. */
 const maximumAgeMilliseconds = 5_000;
 /** The plausible reports, in percent. Others would outweigh many reports in the mean, or attract all requests. */
 const minimumPercent = 10;
