--- a/src/documents/DocumentWorkspace.ts
+++ b/src/documents/DocumentWorkspace.ts
@@ -1,6 +1,7 @@
 /*
  * A workspace of a routing document: a group of callers that authenticate with its API keys.
  */
+import { WorkspaceQuota } from "./WorkspaceQuota";
 
 /** A workspace. */
 export interface DocumentWorkspace {
@@ -12,4 +13,6 @@
     priority: number | undefined;
     /** Whether the workspace shares no cached prefix with other workspaces. */
     isIsolated: boolean;
+    /** The limit on its requests over all entry processes together; undefined where it has none. */
+    quota: WorkspaceQuota | undefined;
 }
--- a/src/entry/getRefusalStatus.ts
+++ b/src/entry/getRefusalStatus.ts
@@ -37,6 +37,7 @@
         case RefusalReason.TOO_MANY_INVALID:
         case RefusalReason.RATE_LIMITED:
         case RefusalReason.FAIR_SHARE:
+        case RefusalReason.QUOTA_EXCEEDED:
             return 429;
         case RefusalReason.CANCELLED:
             return 499;
--- a/src/feed/FeedHandlerOptions.ts
+++ b/src/feed/FeedHandlerOptions.ts
@@ -7,6 +7,7 @@
 import { FleetSource } from "../fleet";
 import { Clock } from "../runtime";
 import { EntryRegistry } from "./EntryRegistry";
+import { ResponseExtension } from "./ResponseExtension";
 
 /** The options of a control member's feed handler. */
 export interface FeedHandlerOptions {
@@ -20,6 +21,8 @@
     entryRegistry: EntryRegistry;
     /** Exchanges facts with the entry processes that poll. */
     factHub: FactHub;
+    /** What else travels with the polls. */
+    extension?: ResponseExtension;
     /** Measures the wait of polls. */
     clock: Clock;
 }
--- a/src/feed/FeedTaskOptions.ts
+++ b/src/feed/FeedTaskOptions.ts
@@ -6,6 +6,7 @@
 import { Clock, RandomSource } from "../runtime";
 import { FeedClient } from "./FeedClient";
 import { FeedState } from "./FeedState";
+import { PollExtension } from "./PollExtension";
 
 /** The options of the polling task. */
 export interface FeedTaskOptions {
@@ -19,6 +20,8 @@
     state: FeedState;
     /** Exchanges facts with the leader. */
     factSync: FactSync;
+    /** What else travels with the polls. */
+    extension?: PollExtension;
     /** Called before each poll, to publish facts. */
     onBeforePoll?: () => void;
     /** Provides the time and the delays between retries. */
--- a/src/feed/createFeedHandler.ts
+++ b/src/feed/createFeedHandler.ts
@@ -17,7 +17,7 @@
  * @param options - The handler's log, state and clock.
  */
 export function createFeedHandler(options: FeedHandlerOptions): FeedHandler {
-    const { log, documents, fleet, entryRegistry, factHub, clock } = options;
+    const { log, documents, fleet, entryRegistry, factHub, extension, clock } = options;
     const changeSignal = createSignal(clock);
     documents.addListener(wakePolls);
     return { poll, wakePolls };
@@ -29,6 +29,7 @@
     async function poll(request: PollRequest): Promise<PollResponse> {
         entryRegistry.recordPoll(request.entryId);
         factHub.readPoll(request);
+        extension?.readPoll(request);
         const endMilliseconds = clock.getMonotonicMilliseconds()
             + Math.min(request.waitMilliseconds, maximumWaitMilliseconds);
         while (isLeader() && !hasChanges(request) && clock.getMonotonicMilliseconds() < endMilliseconds) {
@@ -69,6 +70,7 @@
             entryCount: entryRegistry.getCount(),
             memberAddresses: getMemberAddresses(),
             ...factHub.createResponseFields(request),
+            ...extension?.createResponseFields(request),
         });
     }
 
--- a/src/feed/index.ts
+++ b/src/feed/index.ts
@@ -15,5 +15,7 @@
 export * from "./FeedState";
 export * from "./FeedStateOptions";
 export * from "./FeedTaskOptions";
+export * from "./PollExtension";
 export * from "./PollResult";
+export * from "./ResponseExtension";
 export * from "./runFeed";
--- a/src/feed/runFeed.ts
+++ b/src/feed/runFeed.ts
@@ -24,7 +24,7 @@
  * @param options - The client, the state to update and the task's other dependencies.
  */
 export async function runFeed(options: FeedTaskOptions): Promise<void> {
-    const { entryId, client, state, factSync, clock, random, logger, signal } = options;
+    const { entryId, client, state, factSync, extension, clock, random, logger, signal } = options;
     let members: readonly string[] = [];
     let address: string | undefined;
     let isConnected = false;
@@ -32,6 +32,9 @@
     let isUrgent = false;
     let interruptWait: () => void = () => undefined;
     const removeListeners = [factSync.addUrgentListener(pollAtOnce), state.addConfirmationListener(pollAtOnce)];
+    if (extension) {
+        removeListeners.push(extension.addUrgentListener(pollAtOnce));
+    }
     try {
         await pollMembers();
     }
@@ -57,6 +60,7 @@
                 documentVersion: BigInt(state.getRouteTable()?.document.version ?? 0),
                 fleetRevision: state.getFleetRevision(),
                 ...factSync.createPollFields(),
+                ...extension?.createPollFields(),
                 waitMilliseconds: waits ? pollWaitMilliseconds : 0,
             });
             const timeoutMilliseconds = responseTimeoutMilliseconds + request.waitMilliseconds;
@@ -79,6 +83,7 @@
                 recordConnected(address);
                 state.applyResponse(response, sendTime);
                 factSync.readResponse(response);
+                extension?.readResponse(response);
                 options.onUpdate?.();
                 continue;
             }
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -25,6 +25,8 @@
     callerMilliseconds: number | undefined;
     /** The caller's description of the prompt; undefined for requests without one. */
     prompt: PromptDescriptor | undefined;
+    /** The prompt tokens and the maximum tokens of the response together; undefined where the request does not state them. */
+    quotaTokens?: number | undefined;
     /** The last event that the caller has received, where it resumes a stream. */
     lastEventId: string | undefined;
     /** The id of the caller's request that brought the first event of the stream, where it resumes one. */
--- a/src/forwarding/ForwarderOptions.ts
+++ b/src/forwarding/ForwarderOptions.ts
@@ -9,6 +9,7 @@
 import { Clock, RandomSource } from "../runtime";
 import { ServerLimits } from "../serverLimits";
 import { StreamOrigins } from "../streamOrigins";
+import { WorkspaceQuotas } from "../workspaceQuotas";
 import { BackendLink } from "./BackendLink";
 import { KvCacheStoreView } from "./KvCacheStoreView";
 import { PlannedStop } from "./PlannedStop";
@@ -25,6 +26,8 @@
     crashQuarantine: CrashQuarantine;
     /** The limits that backend servers name. */
     serverLimits: ServerLimits;
+    /** The quotas of workspaces. */
+    workspaceQuotas: Pick<WorkspaceQuotas, "admit">;
     /** What entry processes tell each other. */
     facts: FactStore;
     /** The contents of the KV cache stores. */
--- a/src/forwarding/ForwardingTask.ts
+++ b/src/forwarding/ForwardingTask.ts
@@ -3,6 +3,7 @@
  */
 import { ObservedRun, RunSubjects } from "../crashQuarantine";
 import { Logger } from "../logging";
+import { QuotaCharge } from "../workspaceQuotas";
 import { Admission } from "./Admission";
 import { AttemptCounts } from "./AttemptCounts";
 import { CallerReply } from "./CallerReply";
@@ -73,6 +74,8 @@
     polledMilliseconds: number;
     /** The time from the request's arrival to its first attempt, in milliseconds; undefined before that. */
     sentAfterMilliseconds: number | undefined;
+    /** What the request has taken from the quota of its workspace; undefined where it counts for none. */
+    readonly quotaCharge: QuotaCharge | undefined;
     /** The attempts of all runs. */
     readonly counts: AttemptCounts;
 }
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -161,7 +161,10 @@
         }
         const needsKey = task.admission.workspace !== undefined && !task.admission.route.isPublic;
         const isStale = needsKey && state.getDocumentAgeMilliseconds() > options.maximumDocumentAgeMilliseconds;
-        return isStale ? getTaskRefusal(task, RefusalReason.STALE_SETTINGS, overloadRetryAfterMilliseconds) : undefined;
+        const reason = isStale
+            ? RefusalReason.STALE_SETTINGS
+            : task.quotaCharge?.prepareSending(task.counts.run > 0);
+        return reason === undefined ? undefined : getTaskRefusal(task, reason, overloadRetryAfterMilliseconds);
     }
 
     async function send(
@@ -173,6 +176,7 @@
         task.triedInstanceIds.add(instanceId);
         task.counts.sent += 1;
         task.counts.run += 1;
+        task.quotaCharge?.recordSent();
         recorder.recordSending(task);
         const parameters = getAttemptParameters(task, instance, {
             entryCount: state.getEntryCount(),
--- a/src/forwarding/createForwarder.ts
+++ b/src/forwarding/createForwarder.ts
@@ -7,6 +7,7 @@
 import { CounterName, HistogramName } from "../metrics";
 import { RefusalReason } from "../protocol";
 import { waitWithTimeout } from "../runtime";
+import { QuotaDecision } from "../workspaceQuotas";
 import { admitRequest } from "./admitRequest";
 import { admitResumption } from "./admitResumption";
 import { CallerReply } from "./CallerReply";
@@ -83,8 +84,14 @@
                 refuseUnadmitted(request, reply, admission.refusal, requestLogger);
                 return;
             }
-            const result = await forwardTask({
+            const quotaDecision = await admitToQuota(request, admission, deadlineMilliseconds, signal, requestLogger);
+            if (quotaDecision.kind === "refused") {
+                refuseUnadmitted(request, reply, { ...quotaDecision, kind: "notRun" }, requestLogger);
+                return;
+            }
+            const result = await forwardCharged({
                 ...createInitialTaskState(),
+                quotaCharge: quotaDecision.charge,
                 request,
                 reply,
                 admission,
@@ -123,6 +130,37 @@
         }, "request refused");
     }
 
+    /** Charges a request to the quota of its workspace. Requests of public routes count for none. */
+    function admitToQuota(
+        { quotaTokens }: ForwardedRequest,
+        { route, workspace }: ForwardingTask["admission"],
+        deadlineMilliseconds: number,
+        signal: AbortSignal,
+        requestLogger: Logger,
+    ): QuotaDecision | Promise<QuotaDecision> {
+        return workspace && !route.isPublic
+            ? options.workspaceQuotas.admit({
+                workspace: workspace.name,
+                tokens: quotaTokens,
+                remainingMilliseconds: deadlineMilliseconds - clock.getMonotonicMilliseconds(),
+                signal,
+                logger: requestLogger,
+            })
+            : { kind: "admitted", charge: undefined };
+    }
+
+    async function forwardCharged(task: ForwardingTask): Promise<ForwardResult> {
+        let hasRun = true;
+        try {
+            const result = await forwardTask(task);
+            hasRun = task.counts.run > 0;
+            return result;
+        }
+        finally {
+            task.quotaCharge?.end(hasRun);
+        }
+    }
+
     function forwardTask(task: ForwardingTask): ForwardResult | Promise<ForwardResult> {
         if (plannedStop.isTooLate(task.deadlineMilliseconds)) {
             const reason = RefusalReason.DRAINING;
--- a/src/metrics/CounterName.ts
+++ b/src/metrics/CounterName.ts
@@ -33,6 +33,12 @@
     StreamOriginsNotFound = "basilwing_stream_origins_not_found_total",
     SlowCallers = "basilwing_slow_callers_total",
     BackendCrashes = "basilwing_backend_crashes_total",
+    /** Requests within the quota of their workspace that needed no grant of the leader. */
+    QuotaAdmissionsAtOnce = "basilwing_quota_admissions_at_once_total",
+    /** Requests that waited for a grant. */
+    QuotaWaits = "basilwing_quota_waits_total",
+    /** Requests whose amount was refunded to the quota, as they never ran. */
+    QuotaRefunds = "basilwing_quota_refunds_total",
     CacheEvents = "basilwing_cache_events_total",
     CacheEventGaps = "basilwing_cache_event_gaps_total",
     KvCacheImports = "basilwing_kept_cache_imports_total",
--- a/src/metrics/GaugeName.ts
+++ b/src/metrics/GaugeName.ts
@@ -11,6 +11,10 @@
     EntryProcesses = "basilwing_entry_processes",
     /** The retries that an entry process may send at once to the service for which it has saved the fewest. */
     SavedRetries = "basilwing_saved_retries",
+    /** The largest amount that an entry process has used of a quota beyond what it was granted. */
+    QuotaDebt = "basilwing_quota_debt",
+    /** The largest amount that a leader has granted of a quota and that is not used. */
+    QuotaCredit = "basilwing_quota_credit",
     QueueLength = "basilwing_queue_length",
     IndexedBlocks = "basilwing_indexed_pieces",
     ConfigurationRevision = "basilwing_configuration_revision",
--- a/tests/crashQuarantine/simulateCrashingRequests.ts
+++ b/tests/crashQuarantine/simulateCrashingRequests.ts
@@ -14,6 +14,7 @@
 import { createTestServerLimits } from "../serverLimits/createTestServerLimits";
 import { createTestStreamOrigins } from "../streamOrigins/createTestStreamOrigins";
 import { createManualClock } from "../support/createManualClock";
+import { unlimitedQuotas } from "../workspaceQuotas/unlimitedQuotas";
 import { createTestControl } from "./createTestControl";
 import { createTestServers } from "./createTestServers";
 import { SimulatedFaults } from "./SimulatedFaults";
@@ -90,7 +91,13 @@
         onCrash: request => crashTimes[getGuiltyIndex(request)!]!.push(clock.getMonotonicMilliseconds()),
     });
     const document = createTestDocument({
-        workspaces: workspaces.map(name => ({ name, apiKeys: [`${name}-key`], priority: 1, isIsolated: false })),
+        workspaces: workspaces.map(name => ({
+            name,
+            apiKeys: [`${name}-key`],
+            priority: 1,
+            isIsolated: false,
+            quota: undefined,
+        })),
     });
     const control = createTestControl(clock, document);
     control.setInstances(servers.getInstances());
@@ -191,6 +198,7 @@
                 : { ...crashQuarantine, isSuspected: () => true },
             serverLimits: createTestServerLimits(state, clock, entryId),
             streamOrigins: createTestStreamOrigins(),
+            workspaceQuotas: unlimitedQuotas,
             kvCacheStores: { isReachable: () => false, hasPart: () => false },
             dataCentre: "west",
             maximumDocumentAgeMilliseconds: 60_000,
--- a/tests/documents/createCacheScopes.tests.ts
+++ b/tests/documents/createCacheScopes.tests.ts
@@ -8,7 +8,13 @@
         names: readonly string[],
         isolatedNames: readonly string[],
     ): readonly DocumentWorkspace[] {
-        return names.map(name => ({ name, apiKeys: [], priority: 1, isIsolated: isolatedNames.includes(name) }));
+        return names.map(name => ({
+            name,
+            apiKeys: [],
+            priority: 1,
+            isIsolated: isolatedNames.includes(name),
+            quota: undefined,
+        }));
     }
 
     function doTest(
--- a/tests/documents/createTestDocument.ts
+++ b/tests/documents/createTestDocument.ts
@@ -42,7 +42,7 @@
             headerTimeoutMilliseconds: 3_000,
             idleTimeoutMilliseconds: 15_000,
         },
-        workspaces: [{ name: "alpha", apiKeys: ["alpha-key"], priority: 1, isIsolated: false }],
+        workspaces: [{ name: "alpha", apiKeys: ["alpha-key"], priority: 1, isIsolated: false, quota: undefined }],
         ...changes,
     };
 }
--- a/tests/forwarding/crashingParts.tests.ts
+++ b/tests/forwarding/crashingParts.tests.ts
@@ -10,6 +10,7 @@
 import { createTestServerLimits } from "../serverLimits/createTestServerLimits";
 import { createTestStreamOrigins } from "../streamOrigins/createTestStreamOrigins";
 import { createManualClock } from "../support/createManualClock";
+import { unlimitedQuotas } from "../workspaceQuotas/unlimitedQuotas";
 import { createTestLink, createTestResponse } from "./createTestLink";
 import { createTestReply } from "./createTestReply";
 import { createTestRequest } from "./createTestRequest";
@@ -62,6 +63,7 @@
             crashQuarantine: createTestCrashQuarantine({ state, link, clock }),
             serverLimits: createTestServerLimits(state, clock),
             streamOrigins: createTestStreamOrigins(),
+            workspaceQuotas: unlimitedQuotas,
             kvCacheStores: { isReachable: () => false, hasPart: () => false },
             dataCentre: "west",
             signal: new AbortController().signal,
--- a/tests/forwarding/createForwarder.tests.ts
+++ b/tests/forwarding/createForwarder.tests.ts
@@ -25,6 +25,7 @@
 import { createTestServerLimits } from "../serverLimits/createTestServerLimits";
 import { createTestStreamOrigins } from "../streamOrigins/createTestStreamOrigins";
 import { createManualClock } from "../support/createManualClock";
+import { unlimitedQuotas } from "../workspaceQuotas/unlimitedQuotas";
 import { createTestLink, createTestResponse, lostResult, overloadedResult } from "./createTestLink";
 import { createTestReply } from "./createTestReply";
 import { createTestRequest } from "./createTestRequest";
@@ -77,6 +78,7 @@
                 ...createTestServerLimits(state, clock),
                 ...options.getLimitWait ? { getWaitMilliseconds: options.getLimitWait } : {},
             },
+            workspaceQuotas: unlimitedQuotas,
             kvCacheStores: { isReachable: () => false, hasPart: () => false },
             dataCentre: "west",
             signal: new AbortController().signal,
--- a/tests/forwarding/createTestForwarder.ts
+++ b/tests/forwarding/createTestForwarder.ts
@@ -8,6 +8,7 @@
 import { createTestServerLimits } from "../serverLimits/createTestServerLimits";
 import { createTestStreamOrigins } from "../streamOrigins/createTestStreamOrigins";
 import { createManualClock } from "../support/createManualClock";
+import { unlimitedQuotas } from "../workspaceQuotas/unlimitedQuotas";
 import { createTestLink } from "./createTestLink";
 
 /**
@@ -32,6 +33,7 @@
         streamOrigins: createTestStreamOrigins(),
         crashQuarantine: createTestCrashQuarantine({ state, link, clock }),
         serverLimits: createTestServerLimits(state, clock),
+        workspaceQuotas: unlimitedQuotas,
         kvCacheStores: { isReachable: () => false, hasPart: () => false },
         dataCentre: "west",
         signal: new AbortController().signal,
--- a/tests/forwarding/isolatedWorkspaces.tests.ts
+++ b/tests/forwarding/isolatedWorkspaces.tests.ts
@@ -25,6 +25,7 @@
                 apiKeys: [`${name}-key`],
                 priority: 1,
                 isIsolated: isolatedNames.includes(name),
+                quota: undefined,
             }));
             const engines = ["engine-1", "engine-2"].map(instanceId => createTestInstance({ instanceId }));
             updateTestFeedState(state, clock, engines, { version, workspaces });
--- a/tests/forwarding/requestLimits.tests.ts
+++ b/tests/forwarding/requestLimits.tests.ts
@@ -22,6 +22,7 @@
 import { createTestServerLimits } from "../serverLimits/createTestServerLimits";
 import { createTestStreamOrigins } from "../streamOrigins/createTestStreamOrigins";
 import { createManualClock } from "../support/createManualClock";
+import { unlimitedQuotas } from "../workspaceQuotas/unlimitedQuotas";
 import { createTestLink, createTestResponse } from "./createTestLink";
 import { createTestReply } from "./createTestReply";
 import { createTestRequest } from "./createTestRequest";
@@ -75,6 +76,7 @@
                 crashQuarantine: createTestCrashQuarantine({ state, link, clock }),
                 serverLimits,
                 streamOrigins: createTestStreamOrigins(),
+                workspaceQuotas: unlimitedQuotas,
                 kvCacheStores: { isReachable: () => false, hasPart: () => false },
                 dataCentre: "west",
                 signal: new AbortController().signal,
--- a/tests/platform/backends/endlessResponses.tests.ts
+++ b/tests/platform/backends/endlessResponses.tests.ts
@@ -13,6 +13,7 @@
 import { createTestRequest } from "../../forwarding/createTestRequest";
 import { createTestServerLimits } from "../../serverLimits/createTestServerLimits";
 import { createTestStreamOrigins } from "../../streamOrigins/createTestStreamOrigins";
+import { unlimitedQuotas } from "../../workspaceQuotas/unlimitedQuotas";
 import { startRawServer } from "../startRawServer";
 
 describe("createBackendLink, with bytes without end", () => {
@@ -60,6 +61,7 @@
             crashQuarantine: createTestCrashQuarantine({ state, link, clock }),
             serverLimits: createTestServerLimits(state, clock),
             streamOrigins: createTestStreamOrigins(),
+            workspaceQuotas: unlimitedQuotas,
             kvCacheStores: { isReachable: () => false, hasPart: () => false },
             dataCentre: "west",
             signal: AbortSignal.timeout(20_000),
--- a/tests/platform/cacheSalts.tests.ts
+++ b/tests/platform/cacheSalts.tests.ts
@@ -49,6 +49,7 @@
                 apiKeys: [`${name}-key`],
                 priority: 1,
                 isIsolated: step.isolated.includes(name),
+                quota: undefined,
             }));
             const engines = step.weights.map((weights, number) =>
                 createTestInstance({ instanceId: `engine-${number}`, weights })
--- a/tests/platform/callers/startCallerServer.tests.ts
+++ b/tests/platform/callers/startCallerServer.tests.ts
@@ -176,6 +176,14 @@
                 "0.250",
             ),
         );
+        it(
+            "has status 429 and the time of the refill beyond a quota",
+            doTest(
+                { kind: "notRun", reason: RefusalReason.QUOTA_EXCEEDED, retryAfterMilliseconds: 412.6 },
+                429,
+                "0.413",
+            ),
+        );
         it(
             "has status 502 and no retry time if the request may have run",
             doTest(
--- a/tests/platform/operators/decodeDocument.tests.ts
+++ b/tests/platform/operators/decodeDocument.tests.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import * as fc from "fast-check";
 import { decodeDocument } from "../../../platform/operators";
-import { RouteKind } from "../../../src/documents";
+import { QuotaUnit, RouteKind, WorkspaceQuota } from "../../../src/documents";
 
 describe("decodeDocument", () => {
     const route = {
@@ -44,10 +44,34 @@
             { kind: "plain", name: "actions", healthPath: "/health", maximumConnections: 96 },
         ]);
         expect(document?.workspaces).to.deep.equal([
-            { name: "alpha", apiKeys: ["alpha-key"], priority: 1, isIsolated: true },
+            { name: "alpha", apiKeys: ["alpha-key"], priority: 1, isIsolated: true, quota: undefined },
         ]);
     });
 
+    describe("the quota of a workspace", () => {
+        function doTest(fields: object, expected: WorkspaceQuota | undefined) {
+            const tenants = [{ name: "alpha", api_keys: ["alpha-key"], ...fields }];
+            const outcome = decodeDocument(Buffer.from(JSON.stringify({ ...file, tenants })));
+            expect(outcome.kind === "decoded" && outcome.document.workspaces?.[0]?.quota).to.deep.equal(expected);
+        }
+
+        it("counts tokens", () =>
+            doTest(
+                { unit: "tokens", uncached_tokens: 200, rate_per_s: 355_710, burst: 36_000.5 },
+                { unit: QuotaUnit.Tokens, defaultRequestTokens: 200, amountPerSecond: 355_710, burst: 36_000.5 },
+            ));
+        ["request", undefined].forEach(unit =>
+            it(`counts requests where the unit is ${unit}`, () =>
+                doTest(
+                    { unit, rate_per_s: 5, burst: 10 },
+                    { unit: QuotaUnit.Requests, defaultRequestTokens: 0, amountPerSecond: 5, burst: 10 },
+                ))
+        );
+        [{}, { rate_per_s: 0, burst: 5 }, { rate_per_s: 5, burst: 0 }, { rate_per_s: 5 }].forEach(fields =>
+            it(`is none with ${JSON.stringify(fields)}`, () => doTest(fields, undefined))
+        );
+    });
+
     describe("the reported problem", () => {
         function doTest(changed: object, expected: string) {
             expect(getProblem(changed)).to.equal(expected);
@@ -55,6 +79,11 @@
 
         it("contains the path of an invalid value", () =>
             doTest({ routes: [{ ...route, timeout_ms: "soon" }] }, "document/routes/0/timeout_ms must be number"));
+        [{ rate_per_s: -1 }, { burst: "5" }, { unit: "bytes" }, { uncached_tokens: -1 }].forEach(fields =>
+            it(`contains the path of ${JSON.stringify(fields)}`, () =>
+                expect(getProblem({ tenants: [{ name: "alpha", api_keys: [], ...fields }] }))
+                    .to.match(new RegExp(`^document/tenants/0/${Object.keys(fields)[0]} `)))
+        );
         it("names a missing property", () =>
             doTest({ limits: undefined }, "document must have required property 'limits'"));
         it("names an unknown service", () =>
--- a/tests/platform/settings/decodePlatformSettings.tests.ts
+++ b/tests/platform/settings/decodePlatformSettings.tests.ts
@@ -20,6 +20,9 @@
             retry_budget_slack: 56,
             budget_window_s: 8,
             lease_ms: 3_000,
+            quota_window_s: 4,
+            quota_overshoot: 0.1,
+            quota_slack: 140_000,
         },
         cloud_api: { address: "10.200.0.117:8784", rate_per_s: 44, duties: [], lag_ms: 800 },
         to_come: true,
@@ -49,6 +52,9 @@
             retryBudgetReserve: 56,
             retryBudgetWindowMilliseconds: 8_000,
             orderLeaseMilliseconds: 3_000,
+            quotaWindowMilliseconds: 4_000,
+            quotaOvershoot: 0.1,
+            quotaSlack: 140_000,
         });
         expect(outcome.kind === "decoded" && getInternalSeedAddresses(outcome.settings))
             .to.deep.equal(["10.1.0.25:7340", "10.2.0.42:7340"]);
--- /dev/null
+++ b/tests/workspaceQuotas/createWorkspaceQuotas.tests.ts
@@ -0,0 +1,167 @@
+import { create } from "@bufbuild/protobuf";
+import { expect } from "chai";
+import { QuotaUnit, WorkspaceQuota } from "../../src/documents";
+import { createSilentLogger } from "../../src/logging";
+import { createMetrics } from "../../src/metrics";
+import { PollRequestSchema, PollResponseSchema, RefusalReason } from "../../src/protocol";
+import { createRandomSource } from "../../src/runtime";
+import { createQuotaLedger, createQuotaView, createWorkspaceQuotas, QuotaCharge } from "../../src/workspaceQuotas";
+import { createTestDocument } from "../documents/createTestDocument";
+import { createTestFeedState } from "../feed/createTestFeed";
+import { createManualClock } from "../support/createManualClock";
+
+describe("createWorkspaceQuotas", () => {
+    const tokenQuota: WorkspaceQuota = {
+        unit: QuotaUnit.Tokens,
+        amountPerSecond: 1_000,
+        burst: 2_000,
+        defaultRequestTokens: 200,
+    };
+
+    /** Creates an entry process, which has a debt limit of 500 after 20 s, and a leader that it polls. */
+    async function createTrial(quota: WorkspaceQuota | undefined) {
+        const clock = createManualClock();
+        let [entryCount, ageMilliseconds, urgentCount] = [10, 0, 0];
+        const document = createTestDocument({
+            workspaces: [{ name: "alpha", apiKeys: [], priority: 1, isIsolated: false, quota }],
+        });
+        const bounds = { windowMilliseconds: 8_000, overshoot: 0, slack: 10_000 };
+        const metrics = createMetrics();
+        const ledger = createQuotaLedger({ getQuotas: createQuotaView(() => document), bounds, clock, metrics });
+        const quotas = createWorkspaceQuotas({
+            reporter: "entry 1",
+            state: {
+                ...createTestFeedState(clock, [], document),
+                getEntryCount: () => entryCount,
+                getDocumentAgeMilliseconds: () => ageMilliseconds,
+                getContactStartMilliseconds: () => 0,
+            },
+            bounds,
+            clock,
+            random: createRandomSource(1),
+            metrics,
+        });
+        quotas.addUrgentListener(() => urgentCount += 1);
+        await clock.advance(20_000);
+        return {
+            clock,
+            metrics,
+            createPollFields: quotas.createPollFields,
+            getUrgentCount: () => urgentCount,
+            setEntryCount: (count: number) => entryCount = count,
+            setAge: (milliseconds: number) => ageMilliseconds = milliseconds,
+            admit: (tokens?: number) =>
+                quotas.admit({
+                    workspace: "alpha",
+                    tokens,
+                    remainingMilliseconds: 5_000,
+                    signal: new AbortController().signal,
+                    logger: createSilentLogger(),
+                }),
+            poll,
+        };
+
+        async function poll(losesResponse = false): Promise<number | undefined> {
+            const request = create(PollRequestSchema, quotas.createPollFields());
+            ledger.readPoll(request);
+            await clock.advance(1);
+            const response = create(PollResponseSchema, ledger.createResponseFields(request));
+            if (!losesResponse) {
+                quotas.readResponse(response);
+            }
+            return response.workspaceGrants[0]?.granted;
+        }
+    }
+
+    type Trial = Awaited<ReturnType<typeof createTrial>>;
+
+    function getCharge(decision: Awaited<ReturnType<Trial["admit"]>>): QuotaCharge {
+        expect(decision.kind).to.equal("admitted");
+        return (decision as { charge: QuotaCharge; }).charge;
+    }
+
+    async function expectRefusal(decision: ReturnType<Trial["admit"]>, reason: RefusalReason, minimum: number) {
+        const refusal = await decision as { reason: RefusalReason; retryAfterMilliseconds: number; };
+        expect(refusal.reason).to.equal(reason);
+        expect(refusal.retryAfterMilliseconds).to.be.within(minimum, 1.31 * minimum);
+    }
+
+    it("sends nothing and keeps nothing where no workspace has a quota", async () => {
+        const trial = await createTrial(undefined);
+        expect(trial.admit(1e9)).to.deep.equal({ kind: "admitted", charge: undefined });
+        expect([trial.createPollFields(), trial.getUrgentCount(), await trial.poll()]).to.deep.equal([
+            {},
+            0,
+            undefined,
+        ]);
+    });
+
+    it("admits within the debt limit without asking, and reports the debt until it is granted", async () => {
+        const trial = await createTrial(tokenQuota);
+        await trial.admit(400);
+        await trial.poll();
+        expect(trial.getUrgentCount()).to.equal(0);
+        await trial.clock.advance(1_000);
+        expect([await trial.poll(true), await trial.poll()]).to.deep.equal([400, 400]);
+    });
+
+    it("counts a request that states no tokens as the quota says", async () => {
+        const trial = await createTrial(tokenQuota);
+        expect([trial.admit(), trial.admit(), trial.admit()].map(decision => decision instanceof Promise))
+            .to.deep.equal([false, false, true]);
+    });
+
+    it("asks for what exceeds the debt limit, and refuses it with the time of the refill where the bucket has too little", async () => {
+        const trial = await createTrial(tokenQuota);
+        await trial.admit(100);
+        await trial.poll();
+        await trial.clock.advance(998);
+        const [granted, refused] = [trial.admit(700), trial.admit(1_900)];
+        await trial.poll();
+        getCharge(await granted);
+        await expectRefusal(refused, RefusalReason.QUOTA_EXCEEDED, 700);
+        const urgentCount = trial.getUrgentCount();
+        await expectRefusal(trial.admit(1_900), RefusalReason.QUOTA_EXCEEDED, 700);
+        expect(trial.getUrgentCount()).to.equal(urgentCount);
+    });
+
+    it("refuses as not run what exceeds the debt limit where the leader does not respond", async () => {
+        const trial = await createTrial(tokenQuota);
+        const decision = trial.admit(700);
+        await trial.clock.advance(300);
+        await expectRefusal(decision, RefusalReason.STALE_SETTINGS, 1_000);
+        await expectRefusal(trial.admit(700), RefusalReason.STALE_SETTINGS, 1_000);
+    });
+
+    it("has no debt limit once the last contact is too old, and sends nothing that was charged before", async () => {
+        const trial = await createTrial(tokenQuota);
+        const charge = getCharge(await trial.admit(400));
+        trial.setAge(3_100);
+        expect(charge.prepareSending(false)).to.equal(RefusalReason.STALE_SETTINGS);
+        const decision = trial.admit(10);
+        await trial.clock.advance(300);
+        await expectRefusal(decision, RefusalReason.STALE_SETTINGS, 1_000);
+    });
+
+    it("sends nothing that exceeds a debt limit which has become lower", async () => {
+        const trial = await createTrial(tokenQuota);
+        const charge = getCharge(await trial.admit(400));
+        trial.setEntryCount(20);
+        expect(charge.prepareSending(false)).to.equal(RefusalReason.QUOTA_EXCEEDED);
+        expect(charge.prepareSending(true)).to.equal(undefined);
+    });
+
+    it("refunds a request that never ran, also after its amount was granted, and no other one", async () => {
+        const trial = await createTrial(tokenQuota);
+        const charge = getCharge(await trial.admit(400));
+        await trial.poll();
+        await trial.clock.advance(1_000);
+        await trial.poll();
+        charge.recordSent();
+        charge.end(false);
+        const other = getCharge(await trial.admit(900));
+        other.end(true);
+        expect(trial.admit(100)).to.be.instanceOf(Promise);
+        expect(await trial.metrics.getText()).to.contain("basilwing_quota_refunds_total 1");
+    });
+});
