--- a/tests/feed/createFeedHandler.tests.ts
+++ b/tests/feed/createFeedHandler.tests.ts
@@ -17,6 +17,8 @@
             barrier: { kind: "passed", index: 1n } as ReadBarrierOutcome,
             barrierCount: 0,
             fleetRevision: "1.1",
+            /** The polls that were read, and those for which grants were created, each behind the number of barriers before. */
+            quotaSteps: [] as string[],
             putDocument,
             poll,
         };
@@ -33,6 +35,13 @@
             fleet: { getRevision: () => fixture.fleetRevision, getView: () => create(FleetViewSchema) },
             entryRegistry: createEntryRegistry(clock),
             factHub: createTestFactHub({ clock, store: createTestFactStore(clock) }),
+            extension: {
+                readPoll: ({ entryId }) => void fixture.quotaSteps.push(`${fixture.barrierCount} read ${entryId}`),
+                createResponseFields: ({ entryId }) => {
+                    fixture.quotaSteps.push(`${fixture.barrierCount} grant ${entryId}`);
+                    return { workspaceGrants: [] };
+                },
+            },
             clock,
         });
         return fixture;
@@ -97,6 +106,14 @@
         expect((await fixture.poll("entry-1", 0, "", 0)).outcome).to.equal(PollOutcome.NOT_LEADER);
     });
 
+    it("grants quotas only behind the read barrier, as a former leader's grants would add to those of the new one", async () => {
+        const fixture = createFixture();
+        await fixture.poll("entry-1", 0, "", 0);
+        fixture.barrier = { kind: "noLeader", leaderAddress: undefined };
+        await fixture.poll("entry-2", 0, "", 0);
+        expect(fixture.quotaSteps).to.deep.equal(["0 read entry-1", "1 grant entry-1", "1 read entry-2"]);
+    });
+
     it("counts the entry processes that polled within the last 10 s", async () => {
         const fixture = createFixture();
         fixture.putDocument(1);
--- a/tests/feed/runFeed.tests.ts
+++ b/tests/feed/runFeed.tests.ts
@@ -140,6 +140,7 @@
             const facts = createTestFactStore(clock, "entry-1 1", [kind]);
             const state = createFeedState({ decode: decodeTestDocument, clock, logger: createSilentLogger() });
             const polls: { milliseconds: number; factCount: number; isComplete: boolean; }[] = [];
+            const extension = { reporters: [] as string[], responseCount: 0, pollAtOnce: () => undefined as void };
             void runFeed({
                 entryId: "entry-1",
                 getSeedAddresses: () => seeds,
@@ -151,6 +152,7 @@
                             isComplete: false,
                         };
                         polls.push(poll);
+                        extension.reporters.push(request.quotaReporter);
                         await clock.sleep(request.waitMilliseconds + 1, signal);
                         poll.isComplete = !signal.aborted;
                         return signal.aborted ? failed : {
@@ -165,6 +167,14 @@
                 },
                 state,
                 factSync: createFactSync(facts),
+                extension: {
+                    createPollFields: () => ({ quotaReporter: "entry-1 1" }),
+                    readResponse: () => extension.responseCount += 1,
+                    addUrgentListener: listener => {
+                        extension.pollAtOnce = listener;
+                        return () => undefined;
+                    },
+                },
                 clock,
                 random: createRandomSource(3),
                 logger: createSilentLogger(),
@@ -172,7 +182,7 @@
             });
             await clock.advance(1_000);
             polls.length = 0;
-            return { clock, facts, state, polls };
+            return { clock, facts, state, polls, extension };
         }
 
         it("replaces a poll that waits, and is sent once", async () => {
@@ -184,6 +194,17 @@
                 .to.deep.equal([[25, 1], [26, 0]]);
         });
 
+        it("is sent as soon as a request that waits for a quota, whose fields are in each poll", async () => {
+            const { clock, polls, extension } = await createUrgentTrial();
+            const start = clock.getMonotonicMilliseconds();
+            const { responseCount } = extension;
+            extension.pollAtOnce();
+            await clock.advance(30);
+            expect(polls.map(({ milliseconds }) => milliseconds - start)).to.deep.equal([25, 26]);
+            expect(extension.responseCount).to.equal(responseCount + 1);
+            expect(new Set(extension.reporters)).to.deep.equal(new Set(["entry-1 1"]));
+        });
+
         it("is followed by the confirmation of the fleet, also where that is asked for while others are awaited", async () => {
             const { clock, state, polls } = await createUrgentTrial();
             const start = clock.getMonotonicMilliseconds();
--- a/tests/workspaceQuotas/quotaHistories.tests.ts
+++ b/tests/workspaceQuotas/quotaHistories.tests.ts
@@ -26,6 +26,7 @@
         skew: 0,
         lengthMilliseconds,
         countFromMilliseconds: 15_000,
+        deliveryMilliseconds: 0,
         slowShare: 0,
         events: [],
     };
@@ -60,6 +61,7 @@
             skew: fc.constantFrom(0, 0, 0.3, 0.9),
             lengthMilliseconds: fc.constant(lengthMilliseconds),
             countFromMilliseconds: fc.constant(0),
+            deliveryMilliseconds: fc.constantFrom(0, 900),
             slowShare: fc.constantFrom(0, 0.03, 0.3),
             events: fc.array(
                 fc.record({
--- a/tests/workspaceQuotas/simulateQuotas.ts
+++ b/tests/workspaceQuotas/simulateQuotas.ts
@@ -56,6 +56,8 @@
     lengthMilliseconds: number;
     /** When requests begin to be counted. */
     countFromMilliseconds: number;
+    /** How long an attempt may take to reach its server. */
+    deliveryMilliseconds: number;
     /** The share of polls that are slow, and a third of which are lost. */
     slowShare: number;
     events: readonly {
@@ -374,7 +376,7 @@
             runIn(entry, refusalDelay, () => sendAttempt(entry, charge, amount, triesLeft - 1));
             return;
         }
-        arrivals.push({ time: now(), amount });
+        arrivals.push({ time: now() + random.getFraction() * history.deliveryMilliseconds, amount });
         result.arrivedAmount += amount;
         runIn(entry, random.getFraction() * 4_000, () => charge?.end(true));
     }
