--- a/src/metrics/GaugeName.ts
+++ b/src/metrics/GaugeName.ts
@@ -16,6 +16,10 @@
     /** The work factors of the slowest and the fastest of them in percent; 100 where there are none. */
     HighestWorkPercent = "basilwing_highest_work_percent",
     LowestWorkPercent = "basilwing_lowest_work_percent",
+    /** The largest amount that an entry process has used of a quota beyond what it was granted. */
+    QuotaDebt = "basilwing_quota_debt",
+    /** The largest amount that a leader has granted of a quota and that is not used. */
+    QuotaCredit = "basilwing_quota_credit",
     QueueLength = "basilwing_queue_length",
     IndexedBlocks = "basilwing_indexed_pieces",
     ConfigurationRevision = "basilwing_configuration_revision",
