--- a/scripts/generateMetricsReference.ts
+++ b/scripts/generateMetricsReference.ts
@@ -6,6 +6,7 @@
 import { dirname } from "node:path";
 import {
     ConnectionEndReason,
+    ContentionReason,
     CounterName,
     createMetrics,
     GaugeName,
@@ -60,6 +61,7 @@
             [
                 ...Object.values(CounterName),
                 "basilwing_refusals_total",
+                "basilwing_contention_refusals_total",
                 "basilwing_retries_total",
                 "basilwing_refused_retries_total",
                 "basilwing_sent_retries_total",
@@ -69,6 +71,9 @@
             helpTexts,
         ),
         `Values of \`reason\` in \`basilwing_refusals_total\`: ${formatLabelValues(refusalReasons)}.`,
+        `Values of \`reason\` in \`basilwing_contention_refusals_total\`: ${
+            formatLabelValues(Object.values(ContentionReason))
+        }; of \`workspace_class\`: \`overShare\`, \`withinShare\`.`,
         `Values of \`reason\` in \`basilwing_retries_total\`: ${formatLabelValues(Object.values(RetryReason))}.`,
         `Values of \`reason\` in \`basilwing_unanswered_requests_total\`: ${
             formatLabelValues(
--- a/src/documents/index.ts
+++ b/src/documents/index.ts
@@ -6,6 +6,7 @@
 export * from "./CallerLimits";
 export * from "./createDocumentState";
 export * from "./createRouteTable";
+export * from "./distinguishesRequests";
 export * from "./DocumentDecoder";
 export * from "./DocumentState";
 export * from "./DocumentWorkspace";
--- a/src/limits/index.ts
+++ b/src/limits/index.ts
@@ -9,6 +9,7 @@
 export * from "./createQuotaUpdateHandler";
 export * from "./createRequestLimiter";
 export * from "./createRetryBudget";
+export * from "./createReturnSpread";
 export * from "./createTokenBucket";
 export * from "./formatQuotaName";
 export * from "./LimitDecision";
--- a/src/metrics/Metrics.ts
+++ b/src/metrics/Metrics.ts
@@ -3,6 +3,7 @@
  */
 import { RefusalReason } from "../protocol";
 import { ConnectionEndReason } from "./ConnectionEndReason";
+import { ContentionReason } from "./ContentionReason";
 import { CounterName } from "./CounterName";
 import { GaugeName } from "./GaugeName";
 import { HistogramName } from "./HistogramName";
@@ -14,6 +15,12 @@
 export interface Metrics {
     /** Counts a refusal with its reason. */
     countRefusal(reason: RefusalReason): void;
+    /**
+     * Counts a refusal under contention, where the routing document distinguishes requests.
+     * @param reason - The reason.
+     * @param isOverShare - Whether the request's workspace exceeds its share.
+     */
+    countContentionRefusal(reason: ContentionReason, isOverShare: boolean): void;
     /** Counts a retry with its reason. */
     countRetry(reason: RetryReason): void;
     /** Counts an attempt beyond the first of its request, sent to a backend server of a service. */
--- a/src/metrics/createMetrics.ts
+++ b/src/metrics/createMetrics.ts
@@ -5,6 +5,7 @@
 import { Counter, Gauge, Registry } from "prom-client";
 import { RefusalReason } from "../protocol";
 import { ConnectionEndReason } from "./ConnectionEndReason";
+import { ContentionReason } from "./ContentionReason";
 import { CounterName } from "./CounterName";
 import { GaugeName } from "./GaugeName";
 import { HistogramName } from "./HistogramName";
@@ -31,6 +32,12 @@
         labelNames: ["reason"],
         registers: [registry],
     });
+    const contentionRefusals = new Counter({
+        name: "basilwing_contention_refusals_total",
+        help: "Requests refused under contention, by reason and by whether their workspace exceeds its share.",
+        labelNames: ["reason", "workspace_class"],
+        registers: [registry],
+    });
     const retries = new Counter({
         name: "basilwing_retries_total",
         help: "Attempts made again, by reason.",
@@ -68,6 +75,7 @@
     Object.values(HistogramName).forEach(addHistogram);
     return {
         countRefusal,
+        countContentionRefusal,
         countRetry,
         countSentRetry: service => sentRetries.inc({ service }),
         countRefusedRetry: service => refusedRetries.inc({ service }),
@@ -89,6 +97,10 @@
         refusals.inc({ reason: name });
     }
 
+    function countContentionRefusal(reason: ContentionReason, isOverShare: boolean): void {
+        contentionRefusals.inc({ reason, workspace_class: isOverShare ? "overShare" : "withinShare" });
+    }
+
     function countRetry(reason: RetryReason): void {
         retries.inc({ reason });
     }
--- a/src/metrics/index.ts
+++ b/src/metrics/index.ts
@@ -2,6 +2,7 @@
  * Counters, gauges and histograms of a process, and their text format.
  */
 export * from "./ConnectionEndReason";
+export * from "./ContentionReason";
 export * from "./CounterName";
 export * from "./createMetrics";
 export * from "./GaugeName";
--- a/src/requestQueue/createRequestQueue.ts
+++ b/src/requestQueue/createRequestQueue.ts
@@ -5,14 +5,30 @@
  * others are started, one in each turn of the event loop. A request is started only after a turn in which the end of its
  * connection would have been read.
  *
- * While requests wait longer than usual, the latest is started first, since its caller has the most time left. A request
- * that has waited for a third of its caller's time is refused, so that the caller can retry at another entry process.
+ * Where the routing document distinguishes requests, each workspace that waits has an equal share of the starts, and within a
+ * workspace the most urgent requests are first. A request that could not be started in time behind those is refused at its
+ * arrival, so that the queue stays short. Otherwise, while requests wait longer than usual, the latest is started first,
+ * since its caller has the most time left. A request that has waited for a third of its caller's time is refused, so that
+ * the caller can retry at another entry process.
  */
-import { TaskName } from "../metrics";
+import { createReturnSpread } from "../limits";
+import { ContentionReason, TaskName } from "../metrics";
 import { startTask } from "../supervision";
+import { createStartRate } from "./createStartRate";
+import { createStarvationTimes } from "./createStarvationTimes";
+import { createWorkspaceShares } from "./createWorkspaceShares";
+import { findOvertaken } from "./findOvertaken";
+import { getMaximumWait } from "./getMaximumWait";
+import { getPriority } from "./getPriority";
+import { getWorkAhead } from "./getWorkAhead";
+import { getWorkspace } from "./getWorkspace";
+import { isOverShare } from "./isOverShare";
+import { QueueDemand } from "./QueueDemand";
 import { QueuedRequest } from "./QueuedRequest";
+import { QueueRefusal } from "./QueueRefusal";
 import { RequestQueue } from "./RequestQueue";
 import { RequestQueueOptions } from "./RequestQueueOptions";
+import { WaitingRequest } from "./WaitingRequest";
 
 /** How long accepting connections may delay the start of requests, in milliseconds. */
 const maximumAcceptMilliseconds = 25;
@@ -20,26 +36,15 @@
 const turnsBeforeStart = 2;
 /** The wait from which the latest request is started first, in milliseconds: longer than bursts of connections take. */
 const overloadMilliseconds = 100;
-/** The share of its caller's time for which a request waits. */
-const waitShareOfCallerTime = 0.33;
-/** The maximum wait of a request that states no time, in milliseconds. */
-const maximumWaitMilliseconds = 5_000;
 /** The maximum number of requests that wait; their bodies are held in memory. */
 const maximumLength = 1_024;
 /** The bounds of the delay after which a refused caller may retry, in milliseconds. */
 const minimumRetryAfterMilliseconds = 100;
 const maximumRetryAfterMilliseconds = 1_000;
-/** The weight of the last interval in the mean interval between starts. */
-const intervalWeight = 0.1;
-
-/** A request with the times that decide when it is started. */
-interface WaitingRequest {
-    request: QueuedRequest;
-    /** When it was added, on the monotonic clock, in milliseconds. */
-    addedMilliseconds: number;
-    /** The first turn in which it may be started. */
-    firstTurn: number;
-}
+/** The share of its objective for which a distinguished request may be expected to wait; the backend server needs the rest. */
+const waitShareOfTarget = 0.5;
+/** How often the requests that wait are compared with their limits, in milliseconds: the comparison looks at all of them. */
+const recheckMilliseconds = 25;
 
 /**
  * Creates the queue of an entry process.
@@ -54,20 +59,34 @@
     let hasAccepted = false;
     /** Since when connections are accepted without a start, on the monotonic clock, in milliseconds. */
     let acceptStartMilliseconds: number | undefined;
-    let lastStartMilliseconds: number | undefined;
-    let meanIntervalMilliseconds: number | undefined;
-    return { add, recordConnection: () => hasAccepted = true, getLength: () => waiting.length };
+    let recheckedMilliseconds = -Infinity;
+    const rate = createStartRate(clock);
+    const shares = createWorkspaceShares();
+    const starvation = createStarvationTimes(clock);
+    const spreadReturns = createReturnSpread();
+    return {
+        add,
+        getArrivalRefusal,
+        recordConnection: () => hasAccepted = true,
+        getLength: () => waiting.length,
+    };
 
     function add(request: QueuedRequest): void {
+        const refusal = getArrivalRefusal(request);
+        if (refusal) {
+            request.refuse(refusal.retryAfterMilliseconds, refusal);
+            return;
+        }
         const addedMilliseconds = clock.getMonotonicMilliseconds();
         waiting.push({ request, addedMilliseconds, firstTurn: turn + turnsBeforeStart });
+        starvation.recordAdded(request);
         if (waiting.length > maximumLength) {
-            waiting.shift()!.request.refuse(getRetryAfterMilliseconds());
+            refuse(take(getDispensableIndex()), ContentionReason.QueueFull);
         }
         if (!isRunning) {
             isRunning = true;
             hasAccepted = false;
-            lastStartMilliseconds = undefined;
+            rate.recordIdle();
             startTask(TaskName.RequestQueue, run, options);
         }
     }
@@ -78,13 +97,46 @@
             await waitForTurn();
             turn += 1;
             removeEnded();
+            refuseOvertaken();
             if (!isAccepting()) {
                 startNext();
             }
         }
+        shares.reset();
         isRunning = false;
     }
 
+    function getArrivalRefusal(demand: QueueDemand): QueueRefusal | undefined {
+        if (!demand.requestClass || !rate.isKnown() || !isOverloaded()) {
+            return undefined;
+        }
+        const targetMilliseconds = Math.max(
+            overloadMilliseconds,
+            waitShareOfTarget * demand.requestClass.targetLatencyMilliseconds,
+        );
+        const work = getWorkAhead(demand, waiting.map(({ request }) => request));
+        const estimatedMilliseconds = Math.max(
+            work * (rate.getIntervalMilliseconds() ?? 0),
+            starvation.getMilliseconds(demand),
+        );
+        return estimatedMilliseconds > Math.min(targetMilliseconds, getMaximumWait(demand))
+            ? getRefusal(demand, ContentionReason.QueueTooLong, estimatedMilliseconds)
+            : undefined;
+    }
+
+    /** Refuses the distinguished requests that others have overtaken so that they can't be started in time any more. */
+    function refuseOvertaken(): void {
+        const nowMilliseconds = clock.getMonotonicMilliseconds();
+        if (nowMilliseconds - recheckedMilliseconds < recheckMilliseconds || !rate.isKnown() || !isOverloaded()) {
+            return;
+        }
+        recheckedMilliseconds = nowMilliseconds;
+        const intervalMilliseconds = rate.getIntervalMilliseconds() ?? 0;
+        for (const { item, estimatedMilliseconds } of findOvertaken(waiting, nowMilliseconds, intervalMilliseconds)) {
+            refuse(take(waiting.indexOf(item)), ContentionReason.Overtaken, estimatedMilliseconds);
+        }
+    }
+
     /** Removes the requests whose callers have left, and refuses those that have waited for too long. */
     function removeEnded(): void {
         const nowMilliseconds = clock.getMonotonicMilliseconds();
@@ -98,12 +150,12 @@
                 continue;
             }
             // Removed first: a request whose refusal fails must not hold up the others.
-            waiting.splice(index, 1);
+            take(index);
             if (hasLeft) {
                 request.drop();
             }
             else {
-                request.refuse(getRetryAfterMilliseconds());
+                refuse(request, ContentionReason.WaitedTooLong);
             }
         }
     }
@@ -125,37 +177,97 @@
     }
 
     function startNext(): void {
-        const nowMilliseconds = clock.getMonotonicMilliseconds();
-        const isOverloaded =
-            nowMilliseconds - (waiting[0]?.addedMilliseconds ?? nowMilliseconds) > overloadMilliseconds;
-        const isStartable = ({ firstTurn }: WaitingRequest) => firstTurn <= turn;
-        const index = isOverloaded ? waiting.findLastIndex(isStartable) : waiting.findIndex(isStartable);
+        const index = getNextIndex();
         if (index < 0) {
             return;
         }
-        const [{ request }] = waiting.splice(index, 1) as [WaitingRequest];
-        recordStart(nowMilliseconds);
+        starvation.recordStart(waiting[index]!.request);
+        const request = take(index);
+        rate.recordStart(request.work ?? 1);
+        shares.recordStart(request);
         request.start();
     }
 
-    function recordStart(nowMilliseconds: number): void {
-        if (lastStartMilliseconds !== undefined) {
-            const intervalMilliseconds = nowMilliseconds - lastStartMilliseconds;
-            meanIntervalMilliseconds ??= intervalMilliseconds;
-            meanIntervalMilliseconds += intervalWeight * (intervalMilliseconds - meanIntervalMilliseconds);
+    /** Removes a request from the queue. */
+    function take(index: number): QueuedRequest {
+        const [{ request }] = waiting.splice(index, 1) as [WaitingRequest];
+        const workspace = getWorkspace(request);
+        if (!waiting.some(({ request: other }) => getWorkspace(other) === workspace)) {
+            starvation.recordEmpty(workspace);
+        }
+        return request;
+    }
+
+    /** Gets the index of the request that is started next; negative where none may be started yet. */
+    function getNextIndex(): number {
+        const isStartable = ({ firstTurn }: WaitingRequest) => firstTurn <= turn;
+        const startable = waiting.filter(isStartable).map(({ request }) => request);
+        if (!startable.some(({ requestClass }) => requestClass)) {
+            return isOverloaded() ? waiting.findLastIndex(isStartable) : waiting.findIndex(isStartable);
         }
-        lastStartMilliseconds = nowMilliseconds;
+        const workspace = shares.choose(startable);
+        const candidates = startable.filter(request => getWorkspace(request) === workspace);
+        const priority = Math.min(...candidates.map(getPriority));
+        const next = candidates.find(request => getPriority(request) === priority);
+        return waiting.findIndex(({ request }) => request === next);
+    }
+
+    /** Returns whether the oldest request has waited for longer than usual. */
+    function isOverloaded(): boolean {
+        const nowMilliseconds = clock.getMonotonicMilliseconds();
+        return nowMilliseconds - (waiting[0]?.addedMilliseconds ?? nowMilliseconds) > overloadMilliseconds;
+    }
+
+    /**
+     * Gets the index of the request that a full queue does without: the latest of the least urgent ones of the workspace with
+     * the most of them, or the oldest where requests are not distinguished.
+     */
+    function getDispensableIndex(): number {
+        const requests = waiting.map(({ request }) => request);
+        if (!requests.some(({ requestClass }) => requestClass)) {
+            return 0;
+        }
+        const counts = new Map<string, number>();
+        requests.map(getWorkspace).forEach(workspace => counts.set(workspace, (counts.get(workspace) ?? 0) + 1));
+        const [[largest]] = [...counts].sort(([, left], [, right]) => right - left) as [[string, number]];
+        const candidates = requests.filter(request => getWorkspace(request) === largest);
+        const priority = Math.max(...candidates.map(getPriority));
+        return requests.indexOf(candidates.findLast(request => getPriority(request) === priority)!);
+    }
+
+    function refuse(request: QueuedRequest, reason: ContentionReason, estimatedMilliseconds?: number): void {
+        const refusal = getRefusal(request, reason, estimatedMilliseconds);
+        request.refuse(refusal.retryAfterMilliseconds, refusal);
+    }
+
+    function getRefusal(
+        demand: QueueDemand,
+        reason: ContentionReason,
+        estimatedMilliseconds: number | undefined,
+    ): QueueRefusal {
+        return {
+            reason,
+            retryAfterMilliseconds: getRetryAfterMilliseconds(demand),
+            estimatedMilliseconds,
+            intervalMilliseconds: rate.getIntervalMilliseconds(),
+            intervalAgeMilliseconds: rate.getAgeMilliseconds(),
+            isOverShare: isOverShare(demand, waiting.map(({ request }) => request)),
+        };
     }
 
-    /** Estimates the time in which the process can start the requests that wait. */
-    function getRetryAfterMilliseconds(): number {
-        const milliseconds = waiting.length * (meanIntervalMilliseconds ?? 0);
-        return Math.min(Math.max(milliseconds, minimumRetryAfterMilliseconds), maximumRetryAfterMilliseconds);
+    /** Estimates the time in which the process can start the requests that wait, and spreads distinguished callers over it. */
+    function getRetryAfterMilliseconds({ requestClass }: QueueDemand): number {
+        const milliseconds = waiting.length * (rate.getIntervalMilliseconds() ?? 0);
+        const boundedMilliseconds = Math.min(
+            Math.max(milliseconds, minimumRetryAfterMilliseconds),
+            maximumRetryAfterMilliseconds,
+        );
+        return requestClass
+            ? spreadReturns(minimumRetryAfterMilliseconds, boundedMilliseconds)
+            : boundedMilliseconds;
     }
 }
 
 function isExpired({ request, addedMilliseconds }: WaitingRequest, nowMilliseconds: number): boolean {
-    const { callerMilliseconds = Infinity } = request;
-    const limitMilliseconds = Math.min(waitShareOfCallerTime * callerMilliseconds, maximumWaitMilliseconds);
-    return nowMilliseconds - addedMilliseconds > limitMilliseconds;
+    return nowMilliseconds - addedMilliseconds > getMaximumWait(request);
 }
--- a/tests/control/consensus/createTestGroup.ts
+++ b/tests/control/consensus/createTestGroup.ts
@@ -441,6 +441,7 @@
 function createMetricsFake(): Metrics {
     return {
         countRefusal: () => undefined,
+        countContentionRefusal: () => undefined,
         countRetry: () => undefined,
         countSentRetry: () => undefined,
         countRefusedRetry: () => undefined,
--- a/tests/platform/callers/changedLimits.tests.ts
+++ b/tests/platform/callers/changedLimits.tests.ts
@@ -28,7 +28,7 @@
         };
         replies = new Map();
         bodyLengths = [];
-        const state = { getRouteTable: () => ({ document: { limits } }) as unknown as RouteTable };
+        const state = { getRouteTable: () => ({ document: { limits, routes: [] } }) as unknown as RouteTable };
         callerServer = await startTestCallerServer(({ requestId, body }, reply) => {
             bodyLengths.push(body.length);
             if (requestId.startsWith("held")) {
--- a/tests/platform/callers/connectionEnds.tests.ts
+++ b/tests/platform/callers/connectionEnds.tests.ts
@@ -49,7 +49,9 @@
         callerServer = await startTestCallerServer(({ requestId }, reply) => void replies.set(requestId, reply), {
             logger: bunyan.createLogger({ name: "test", streams: [{ level: "debug", stream }] }),
             metrics,
-            state: { getRouteTable: () => ({ document: { limits } }) as unknown as RouteTable } as unknown as FeedState,
+            state: {
+                getRouteTable: () => ({ document: { limits, routes: [] } }) as unknown as RouteTable,
+            } as unknown as FeedState,
             plannedStop: { hasBegun: () => isStopping, signal: new AbortController().signal },
         });
     });
--- a/tests/platform/callers/idleConnections.tests.ts
+++ b/tests/platform/callers/idleConnections.tests.ts
@@ -26,7 +26,7 @@
                 return idleTimeoutMilliseconds;
             },
         };
-        const state = { getRouteTable: () => ({ document: { limits } }) as unknown as RouteTable };
+        const state = { getRouteTable: () => ({ document: { limits, routes: [] } }) as unknown as RouteTable };
         callerServer = await startTestCallerServer(({ requestId }, reply) => {
             if (requestId === "held") {
                 held.push(reply);
