--- a/src/documents/distinguishesRequests.ts
+++ b/src/documents/distinguishesRequests.ts
@@ -3,12 +3,21 @@
  */
 import { RoutingDocument } from "./RoutingDocument";
 
+/** The answers for the documents in use, since each request asks. */
+const answers = new WeakMap<RoutingDocument, boolean>();
+
 /**
  * Returns whether a document has several workspaces with a key, or several priorities; without either, all requests are
  * alike.
  * @param document - The routing document.
  */
-export function distinguishesRequests({ routes, workspaces = [] }: RoutingDocument): boolean {
+export function distinguishesRequests(document: RoutingDocument): boolean {
+    const answer = answers.get(document) ?? hasSeveralKinds(document);
+    answers.set(document, answer);
+    return answer;
+}
+
+function hasSeveralKinds({ routes, workspaces = [] }: RoutingDocument): boolean {
     const routePriorities = new Set(routes.map(({ priority }) => priority));
     return routePriorities.size > 1 || workspaces.filter(({ apiKeys }) => apiKeys.length > 0).length > 1;
 }
--- a/src/forwarding/LoadTracker.ts
+++ b/src/forwarding/LoadTracker.ts
@@ -32,8 +32,20 @@
     getRequestCount(instanceId: string): number;
     /** Gets the estimated prompt tokens, from all entry processes, that the backend server has not prefilled yet. */
     getPendingPrefillTokens(instanceId: string): number;
+    /**
+     * Gets the prompt tokens, from all entry processes, that had not been prefilled when they were last reported. At an engine
+     * whose queue does not end, as much has come since as was prefilled.
+     */
+    getReportedPrefillTokens(instanceId: string): number;
     /** Gets the estimated prompt tokens of the requests in flight at an engine, from all entry processes. */
     getPromptTokens(instanceId: string): number;
+    /** Gets the number of requests that a backend server runs at once, by its last report; undefined where that is outdated. */
+    getSlots(instanceId: string): number | undefined;
+    /**
+     * Gets the age of what is known of a backend server's load, in milliseconds; undefined where neither its last report nor
+     * the load from all entry processes is recent enough to be used.
+     */
+    getLoadAgeMilliseconds(instanceId: string): number | undefined;
     /** Gets the load that this entry process has caused at engines. */
     getOwnLoads(): readonly ServerLoad[];
 }
--- a/src/forwarding/PromptScheduler.ts
+++ b/src/forwarding/PromptScheduler.ts
@@ -9,6 +9,8 @@
 export interface PromptScheduler {
     /** Chooses an engine among candidates; undefined where there are none. */
     choose(task: ForwardingTask, candidates: readonly FleetInstance[]): FleetInstance | undefined;
+    /** Gets the prompt tokens of a request that an engine probably has not cached; 0 without a prompt. */
+    getMissingTokens(task: ForwardingTask, instance: FleetInstance): number;
     /**
      * Waits for a prefill in flight of a shared prefix that a request's engine lacks.
      * @param task - The request.
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -19,6 +19,7 @@
 import { createPromptScheduler } from "./createPromptScheduler";
 import { createRetryBudgets } from "./createRetryBudgets";
 import { createRetryReservations } from "./createRetryReservations";
+import { createTaskShedding } from "./createTaskShedding";
 import { discardBody } from "./discardBody";
 import { DispatchOutcome } from "./DispatchOutcome";
 import { ForwarderOptions } from "./ForwarderOptions";
@@ -70,6 +71,7 @@
         dataCentre,
         random,
     });
+    const shedding = createTaskShedding({ ...options, loads, scheduler });
     const recorder = createAttemptRecorder({ ...options, loads, liveness, scheduler, canRunAgain });
     const retryBudgets = createRetryBudgets({
         share: options.retryShare,
@@ -84,7 +86,10 @@
     return {
         dispatch,
         recordPrefillEnd: recorder.recordPrefillEnd,
-        recordAttemptEnd: recorder.recordAttemptEnd,
+        recordAttemptEnd: (task, instanceId, end) => {
+            recorder.recordAttemptEnd(task, instanceId, end);
+            shedding.recordEnd(task, end);
+        },
         canRunAgain,
         tryReserveHedge,
         recordHedgeWon,
@@ -112,7 +117,12 @@
                 return { kind: "givenUp", refusal };
             }
             const candidates = selector.getCandidates(task);
-            const instance = selector.choose(task, candidates);
+            const chosen = selector.choose(task, candidates);
+            const placed = chosen && shedding.place(task, chosen, candidates);
+            if (placed && "refusal" in placed) {
+                return { kind: "givenUp", refusal: placed.refusal };
+            }
+            const instance = placed?.instance;
             if (!instance && candidates.length > 0) {
                 return { kind: "givenUp", refusal: selector.getLimitRefusal(task, candidates) };
             }
@@ -199,6 +209,7 @@
             );
         }
         loads.recordSent(instanceId, task.request.prompt?.promptTokens ?? 0, task.prefillTokens);
+        shedding.recordSent(task, instance);
         liveness.recordSent(instance, task.admission.service);
         task.observedRun = options.crashQuarantine.beginRun(instance, task.admission.service, task.subjects);
         let lastActivityMilliseconds = clock.getMonotonicMilliseconds();
@@ -222,6 +233,7 @@
         if (result.kind !== "answered") {
             recorder.recordPrefillEnd(task, instanceId);
             recorder.recordAttemptEnd(task, instanceId, result.kind === "lost" ? "lost" : "other");
+            shedding.recordEnd(task, "other");
         }
         return result;
     }
--- a/src/forwarding/createLoadTracker.ts
+++ b/src/forwarding/createLoadTracker.ts
@@ -65,8 +65,13 @@
         getQueueLength,
         getRequestCount,
         getPendingPrefillTokens,
+        getReportedPrefillTokens: instanceId =>
+            (loads.get(instanceId)?.pendingPrefillTokens ?? 0)
+            + (fleetLoads.getOthers(instanceId)?.pendingPrefillTokens ?? 0),
         getPromptTokens: instanceId =>
             (loads.get(instanceId)?.promptTokens ?? 0) + (fleetLoads.getOthers(instanceId)?.promptTokens ?? 0),
+        getSlots: instanceId => getFreshReport(instanceId)?.slots,
+        getLoadAgeMilliseconds,
         getOwnLoads,
     };
 
@@ -131,10 +136,23 @@
     }
 
     function getQueueLength(instanceId: string): number {
+        return getFreshReport(instanceId)?.waiting ?? 0;
+    }
+
+    function getFreshReport(instanceId: string): LoadReport | undefined {
         const load = loads.get(instanceId);
         const isFresh = load
             && clock.getMonotonicMilliseconds() - load.reportedAtMilliseconds <= reportValidityMilliseconds;
-        return isFresh ? load.report?.waiting ?? 0 : 0;
+        return isFresh ? load.report : undefined;
+    }
+
+    function getLoadAgeMilliseconds(instanceId: string): number | undefined {
+        const sumsAgeMilliseconds = fleetLoads.getOthers(instanceId)?.ageMilliseconds;
+        const reportedMilliseconds = getFreshReport(instanceId) && loads.get(instanceId)?.reportedAtMilliseconds;
+        if (reportedMilliseconds === undefined) {
+            return sumsAgeMilliseconds;
+        }
+        return Math.min(clock.getMonotonicMilliseconds() - reportedMilliseconds, sumsAgeMilliseconds ?? Infinity);
     }
 
     function getRequestCount(instanceId: string): number {
--- a/src/forwarding/createPromptScheduler.ts
+++ b/src/forwarding/createPromptScheduler.ts
@@ -29,6 +29,7 @@
 ): PromptScheduler {
     return {
         choose,
+        getMissingTokens,
         waitForPrefill,
         startPrefill,
         recordPrefillEnd: task => placement.recordPrefillEnd(task.runId),
@@ -48,6 +49,18 @@
         );
     }
 
+    function getMissingTokens(task: ForwardingTask, instance: FleetInstance): number {
+        const { prompt } = task.request;
+        const instances = getInstances(instance.service);
+        return prompt
+            ? placement.getExpectedPrefillTokens(prompt, getCacheScope(task, state), instance, instances)
+            : 0;
+    }
+
+    function getInstances(service: string): readonly FleetInstance[] {
+        return (state.getFleet()?.instances ?? []).filter(instance => instance.service === service);
+    }
+
     async function waitForPrefill(task: ForwardingTask, instance: FleetInstance): Promise<boolean> {
         const { request: { prompt }, admission: { route } } = task;
         const prefill = prompt && task.counts.sent === 0 && !task.hasWaitedForPrefill
@@ -68,7 +81,7 @@
             return undefined;
         }
         const scope = getCacheScope(task, state);
-        const instances = (state.getFleet()?.instances ?? []).filter(({ service }) => service === instance.service);
+        const instances = getInstances(instance.service);
         const sources = placement.getPrefixSources(prompt, scope, instance, instances);
         task.prefillTokens = placement.getExpectedPrefillTokens(prompt, scope, instance, instances);
         placement.recordSent(runId, prompt, scope, instance);
--- a/src/forwarding/getAttemptParameters.ts
+++ b/src/forwarding/getAttemptParameters.ts
@@ -6,6 +6,7 @@
 import { CacheContext } from "./CacheContext";
 import { ForwardingTask } from "./ForwardingTask";
 import { getCacheUse } from "./getCacheUse";
+import { getUrgency } from "./getUrgency";
 
 /** The share of a backend server's connections that all entry processes together use. */
 const usedConnectionShare = 0.8;
@@ -13,8 +14,6 @@
 const minimumConnections = 4;
 /** The largest priority value that engines accept, which is the least urgent. */
 const maximumPriority = 9;
-/** The number of route priorities within each workspace priority. */
-const routePrioritiesPerWorkspace = 3;
 
 /** What the parameters of an attempt depend on besides the request. */
 interface AttemptContext extends CacheContext {
@@ -40,7 +39,7 @@
     return {
         maximumConnections: Math.max(minimumConnections, connectionShare),
         workspace: workspace?.name,
-        priority: Math.min(maximumPriority, (workspace?.priority ?? 0) * routePrioritiesPerWorkspace + route.priority),
+        priority: Math.min(maximumPriority, getUrgency(workspace, route)),
         cache: getCacheUse(task, instance, context),
     };
 }
--- a/src/requestQueue/getRequestClass.ts
+++ b/src/requestQueue/getRequestClass.ts
@@ -7,8 +7,6 @@
 /** The priority of requests without a route or a known key: they are refused once they are started, so any other is first. */
 const lowestPriority = Number.MAX_SAFE_INTEGER;
 
-const distinguishingTables = new WeakMap<RouteTable, boolean>();
-
 /**
  * Gets the class of a request.
  * @param table - The routing document in force; undefined before the first one.
@@ -23,7 +21,7 @@
     path: string,
     apiKey: string | undefined,
 ): RequestClass | undefined {
-    if (!table || !isDistinguishing(table)) {
+    if (!table || !distinguishesRequests(table.document)) {
         return undefined;
     }
     const route = table.getRoute(host, path);
@@ -35,10 +33,3 @@
         targetLatencyMilliseconds: route?.targetLatencyMilliseconds ?? 0,
     };
 }
-
-/** Returns whether the document distinguishes requests; the answer is kept for each document. */
-function isDistinguishing(table: RouteTable): boolean {
-    const known = distinguishingTables.get(table) ?? distinguishesRequests(table.document);
-    distinguishingTables.set(table, known);
-    return known;
-}
