--- a/src/documents/distinguishesRequests.ts
+++ b/src/documents/distinguishesRequests.ts
@@ -7,8 +7,8 @@
 const answers = new WeakMap<RoutingDocument, boolean>();
 
 /**
- * Returns whether a document has several workspaces with a key, or several priorities; without either, all requests are
- * alike.
+ * Returns whether a document has quotas, and several workspaces with a key or several priorities. Without quotas, callers are not
+ * expected to compete; with one workspace and one priority, all requests are alike.
  * @param document - The routing document.
  */
 export function distinguishesRequests(document: RoutingDocument): boolean {
@@ -18,6 +18,9 @@
 }
 
 function hasSeveralKinds({ routes, workspaces = [] }: RoutingDocument): boolean {
+    if (!workspaces.some(({ quota }) => quota !== undefined)) {
+        return false;
+    }
     const routePriorities = new Set(routes.map(({ priority }) => priority));
     return routePriorities.size > 1 || workspaces.filter(({ apiKeys }) => apiKeys.length > 0).length > 1;
 }
--- a/src/forwarding/LoadTracker.ts
+++ b/src/forwarding/LoadTracker.ts
@@ -46,6 +46,8 @@
     getWorkFactor(instanceId: string): number;
     /** Gets how long work takes at a backend server with the age of that figure; undefined where it is unknown. */
     getSpeed(instanceId: string): ServerSpeed | undefined;
+    /** Returns whether any backend server has reported how long work takes on its machine recently. */
+    hasReportedSpeeds(): boolean;
     /** Gets the known work factors of the backend servers from which this entry process has recent reports. */
     getKnownWorkFactors(): readonly number[];
     /**
--- a/src/forwarding/SheddingDecision.ts
+++ b/src/forwarding/SheddingDecision.ts
@@ -9,11 +9,13 @@
     | { kind: "send"; instance: FleetInstance; }
     | {
         kind: "refuse";
-        /** The shortest estimate of all candidates. */
+        /** The share of the chosen server's memory that the prompts in flight would occupy. */
+        fill: number;
+        /** The share that they may occupy. */
+        maximumFill: number;
+        /** The estimated wait at the chosen server. */
         wait: ServerWait;
-        /** The limit that the time of the work ahead exceeds, in milliseconds. */
-        limitMilliseconds: number;
-        /** The age of the load at that candidate, in milliseconds. */
+        /** The age of the load there, in milliseconds. */
         loadAgeMilliseconds: number;
         /** Whether the workspace has used more than its share. */
         isOverShare: boolean;
--- a/src/forwarding/SheddingDemand.ts
+++ b/src/forwarding/SheddingDemand.ts
@@ -8,10 +8,10 @@
     service: string;
     /** Its workspace; empty where it has none. */
     workspace: string;
+    /** The workspace's weight among the others: its quota, or 1 where it has none. */
+    shareWeight: number;
     /** The number of more urgent kinds of requests to the service; 0 for the most urgent kind. */
     rank: number;
-    /** The shortest latency objective of the service's routes, which a long wait breaks first, in milliseconds. */
-    shortestTargetMilliseconds: number;
     /** The time in which its caller needs the response, in milliseconds. */
     remainingMilliseconds: number;
     /** The tokens of its prompt; 0 where it has none. */
--- a/src/forwarding/createLoadShedding.ts
+++ b/src/forwarding/createLoadShedding.ts
@@ -19,10 +19,15 @@
 
 /** The share of a server's slots that are taken where it has no room to spare. */
 const roomShareOfSlots = 0.5;
-/** The factor between the waits at which successive steps of the order are refused. */
-const stepFactor = 2;
 /** The minimum delay after which a refused caller may retry, in milliseconds. */
-const minimumRetryAfterMilliseconds = 100;
+const minimumRetryAfterMilliseconds = 500;
+/** The number of random candidates that may take a request in place of the chosen one. */
+const sampledCandidates = 2;
+/**
+ * The share of an engine's memory that prompts in flight may occupy. Beyond its memory an engine preempts runs and evicts cached
+ * prefixes, and prefills them again. The most urgent kind, whose prompts are short, may displace the others.
+ */
+const maximumFills = { overShare: 0.65, urgentOverShare: 0.75, others: 0.85, urgent: 1.45 };
 /** The share of the caller's time in which it returns. */
 const returnShareOfCallerTime = 0.33;
 /** The weight of the last request in the mean time that requests occupy slots. */
@@ -66,47 +71,47 @@
         candidates: readonly FleetInstance[],
         getMissingTokens: (instance: FleetInstance) => number,
     ): SheddingDecision {
-        if (hasRoom(demand, chosen.instanceId)) {
-            return { kind: "send", instance: chosen };
-        }
         const isOverShare = use.isOverShare(demand.service, demand.workspace);
-        const limitMilliseconds = getLimit(demand, isOverShare);
-        // All entry processes see the same load, some time ago. With one threshold, all would send at once and then none.
-        const drawnMilliseconds = isOverShare ? limitMilliseconds * random.getFraction() : limitMilliseconds;
-        const isInTime = ({ aheadMilliseconds, totalMilliseconds }: ServerWait) =>
-            aheadMilliseconds <= drawnMilliseconds && totalMilliseconds <= demand.remainingMilliseconds;
+        const maximumFill = getMaximumFill(demand.rank, isOverShare);
         const getWait = (instance: FleetInstance) => estimate(demand, instance, getMissingTokens(instance));
-        if (isInTime(getWait(chosen))) {
+        const isAccepted = (instance: FleetInstance) =>
+            hasRoom(demand, instance.instanceId)
+            || getFill(demand, instance.instanceId) <= maximumFill
+                && getWait(instance).totalMilliseconds <= demand.remainingMilliseconds;
+        if (isAccepted(chosen)) {
             return { kind: "send", instance: chosen };
         }
         const others = candidates.filter(instance => !instance.isLoading && !loads.isSuspected(instance.instanceId));
-        const withRoom = others.filter(instance => hasRoom(demand, instance.instanceId));
-        if (withRoom.length > 0) {
-            return { kind: "send", instance: withRoom[random.getInteger(withRoom.length)]! };
-        }
-        const waits = [chosen, ...others].map(instance => ({ instance, wait: getWait(instance) }));
-        const { instance, wait } = waits.reduce((best, other) =>
-            other.wait.totalMilliseconds < best.wait.totalMilliseconds ? other : best
+        const sampled = Array.from(
+            { length: Math.min(sampledCandidates, others.length) },
+            () => others[random.getInteger(others.length)]!,
         );
+        const accepting = sampled.find(isAccepted);
+        if (accepting) {
+            return { kind: "send", instance: accepting };
+        }
         return {
             kind: "refuse",
-            wait,
-            limitMilliseconds: Math.min(drawnMilliseconds, demand.remainingMilliseconds),
-            loadAgeMilliseconds: loads.getLoadAgeMilliseconds(instance.instanceId) ?? 0,
+            fill: getFill(demand, chosen.instanceId),
+            maximumFill,
+            wait: getWait(chosen),
+            loadAgeMilliseconds: loads.getLoadAgeMilliseconds(chosen.instanceId) ?? 0,
             isOverShare,
-            retryAfterMilliseconds: getRetryAfter(wait, demand.remainingMilliseconds, isOverShare),
+            retryAfterMilliseconds: getRetryAfter(demand.remainingMilliseconds),
         };
     }
 
+    /** Gets the share of an engine's memory that the prompts in flight would occupy with another one; 0 without a memory. */
+    function getFill({ memoryTokens, promptTokens }: SheddingDemand, instanceId: string): number {
+        return (loads.getPromptTokens(instanceId) + promptTokens) / memoryTokens;
+    }
+
     /**
-     * Spreads returns over the time in which the work ahead ends. For a workspace over its share, that includes the work that
-     * it was refused, so its callers are spread over all the time for which they wait.
+     * Spreads returns over the time for which callers wait before they retry: the work ahead is replaced by the requests that
+     * other callers send meanwhile.
      */
-    function getRetryAfter(wait: ServerWait, remainingMilliseconds: number, isOverShare: boolean): number {
-        const maximumMilliseconds = returnShareOfCallerTime * remainingMilliseconds - minimumRetryAfterMilliseconds;
-        const rangeMilliseconds = isOverShare
-            ? maximumMilliseconds
-            : Math.min(wait.aheadMilliseconds, maximumMilliseconds);
+    function getRetryAfter(remainingMilliseconds: number): number {
+        const rangeMilliseconds = returnShareOfCallerTime * remainingMilliseconds - minimumRetryAfterMilliseconds;
         return spreadReturns(minimumRetryAfterMilliseconds, Math.max(0, rangeMilliseconds));
     }
 
@@ -135,24 +140,12 @@
         });
     }
 
-    /**
-     * Gets the longest time of the work ahead with which a request is sent. The most urgent kind of workspaces within their
-     * shares is sent while its time is left, and the next one while the shortest objective can be met behind it. Of workspaces
-     * over their shares, the more are refused the longer the wait is, and all from that time.
-     */
-    function getLimit({ rank, shortestTargetMilliseconds }: SheddingDemand, isOverShare: boolean): number {
-        if (isOverShare) {
-            return shortestTargetMilliseconds / stepFactor ** rank;
-        }
-        return rank === 0 ? Infinity : shortestTargetMilliseconds / stepFactor ** (rank - 1);
-    }
-
     function recordSent(
         runId: string,
         { service, workspace, promptTokens, ...demand }: SheddingDemand,
         instanceId: string,
     ): void {
-        use.record(service, workspace, Math.max(1, promptTokens));
+        use.record(service, workspace, Math.max(1, promptTokens) / demand.shareWeight);
         const slots = loads.getSlots(instanceId) ?? demand.slots;
         // The time of a request that waits for a slot is not the time that it occupies one.
         if (slots === undefined || loads.getRequestCount(instanceId) > slots) {
@@ -175,3 +168,10 @@
         }
     }
 }
+
+function getMaximumFill(rank: number, isOverShare: boolean): number {
+    if (isOverShare) {
+        return rank === 0 ? maximumFills.urgentOverShare : maximumFills.overShare;
+    }
+    return rank === 0 ? maximumFills.urgent : maximumFills.others;
+}
--- a/src/forwarding/createLoadTracker.ts
+++ b/src/forwarding/createLoadTracker.ts
@@ -75,6 +75,7 @@
         getSlots: instanceId => loads.get(instanceId)?.report?.slots,
         getWorkFactor,
         getSpeed,
+        hasReportedSpeeds: () => speeds.getReportedIds().length > 0,
         getKnownWorkFactors: () => speeds.getReportedIds().map(getWorkFactor),
         getLoadAgeMilliseconds,
         getOwnLoads,
--- a/src/forwarding/createTaskShedding.ts
+++ b/src/forwarding/createTaskShedding.ts
@@ -2,6 +2,7 @@
  * Applies load shedding before the first attempt of a request: later ones are limited by the retry budget, and a refusal
  * after a wait for a prefill would come too late for the caller to find a better moment.
  */
+import { distinguishesRequests } from "../documents";
 import { getWeightsVersion } from "../fleet";
 import { ContentionReason } from "../metrics";
 import { FleetInstance, RefusalReason } from "../protocol";
@@ -35,16 +36,21 @@
         recordEnd: (task, end) => shedding.recordEnd(task.runId, end),
     };
 
+    /** Returns whether the deployment asks for it: by quotas in its routing document, or by servers that report their speed. */
+    function isEnabled({ admission: { table: { document } } }: ForwardingTask): boolean {
+        return distinguishesRequests(document) || loads.hasReportedSpeeds();
+    }
+
     function place(
         task: ForwardingTask,
         chosen: FleetInstance,
         candidates: readonly FleetInstance[],
     ): { instance: FleetInstance; } | { refusal: Refusal; } {
         const isFirst = task.counts.sent === 0 && !task.hasWaitedForPrefill;
-        const demand = isFirst ? getSheddingDemand(task, clock.getMonotonicMilliseconds()) : undefined;
-        if (!demand) {
+        if (!isFirst || !isEnabled(task)) {
             return { instance: chosen };
         }
+        const demand = getSheddingDemand(task, clock.getMonotonicMilliseconds());
         const { prompt } = task.request;
         const alternatives = candidates.filter(candidate =>
             serverLimits.getWaitMilliseconds(candidate.instanceId) === 0
@@ -69,9 +75,8 @@
     }
 
     function recordSent(task: ForwardingTask, { instanceId }: FleetInstance): void {
-        const demand = getSheddingDemand(task, clock.getMonotonicMilliseconds());
-        if (demand) {
-            shedding.recordSent(task.runId, demand, instanceId);
+        if (isEnabled(task)) {
+            shedding.recordSent(task.runId, getSheddingDemand(task, clock.getMonotonicMilliseconds()), instanceId);
         }
     }
 }
