--- a/src/forwarding/createLoadShedding.ts
+++ b/src/forwarding/createLoadShedding.ts
@@ -21,13 +21,11 @@
 const roomShareOfSlots = 0.5;
 /** The minimum delay after which a refused caller may retry, in milliseconds. */
 const minimumRetryAfterMilliseconds = 500;
-/** The number of random candidates that may take a request in place of the chosen one. */
-const sampledCandidates = 2;
 /**
  * The share of an engine's memory that prompts in flight may occupy. Beyond its memory an engine preempts runs and evicts cached
  * prefixes, and prefills them again. The most urgent kind, whose prompts are short, may displace the others.
  */
-const maximumFills = { overShare: 0.65, urgentOverShare: 0.75, others: 0.85, urgent: 1.45 };
+const maximumFills = { overShare: 0.75, urgentOverShare: 1.45, others: 0.85, urgent: 1.45 };
 /** The share of the caller's time in which it returns. */
 const returnShareOfCallerTime = 0.33;
 /** The weight of the last request in the mean time that requests occupy slots. */
@@ -81,14 +79,11 @@
         if (isAccepted(chosen)) {
             return { kind: "send", instance: chosen };
         }
-        const others = candidates.filter(instance => !instance.isLoading && !loads.isSuspected(instance.instanceId));
-        const sampled = Array.from(
-            { length: Math.min(sampledCandidates, others.length) },
-            () => others[random.getInteger(others.length)]!,
+        const withRoom = candidates.filter(instance =>
+            !instance.isLoading && !loads.isSuspected(instance.instanceId) && hasRoom(demand, instance.instanceId)
         );
-        const accepting = sampled.find(isAccepted);
-        if (accepting) {
-            return { kind: "send", instance: accepting };
+        if (withRoom.length > 0) {
+            return { kind: "send", instance: withRoom[random.getInteger(withRoom.length)]! };
         }
         return {
             kind: "refuse",
