--- a/src/forwarding/createLoadShedding.ts
+++ b/src/forwarding/createLoadShedding.ts
@@ -25,6 +25,11 @@
 const minimumRetryAfterMilliseconds = 100;
 /** The share of the caller's time in which it returns. */
 const returnShareOfCallerTime = 0.33;
+/**
+ * The number of random candidates that may take a request in place of the chosen one. If all were considered, all entry
+ * processes would send to the same server until they heard of each other's requests.
+ */
+const sampledCandidates = 2;
 /** The weight of the last request in the mean time that requests occupy slots. */
 const holdWeight = 0.05;
 /** The maximum number of attempts whose beginning is kept; the oldest are then not measured. */
@@ -80,9 +85,14 @@
             return { kind: "send", instance: chosen };
         }
         const others = candidates.filter(instance => !instance.isLoading && !loads.isSuspected(instance.instanceId));
-        const withRoom = others.filter(instance => hasRoom(demand, instance.instanceId));
+        const sampled = Array.from(
+            { length: Math.min(sampledCandidates, others.length) },
+            () => others[random.getInteger(others.length)]!,
+        );
+        const withRoom = sampled.filter(instance => hasRoom(demand, instance.instanceId));
         if (withRoom.length > 0) {
-            return { kind: "send", instance: withRoom[random.getInteger(withRoom.length)]! };
+            const isChosenInTime = getWait(chosen).totalMilliseconds <= demand.remainingMilliseconds;
+            return { kind: "send", instance: isChosenInTime ? chosen : withRoom[0]! };
         }
         const waits = [chosen, ...others].map(instance => ({ instance, wait: getWait(instance) }));
         const { instance, wait } = waits.reduce((best, other) =>
@@ -137,14 +147,15 @@
 
     /**
      * Gets the longest time of the work ahead with which a request is sent. The most urgent kind of workspaces within their
-     * shares is sent while its time is left, and the next one while the shortest objective can be met behind it. Of workspaces
-     * over their shares, the more are refused the longer the wait is, and all from that time.
+     * shares is sent while its time is left. Twice the shortest objective is the limit of the next kind, half as much that of
+     * each further step: the less urgent kinds of these workspaces, then the kinds of workspaces over their shares. Of the
+     * latter, the more are refused the longer the wait is, and all from the limit.
      */
     function getLimit({ rank, shortestTargetMilliseconds }: SheddingDemand, isOverShare: boolean): number {
         if (isOverShare) {
             return shortestTargetMilliseconds / stepFactor ** rank;
         }
-        return rank === 0 ? Infinity : shortestTargetMilliseconds / stepFactor ** (rank - 1);
+        return rank === 0 ? Infinity : stepFactor * shortestTargetMilliseconds / stepFactor ** (rank - 1);
     }
 
     function recordSent(
--- a/src/forwarding/createWorkspaceUse.ts
+++ b/src/forwarding/createWorkspaceUse.ts
@@ -7,8 +7,8 @@
 
 /** The time constant of the decay, in milliseconds: an entry process sees about six requests of a usual workspace in it. */
 const decayMilliseconds = 8_000;
-/** The multiple of the others' mean use that exceeds a share: that of six requests varies by half of it by chance. */
-const shareMultiple = 2;
+/** The multiple of the others' mean use that exceeds a share: the use of six requests of two sizes varies by half by chance. */
+const shareMultiple = 3;
 /** The use below which a workspace counts as absent, as a share of the largest one's. */
 const absentShare = 0.01;
 
--- a/tests/forwarding/createLoadShedding.tests.ts
+++ b/tests/forwarding/createLoadShedding.tests.ts
@@ -124,6 +124,13 @@
             }
         });
 
+        it("costs the others less than 2% among 26 entry processes, each of which sees little of the load", () => {
+            const size = { ...options, seed: 3, requestsPerSecond: 15, entryCount: 26, engineCount: 27 };
+            const quiet = simulateContention({ ...size, excessFactor: 1, sheds: false });
+            const excess = simulateContention({ ...size, excessFactor: 9 });
+            expect(excess.othersPayoff).to.be.at.least(0.98 * quiet.othersPayoff);
+        });
+
         it("halves what it costs them at least, where engines prefill in the order of arrival", () => {
             const [none, shed] = [false, true].map(sheds =>
                 simulateContention({ ...options, seed: 3, excessFactor: 9, isByPriority: false, sheds }).othersPayoff
--- a/tests/forwarding/simulateContention.ts
+++ b/tests/forwarding/simulateContention.ts
@@ -18,6 +18,8 @@
     excessFactor: number;
     /** The usual requests a second of each workspace. */
     requestsPerSecond: number;
+    entryCount?: number;
+    engineCount?: number;
     /** Whether engines prefill the most urgent prompts first, or all in their order. */
     isByPriority: boolean;
     /** Whether load is shed. */
@@ -46,15 +48,13 @@
 /** The time after which neither sums nor reports are used, and an exchange before that. */
 const validityMilliseconds = 1_750;
 const workspaceCount = 16;
-const entryCount = 8;
-const engineCount = 9;
 const slots = 48;
 const memoryTokens = 227_042;
 const tokensPerMillisecond = 64;
 const decodeMilliseconds = 900;
 const kinds = {
-    summary: { shared: 5_382, own: 6_610, target: 2_000, limit: 15_000, rank: 1, subjects: 90 },
-    label: { shared: 568, own: 1_800, target: 500, limit: 3_000, rank: 0, subjects: 250 },
+    summary: { shared: 5_382, own: 6_610, target: 2_000, limit: 15_000, rank: 1, subjectsPerEngine: 10 },
+    label: { shared: 568, own: 1_800, target: 500, limit: 3_000, rank: 0, subjectsPerEngine: 28 },
 };
 type KindName = keyof typeof kinds;
 
@@ -77,6 +77,7 @@
 /** Plays the requests of 16 workspaces through placement and load shedding of several entry processes in virtual time. */
 export function simulateContention(options: ContentionOptions): ContentionResult {
     const { excessFactor, requestsPerSecond, sheds, lastReportMilliseconds = Infinity } = options;
+    const { entryCount = 8, engineCount = 9 } = options;
     const random = createRandomSource(options.seed);
     const events = new Heap<Event>((left, right) => left.time - right.time);
     let now = 0;
@@ -157,7 +158,13 @@
                 counts[workspace === 0 ? "first" : "others"] += 1;
                 sent[kind] += 1;
             }
-            send(workspace, kind, `${kind} ${random.getInteger(kinds[kind].subjects)}`, now, entryCount);
+            send(
+                workspace,
+                kind,
+                `${kind} ${random.getInteger(kinds[kind].subjectsPerEngine * engineCount)}`,
+                now,
+                entryCount,
+            );
         });
     }
 
