--- a/src/forwarding/SheddingDemand.ts
+++ b/src/forwarding/SheddingDemand.ts
@@ -10,6 +10,8 @@
     workspace: string;
     /** The number of more urgent kinds of requests to the service; 0 for the most urgent kind. */
     rank: number;
+    /** The latency objective of its route, in milliseconds. */
+    targetMilliseconds: number;
     /** The shortest latency objective of the service's routes, which a long wait breaks first, in milliseconds. */
     shortestTargetMilliseconds: number;
     /** The time in which its caller needs the response, in milliseconds. */
--- a/src/forwarding/createLoadShedding.ts
+++ b/src/forwarding/createLoadShedding.ts
@@ -1,8 +1,8 @@
 /*
  * Sheds load at its arrival. The load condition: every backend server that could serve a request has more work than it can
  * do in time. Sent on, the request would be answered late or not at all, and would delay all that come after it. Requests are
- * refused in the order of shares, then urgency: each step of that order may find a longer queue than the one before it, so
- * that the queue that it leaves is one in which the next step is still served. Nothing is refused where a server has room or
+ * refused in the order of shares, then urgency: workspaces over their shares while the most urgent requests of others would
+ * still be in time, the others' less urgent requests where these would be late themselves. Nothing is refused where a server has room or
  * where its load is not known.
  */
 import { createReturnSpread } from "../limits";
@@ -19,7 +19,7 @@
 
 /** The share of a server's slots that are taken where it has no room to spare. */
 const roomShareOfSlots = 0.5;
-/** The factor between the waits at which successive steps of the order are refused. */
+/** The factor between the limits of successive kinds of requests of workspaces over their shares. */
 const stepFactor = 2;
 /** The minimum delay after which a refused caller may retry, in milliseconds. */
 const minimumRetryAfterMilliseconds = 100;
@@ -146,16 +146,17 @@
     }
 
     /**
-     * Gets the longest time of the work ahead with which a request is sent. The most urgent kind of workspaces within their
-     * shares is sent while its time is left. Twice the shortest objective is the limit of the next kind, half as much that of
-     * each further step: the less urgent kinds of these workspaces, then the kinds of workspaces over their shares. Of the
-     * latter, the more are refused the longer the wait is, and all from the limit.
+     * Gets the longest time of the work ahead with which a request is sent. Of workspaces within their shares, the most urgent
+     * kind is sent while its time is left, and the others while they can meet their objective. The limit of the most urgent
+     * kind of workspaces over their shares is the shortest objective, and that of each further kind half as much; the more of
+     * these are refused the longer the wait is, and all from the limit.
      */
-    function getLimit({ rank, shortestTargetMilliseconds }: SheddingDemand, isOverShare: boolean): number {
+    function getLimit(demand: SheddingDemand, isOverShare: boolean): number {
+        const { rank, targetMilliseconds, shortestTargetMilliseconds } = demand;
         if (isOverShare) {
             return shortestTargetMilliseconds / stepFactor ** rank;
         }
-        return rank === 0 ? Infinity : stepFactor * shortestTargetMilliseconds / stepFactor ** (rank - 1);
+        return rank === 0 ? Infinity : targetMilliseconds;
     }
 
     function recordSent(
--- a/src/forwarding/getSheddingDemand.ts
+++ b/src/forwarding/getSheddingDemand.ts
@@ -33,6 +33,7 @@
         service: service.name,
         workspace: workspace?.name ?? "",
         rank: urgencies.filter(urgency => urgency < ownUrgency).length,
+        targetMilliseconds: route.targetLatencyMilliseconds,
         shortestTargetMilliseconds,
         remainingMilliseconds: task.getEndMilliseconds() - nowMilliseconds,
         promptTokens: request.prompt?.promptTokens ?? 0,
--- a/tests/forwarding/createLoadShedding.tests.ts
+++ b/tests/forwarding/createLoadShedding.tests.ts
@@ -45,6 +45,7 @@
         service: "models",
         workspace: "alpha",
         rank: 0,
+        targetMilliseconds: 2_000,
         shortestTargetMilliseconds: 500,
         remainingMilliseconds: 3_000,
         promptTokens: 2_000,
--- a/tests/forwarding/simulateContention.ts
+++ b/tests/forwarding/simulateContention.ts
@@ -190,6 +190,7 @@
             service: "models",
             workspace: String(workspace),
             rank,
+            targetMilliseconds: kinds[kind].target,
             shortestTargetMilliseconds: kinds.label.target,
             remainingMilliseconds,
             promptTokens: prompt.promptTokens,
