--- a/src/forwarding/WorkspaceUse.ts
+++ b/src/forwarding/WorkspaceUse.ts
@@ -8,7 +8,7 @@
      * Records work that is sent.
      * @param service - The service.
      * @param workspace - The workspace; empty for requests without a key.
-     * @param work - The work: prompt tokens at engines, requests elsewhere.
+     * @param work - The work, by the workspace's weight: prompt tokens at engines, requests elsewhere.
      */
     record(service: string, workspace: string, work: number): void;
     /** Returns whether a workspace has used more than its share of a service: far more than the mean of the others. */
--- a/src/forwarding/createLoadShedding.ts
+++ b/src/forwarding/createLoadShedding.ts
@@ -1,9 +1,9 @@
 /*
- * Sheds load at its arrival. The load condition: every backend server that could serve a request has more work than it can
- * do in time. Sent on, the request would be answered late or not at all, and would delay all that come after it. Requests are
- * refused in the order of shares, then urgency: each step of that order may find a longer queue than the one before it, so
- * that the queue that it leaves is one in which the next step is still served. Nothing is refused where a server has room or
- * where its load is not known.
+ * Sheds load at its arrival. The load condition: the prompts in flight at a backend server would occupy more of its memory than
+ * their kind may, or the request could not be answered in its caller's time. Sent on, it would be answered late or not at all,
+ * and would have the engine preempt runs and evict cached prefixes, which delays all that come after it. The less urgent kinds
+ * are refused before the most urgent one, and those of workspaces over their shares first. Nothing is refused where a server has
+ * room or where its load is not known.
  */
 import { createReturnSpread } from "../limits";
 import { FleetInstance } from "../protocol";
@@ -22,10 +22,13 @@
 /** The minimum delay after which a refused caller may retry, in milliseconds. */
 const minimumRetryAfterMilliseconds = 500;
 /**
- * The share of an engine's memory that prompts in flight may occupy. Beyond its memory an engine preempts runs and evicts cached
- * prefixes, and prefills them again. The most urgent kind, whose prompts are short, may displace the others.
+ * The share of an engine's memory that the prompts in flight may occupy with a new one, by its kind. Beyond its memory an engine
+ * preempts runs and evicts cached prefixes, and prefills them again. Below it, memory is left for generated tokens and for the
+ * prefixes that the next prompts share. A workspace over its share stops earlier, so that the others find memory. The most urgent
+ * kind may exceed the memory and take the place of the others. Its limit does not depend on shares: its prompts are short, so
+ * that refusing them frees little memory. Measured in trials of one play each, see docs/design/contention.md.
  */
-const maximumFills = { overShare: 0.75, urgentOverShare: 1.45, others: 0.85, urgent: 1.45 };
+const maximumFills = { lessUrgentOverShare: 0.75, lessUrgent: 0.85, mostUrgent: 1.45 };
 /** The share of the caller's time in which it returns. */
 const returnShareOfCallerTime = 0.33;
 /** The weight of the last request in the mean time that requests occupy slots. */
@@ -47,7 +50,7 @@
     /** Gets how long work takes at a server, as a multiple of the usual time; 1 where it is not known. */
     getWorkFactor(instanceId: string): number;
     clock: Clock;
-    /** Chooses among the servers that can serve a request in time. */
+    /** Chooses among the servers that have room. */
     random: RandomSource;
 }
 
@@ -70,13 +73,13 @@
         getMissingTokens: (instance: FleetInstance) => number,
     ): SheddingDecision {
         const isOverShare = use.isOverShare(demand.service, demand.workspace);
+        if (hasRoom(demand, chosen.instanceId)) {
+            return { kind: "send", instance: chosen };
+        }
         const maximumFill = getMaximumFill(demand.rank, isOverShare);
-        const getWait = (instance: FleetInstance) => estimate(demand, instance, getMissingTokens(instance));
-        const isAccepted = (instance: FleetInstance) =>
-            hasRoom(demand, instance.instanceId)
-            || getFill(demand, instance.instanceId) <= maximumFill
-                && getWait(instance).totalMilliseconds <= demand.remainingMilliseconds;
-        if (isAccepted(chosen)) {
+        const fill = getFill(demand, chosen.instanceId);
+        const wait = estimate(demand, chosen, getMissingTokens(chosen));
+        if (fill <= maximumFill && wait.totalMilliseconds <= demand.remainingMilliseconds) {
             return { kind: "send", instance: chosen };
         }
         const withRoom = candidates.filter(instance =>
@@ -87,16 +90,16 @@
         }
         return {
             kind: "refuse",
-            fill: getFill(demand, chosen.instanceId),
+            fill,
             maximumFill,
-            wait: getWait(chosen),
+            wait,
             loadAgeMilliseconds: loads.getLoadAgeMilliseconds(chosen.instanceId) ?? 0,
             isOverShare,
             retryAfterMilliseconds: getRetryAfter(demand.remainingMilliseconds),
         };
     }
 
-    /** Gets the share of an engine's memory that the prompts in flight would occupy with another one; 0 without a memory. */
+    /** Gets the share of an engine's memory that the prompts in flight would occupy with another one; 0 where the memory is not known. */
     function getFill({ memoryTokens, promptTokens }: SheddingDemand, instanceId: string): number {
         return (loads.getPromptTokens(instanceId) + promptTokens) / memoryTokens;
     }
@@ -165,8 +168,8 @@
 }
 
 function getMaximumFill(rank: number, isOverShare: boolean): number {
-    if (isOverShare) {
-        return rank === 0 ? maximumFills.urgentOverShare : maximumFills.overShare;
+    if (rank === 0) {
+        return maximumFills.mostUrgent;
     }
-    return rank === 0 ? maximumFills.urgent : maximumFills.others;
+    return isOverShare ? maximumFills.lessUrgentOverShare : maximumFills.lessUrgent;
 }
--- a/src/forwarding/getAttemptParameters.ts
+++ b/src/forwarding/getAttemptParameters.ts
@@ -1,17 +1,19 @@
 /*
  * Computes the parameters of an attempt: its connections, its priority, and how it uses the cache.
  */
+import { DocumentWorkspace, Route } from "../documents";
 import { FleetInstance } from "../protocol";
 import { BackendAttempt } from "./BackendAttempt";
 import { CacheContext } from "./CacheContext";
 import { ForwardingTask } from "./ForwardingTask";
 import { getCacheUse } from "./getCacheUse";
-import { getUrgency } from "./getUrgency";
 
 /** The share of a backend server's connections that all entry processes together use. */
 const usedConnectionShare = 0.8;
 /** The minimum number of connections that an entry process may hold, however many processes there are. */
 const minimumConnections = 4;
+/** The number of route priorities within each workspace priority. */
+const routePrioritiesPerWorkspace = 3;
 /** The largest priority value that engines accept, which is the least urgent. */
 const maximumPriority = 9;
 
@@ -39,7 +41,12 @@
     return {
         maximumConnections: Math.max(minimumConnections, connectionShare),
         workspace: workspace?.name,
-        priority: Math.min(maximumPriority, getUrgency(workspace, route)),
+        priority: getPriority(workspace, route),
         cache: getCacheUse(task, instance, context),
     };
 }
+
+/** Gets the priority at engines; 0 is the most urgent. The workspace's priority takes precedence over the route's. */
+function getPriority(workspace: DocumentWorkspace | undefined, route: Route): number {
+    return Math.min(maximumPriority, (workspace?.priority ?? 0) * routePrioritiesPerWorkspace + route.priority);
+}
--- a/tests/forwarding/shedRequests.tests.ts
+++ b/tests/forwarding/shedRequests.tests.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import { createMetrics } from "../../src/metrics";
 import { RefusalReason } from "../../src/protocol";
+import { createTestWorkspaces } from "../documents/createTestWorkspaces";
 import { createTestFeedState, createTestInstance } from "../feed/createTestFeed";
 import { createManualClock } from "../support/createManualClock";
 import { createTestForwarder } from "./createTestForwarder";
@@ -9,18 +10,16 @@
 import { createTestRequest } from "./createTestRequest";
 
 describe("createForwarder, where the only engine is too full", () => {
-    /** Sends a request behind more prompts than the engine reads in its time; returns the attempts and the refusal. */
-    async function sendBehindOthers(workspaceNames: readonly string[]) {
+    /** Sends a request behind more prompts than the engine has memory for, or reads in its time. */
+    async function sendBehindOthers(workspaceNames: readonly string[], hasQuotas = true, workPercent?: number) {
         const clock = createManualClock();
-        const workspaces = workspaceNames.map(name => (
-            { name, apiKeys: [`${name}-key`], priority: undefined, isIsolated: false }
-        ));
+        const workspaces = createTestWorkspaces(workspaceNames, hasQuotas);
         const state = createTestFeedState(clock, [createTestInstance()], { workspaces });
         const link = createTestLink((...[, number]) =>
             number === 0
                 ? {
                     ...createTestResponse(["id: 1\ndata: x\n\n"]),
-                    load: { running: 8, waiting: 100, slots: 8 },
+                    load: { running: 8, waiting: 100, slots: 8, ...workPercent === undefined ? {} : { workPercent } },
                 } as ReturnType<typeof createTestResponse>
                 : new Promise(() => undefined)
         );
@@ -56,8 +55,19 @@
         );
     });
 
-    it("sends it as before under a document with one workspace and one priority", async () => {
-        const { isSent, refusal } = await sendBehindOthers(["alpha"]);
-        expect([isSent, refusal]).to.deep.equal([true, undefined]);
+    it("refuses it also without quotas where the engine has reported its speed", async () => {
+        const { isSent, refusal } = await sendBehindOthers(["alpha"], false, 100);
+        expect([isSent, refusal?.kind, refusal?.reason]).to.deep.equal([false, "notRun", RefusalReason.OVERLOADED]);
     });
+
+    // Deployments that don't ask for contention to be decided must not see new refusals.
+    function doUnchangedTest(title: string, workspaceNames: readonly string[], hasQuotas: boolean) {
+        it(`sends it as before under a document ${title}`, async () => {
+            const { isSent, refusal } = await sendBehindOthers(workspaceNames, hasQuotas);
+            expect([isSent, refusal]).to.deep.equal([true, undefined]);
+        });
+    }
+
+    doUnchangedTest("with one workspace and one priority", ["alpha"], true);
+    doUnchangedTest("without quotas", ["alpha", "beta"], false);
 });
--- a/tests/platform/callers/fullQueues.tests.ts
+++ b/tests/platform/callers/fullQueues.tests.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import { CallerServer } from "../../../platform/callers";
 import { createSystemClock } from "../../../src/runtime";
+import { createTestWorkspaces } from "../../documents/createTestWorkspaces";
 import { createTestFeedState } from "../../feed/createTestFeed";
 import { openRawCaller } from "./openRawCaller";
 import { startTestCallerServer } from "./startTestCallerServer";
@@ -16,10 +17,8 @@
     });
 
     /** Sends a head without its body while requests wait that keep the event loop busy; returns what came back. */
-    async function sendHeadToBusyServer(workspaceCount: number): Promise<string> {
-        const workspaces = Array.from({ length: workspaceCount }, (...[, index]) => (
-            { name: `w${index}`, apiKeys: [`key-${index}`], priority: undefined, isIsolated: false }
-        ));
+    async function sendHeadToBusyServer(workspaceNames: readonly string[], hasQuotas: boolean): Promise<string> {
+        const workspaces = createTestWorkspaces(workspaceNames, hasQuotas);
         startedCount = 0;
         callerServer = await startTestCallerServer((...[, reply]) => {
             startedCount += 1;
@@ -29,7 +28,7 @@
             }
             reply.send({ status: 200, headers: [] }, Buffer.from("ok"));
         }, { state: createTestFeedState(createSystemClock(), [], { workspaces }) });
-        const key = "Authorization: Bearer key-0\r\n";
+        const key = "Authorization: Bearer alpha-key\r\n";
         const callers = Array.from({ length: 80 }, () => openRawCaller(callerServer));
         callers.forEach((caller, index) => caller.request(`busy-${index}`, key));
         while (startedCount < 15) {
@@ -39,18 +38,22 @@
         late.socket.write(
             `POST /reads/1 HTTP/1.1\r\nHost: one.example\r\nBasilwing-Request-Id: late\r\n${key}Content-Length: 9\r\n\r\n`,
         );
-        await late.waitForStatuses(1, workspaceCount > 1 ? 10_000 : 2_000);
+        await late.waitForStatuses(1, hasQuotas && workspaceNames.length > 1 ? 10_000 : 2_000);
         const text = late.getText();
         [...callers, late].forEach(({ socket }) => socket.destroy());
         return text;
     }
 
     it("refuses a request before its body is read", async () => {
-        const text = await sendHeadToBusyServer(2);
+        const text = await sendHeadToBusyServer(["alpha", "beta"], true);
         expect(text).to.match(/^HTTP\/1.1 503 /).and.match(/retry-after: \d/i);
     });
 
     it("reads the body first where the document has one workspace and one priority", async () => {
-        expect(await sendHeadToBusyServer(1)).to.equal("");
+        expect(await sendHeadToBusyServer(["alpha"], true)).to.equal("");
+    });
+
+    it("reads the body first where the document has no quotas", async () => {
+        expect(await sendHeadToBusyServer(["alpha", "beta"], false)).to.equal("");
     });
 });
--- a/tests/requestQueue/contention.tests.ts
+++ b/tests/requestQueue/contention.tests.ts
@@ -5,6 +5,7 @@
 import { createRequestQueue, getRequestClass } from "../../src/requestQueue";
 import { createRandomSource } from "../../src/runtime";
 import { createTestDocument } from "../documents/createTestDocument";
+import { createTestWorkspaces } from "../documents/createTestWorkspaces";
 import { createManualClock } from "../support/createManualClock";
 
 describe("createRequestQueue, where requests are distinguished", () => {
@@ -198,25 +199,30 @@
 });
 
 describe("getRequestClass", () => {
-    function doTest(workspaceCount: number, priorities: readonly number[], expected: object | undefined) {
+    function doTest(
+        workspaceNames: readonly string[],
+        priorities: readonly number[],
+        expected: object | undefined,
+        hasQuotas = true,
+    ) {
         const { routes, ...document } = createTestDocument();
-        const workspaces = Array.from({ length: workspaceCount }, (...[, index]) => (
-            { name: `w${index}`, apiKeys: [`key-${index}`], priority: undefined, isIsolated: false }
-        ));
         const table = createRouteTable({
             ...document,
-            workspaces,
+            workspaces: createTestWorkspaces(workspaceNames, hasQuotas),
             routes: routes.map((route, index) => ({ ...route, priority: priorities[index % priorities.length]! })),
         });
-        expect(getRequestClass(table, "one.example", "/labels/1", "key-0")).to.deep.equal(expected);
+        expect(getRequestClass(table, "one.example", "/labels/1", "alpha-key")).to.deep.equal(expected);
     }
 
-    const common = { workspace: "w0", workspacePriority: 0, targetLatencyMilliseconds: 500 };
+    const common = { workspace: "alpha", workspacePriority: 0, targetLatencyMilliseconds: 500 };
 
     it("does not distinguish the requests of one workspace and one priority, which are served as before", () =>
-        doTest(1, [3], undefined));
+        doTest(["alpha"], [3], undefined));
 
-    it("distinguishes several workspaces", () => doTest(2, [0], { ...common, routePriority: 0 }));
+    it("does not distinguish requests under a document without quotas, which are served as before", () =>
+        doTest(["alpha", "beta"], [0, 1], undefined, false));
 
-    it("distinguishes several priorities", () => doTest(1, [0, 1], { ...common, routePriority: 1 }));
+    it("distinguishes several workspaces", () => doTest(["alpha", "beta"], [0], { ...common, routePriority: 0 }));
+
+    it("distinguishes several priorities", () => doTest(["alpha"], [0, 1], { ...common, routePriority: 1 }));
 });
