--- a/src/forwarding/SheddingDecision.ts
+++ b/src/forwarding/SheddingDecision.ts
@@ -13,6 +13,8 @@
         fill: number;
         /** The share that they may occupy. */
         maximumFill: number;
+        /** The longest time of the work ahead with which the request would have been sent, in milliseconds. */
+        maximumAheadMilliseconds: number;
         /** The estimated wait at the chosen server. */
         wait: ServerWait;
         /** The age of the load there, in milliseconds. */
--- a/src/forwarding/SheddingDemand.ts
+++ b/src/forwarding/SheddingDemand.ts
@@ -12,6 +12,8 @@
     shareWeight: number;
     /** The number of more urgent kinds of requests to the service; 0 for the most urgent kind. */
     rank: number;
+    /** The latency objective of its route, in milliseconds. */
+    targetMilliseconds: number;
     /** The time in which its caller needs the response, in milliseconds. */
     remainingMilliseconds: number;
     /** The tokens of its prompt; 0 where it has none. */
--- a/src/forwarding/createLoadShedding.ts
+++ b/src/forwarding/createLoadShedding.ts
@@ -29,6 +29,8 @@
  * that refusing them frees little memory. Measured in trials of one play each, see docs/design/contention.md.
  */
 const maximumFills = { lessUrgentOverShare: 0.75, lessUrgent: 0.85, mostUrgent: 1.45 };
+/** The share of the objective that the work ahead of a less urgent request of a workspace over its share may take. */
+const overShareOfTarget = 0.25;
 /** The share of the caller's time in which it returns. */
 const returnShareOfCallerTime = 0.33;
 /** The weight of the last request in the mean time that requests occupy slots. */
@@ -79,7 +81,11 @@
         const maximumFill = getMaximumFill(demand.rank, isOverShare);
         const fill = getFill(demand, chosen.instanceId);
         const wait = estimate(demand, chosen, getMissingTokens(chosen));
-        if (fill <= maximumFill && wait.totalMilliseconds <= demand.remainingMilliseconds) {
+        const maximumAheadMilliseconds = getMaximumAhead(demand, isOverShare);
+        if (
+            fill <= maximumFill && wait.aheadMilliseconds <= maximumAheadMilliseconds
+            && wait.totalMilliseconds <= demand.remainingMilliseconds
+        ) {
             return { kind: "send", instance: chosen };
         }
         const withRoom = candidates.filter(instance =>
@@ -92,6 +98,7 @@
             kind: "refuse",
             fill,
             maximumFill,
+            maximumAheadMilliseconds,
             wait,
             loadAgeMilliseconds: loads.getLoadAgeMilliseconds(chosen.instanceId) ?? 0,
             isOverShare,
@@ -173,3 +180,14 @@
     }
     return isOverShare ? maximumFills.lessUrgentOverShare : maximumFills.lessUrgent;
 }
+
+/**
+ * Gets the longest time of the work ahead with which a request is sent: less urgent ones would be late themselves behind their
+ * objective, and those of workspaces over their shares would make others late.
+ */
+function getMaximumAhead({ rank, targetMilliseconds }: SheddingDemand, isOverShare: boolean): number {
+    if (rank === 0) {
+        return Infinity;
+    }
+    return isOverShare ? overShareOfTarget * targetMilliseconds : targetMilliseconds;
+}
--- a/src/forwarding/getSheddingDemand.ts
+++ b/src/forwarding/getSheddingDemand.ts
@@ -21,6 +21,7 @@
         workspace: workspace?.name ?? "",
         rank: [...getPriorities(document, service.name)].filter(priority => priority < route.priority).length,
         shareWeight: workspace?.quota?.amountPerSecond ?? 1,
+        targetMilliseconds: route.targetLatencyMilliseconds,
         remainingMilliseconds: task.getEndMilliseconds() - nowMilliseconds,
         promptTokens: request.prompt?.promptTokens ?? 0,
         slots: isEngine && service.slots > 0 ? service.slots : undefined,
--- a/tests/forwarding/createLoadShedding.tests.ts
+++ b/tests/forwarding/createLoadShedding.tests.ts
@@ -48,6 +48,7 @@
         workspace: "alpha",
         shareWeight: 1,
         rank: 0,
+        targetMilliseconds: 500,
         remainingMilliseconds: 3_000,
         promptTokens: 2_000,
         slots: 48,
--- a/tests/forwarding/simulateContention.ts
+++ b/tests/forwarding/simulateContention.ts
@@ -191,6 +191,7 @@
             workspace: String(workspace),
             rank,
             shareWeight: 1,
+            targetMilliseconds: kinds[kind].target,
             remainingMilliseconds,
             promptTokens: prompt.promptTokens,
             slots,
