--- /dev/null
+++ b/tests/platform/crowds/crowds.tests.ts
@@ -0,0 +1,156 @@
+import { expect } from "chai";
+import { Readable } from "node:stream";
+import { setTimeout as sleep } from "node:timers/promises";
+import { request } from "undici";
+import { CrowdRequest, startCrowd } from "./startCrowd";
+import {
+    crowdBodyBytes,
+    CrowdDeployment,
+    crowdDescriptors,
+    crowdMemoryMegabytes,
+    CrowdProcess,
+    startCrowdDeployment,
+} from "./startCrowdDeployment";
+
+const stopShortBytes = 10;
+const answerTimeoutMilliseconds = 20_000;
+const slowPauseMilliseconds = 3_000;
+const largePart = Buffer.alloc(65_536, "a");
+const smallPart = Buffer.alloc(16_384, "a");
+const largeChunk = Buffer.concat([Buffer.from("10000\r\n"), largePart, Buffer.from("\r\n")]);
+const tinyChunks = Buffer.from("1\r\na\r\n".repeat(16_384));
+const legalLengthHeader = `Content-Length: ${crowdBodyBytes}`;
+const chunkedHeader = "Transfer-Encoding: chunked";
+
+/** Bodies of legal size that stop 10 bytes short, whole and piece by piece. */
+const whole: CrowdRequest = {
+    count: 96,
+    lengthHeader: legalLengthHeader,
+    part: Buffer.alloc(crowdBodyBytes - stopShortBytes, "a"),
+    partCount: 1,
+};
+const pieces: CrowdRequest = {
+    count: 96,
+    lengthHeader: legalLengthHeader,
+    part: smallPart,
+    partCount: crowdBodyBytes / smallPart.length - 1,
+    lastPart: smallPart.subarray(stopShortBytes),
+    pauseMilliseconds: 5,
+};
+/** Bodies of legal size in chunks, without the last one. */
+const largeChunks: CrowdRequest = { count: 96, lengthHeader: chunkedHeader, part: largeChunk, partCount: 31 };
+const tinyChunkBodies: CrowdRequest = { count: 16, lengthHeader: chunkedHeader, part: tinyChunks, partCount: 16 };
+/** Bodies far over the limit, which state a length or don't. */
+const farOverAnnounced: CrowdRequest = {
+    count: 96,
+    lengthHeader: `Content-Length: ${64 * crowdBodyBytes}`,
+    part: largePart,
+    partCount: 128,
+};
+const farOverSent: CrowdRequest = { count: 96, lengthHeader: chunkedHeader, part: largeChunk, partCount: 128 };
+
+describe("crowds of untrusted clients", () => {
+    let deployment: CrowdDeployment;
+    beforeEach(async () => {
+        deployment = await startCrowdDeployment();
+    });
+    afterEach(() => deployment?.stop());
+
+    /**
+     * Guards against a process that clients end, or bring beyond the memory or the descriptors of its machine.
+     * @param role - Whom the clients send to.
+     * @param crowdRequest - What they send.
+     * @param listener - Where they send it to.
+     * @param answeredTarget - What an ordinary client requests afterwards, while the others keep their connections.
+     */
+    async function doTest(
+        role: "control" | "entry",
+        crowdRequest: CrowdRequest,
+        listener: keyof CrowdProcess["addresses"],
+        answeredTarget: string,
+    ): Promise<void> {
+        const process = deployment[role];
+        const address = process.addresses[listener];
+        let maximumDescriptors = 0;
+        let peakMegabytes = 0;
+        const crowd = await startCrowd(address, crowdRequest, () => {
+            if (process.isAlive()) {
+                maximumDescriptors = Math.max(maximumDescriptors, process.getDescriptorCount());
+                peakMegabytes = process.getPeakMegabytes();
+            }
+        });
+        expect(process.isAlive(), `alive, after ${peakMegabytes} MB`).to.equal(true);
+        const status = await getStatus(address, answeredTarget);
+        crowd.close();
+        expect(status, "ordinary request").to.equal(200);
+        expect(process.isAlive(), "alive after the ordinary request").to.equal(true);
+        expect(process.getPeakMegabytes(), "peak of the resident memory").to.be.below(crowdMemoryMegabytes);
+        expect(maximumDescriptors, "open descriptors").to.be.below(crowdDescriptors);
+    }
+
+    describe("at the callers' server of an entry process", () => {
+        const doEntryTest = (crowdRequest: CrowdRequest) => doTest("entry", crowdRequest, "caller", "/read/ordinary");
+        it("that send whole bodies and stop short", () => doEntryTest(whole));
+        it("that send bodies piece by piece and stop short", () => doEntryTest(pieces));
+        it("that send large chunks and stop short", () => doEntryTest(largeChunks));
+        it("that send chunks of one byte and stop short", () => doEntryTest(tinyChunkBodies));
+        it("that announce bodies far over the limit", () => doEntryTest(farOverAnnounced));
+        it("that send bodies far over the limit", () => doEntryTest(farOverSent));
+        it("that open more connections than there are descriptors", () =>
+            doEntryTest({ ...whole, count: 600, part: smallPart }));
+
+        // A limit on crowds must not reach a client that sends slowly and is alone.
+        it("serve a slow client that pauses for seconds in its body", async () => {
+            async function* send() {
+                for (let index = 0; index < 4; index++) {
+                    yield Buffer.alloc(crowdBodyBytes / 4, "a");
+                    await sleep(slowPauseMilliseconds);
+                }
+            }
+            const response = await request(`http://${deployment.entry.addresses.caller}/read/slow`, {
+                method: "POST",
+                headers: {
+                    "host": "crowd.example",
+                    "basilwing-request-id": "slow",
+                    "content-length": String(crowdBodyBytes),
+                },
+                body: Readable.from(send()),
+            });
+            await response.body.dump();
+            expect(response.statusCode).to.equal(200);
+        });
+    });
+
+    describe("at the other servers of an entry process", () => {
+        it("that send bodies to its readiness check", () => doTest("entry", farOverAnnounced, "readiness", "/"));
+        it("that send bodies to its metrics", () =>
+            doTest("entry", { ...farOverSent, target: "/metrics" }, "metrics", "/metrics"));
+        it("that open more connections to its metrics than there are descriptors", () =>
+            doTest("entry", { ...whole, count: 600, part: smallPart, target: "/metrics" }, "metrics", "/metrics"));
+    });
+
+    describe("at the operators' server of a control member", () => {
+        const path = "/basilwing/config";
+        const doOperatorTest = (crowdRequest: CrowdRequest) =>
+            doTest("control", { ...crowdRequest, target: path, method: "PUT" }, "operator", path);
+        it("that send whole bodies and stop short", () => doOperatorTest(whole));
+        it("that send chunks of one byte and stop short", () => doOperatorTest(tinyChunkBodies));
+        it("that send bodies far over the limit", () => doOperatorTest({ ...farOverSent, count: 24, partCount: 400 }));
+    });
+});
+
+/** Sends an ordinary request, again where it is refused as not run, as callers do. */
+async function getStatus(address: string, target: string): Promise<number | undefined> {
+    const end = performance.now() + answerTimeoutMilliseconds;
+    let status: number | undefined;
+    while (status !== 200 && performance.now() < end) {
+        const response = await request(`http://${address}${target}`, {
+            headers: { "host": "crowd.example", "basilwing-request-id": "ordinary" },
+            headersTimeout: answerTimeoutMilliseconds,
+        }).catch(() => undefined);
+        await response?.body.dump();
+        status = response?.statusCode;
+        await sleep(status === 200 ? 0 : 100);
+    }
+    return status;
+}
