--- a/src/metrics/ConnectionEndReason.ts
+++ b/src/metrics/ConnectionEndReason.ts
@@ -12,6 +12,8 @@
     InvalidBytes = "invalidBytes",
     /** The head of a request took too long. */
     HeadTimeout = "headTimeout",
+    /** A request was refused before its body had arrived. */
+    BodyRefused = "bodyRefused",
     /** A response that had begun could not be completed. */
     ResponseBrokenOff = "responseBrokenOff",
     /** The last response announced the end. */
--- a/src/metrics/CounterName.ts
+++ b/src/metrics/CounterName.ts
@@ -10,6 +10,12 @@
     CompletedRequests = "basilwing_requests_completed_total",
     /** Connections of callers that were accepted. */
     CallerConnections = "basilwing_caller_connections_total",
+    /** Connections of callers that were closed at once, since there were too many. */
+    ConnectionsRefused = "basilwing_connections_refused_total",
+    /** Bodies of requests that were refused, since there was no memory for them or others needed theirs. */
+    BodiesRefusedForMemory = "basilwing_bodies_refused_for_memory_total",
+    /** Bodies of requests of which nothing arrived for too long. */
+    BodiesTimedOut = "basilwing_bodies_timed_out_total",
     /** Requests whose caller left before any attempt was sent. */
     CallersLeftBeforeSending = "basilwing_callers_left_before_sending_total",
     /** Requests whose caller left after an attempt was sent. */
--- a/src/metrics/GaugeName.ts
+++ b/src/metrics/GaugeName.ts
@@ -5,6 +5,9 @@
 /** The gauges, by metric name; their values are read when metrics are requested. */
 export enum GaugeName {
     RequestsInFlight = "basilwing_requests_in_flight",
+    /** The bytes that the bodies of requests occupy or have reserved. */
+    RequestMemory = "basilwing_request_memory_bytes",
+    RequestsWaitingForMemory = "basilwing_requests_waiting_for_memory",
     /** The longest delay since the gauge was last read. */
     EventLoopDelay = "basilwing_event_loop_delay_milliseconds",
     /** The number of entry processes by which an entry process divides what they share. */
--- /dev/null
+++ b/src/requestMemory/index.ts
@@ -0,0 +1,15 @@
+/*
+ * The memory that the bodies of callers' requests occupy: who may read on, and who is refused first.
+ */
+export * from "./BodyAccount";
+export * from "./BodyOutcome";
+export * from "./BodyReader";
+export * from "./BodyState";
+export * from "./createRequestMemory";
+export * from "./findStalledBody";
+export * from "./getConnectionLimit";
+export * from "./getRequestMemoryBytes";
+export * from "./limitConnections";
+export * from "./readRequestBody";
+export * from "./RequestMemory";
+export * from "./UnreadBody";
--- /dev/null
+++ b/src/requestMemory/readRequestBody.ts
@@ -0,0 +1,173 @@
+/*
+ * Reads the body of an HTTP request into memory that it reserves. Chunks are copied into one buffer of the reserved size, as a
+ * chunk of one byte occupies a hundred times as much as an object of its own.
+ */
+import type { IncomingMessage } from "node:http";
+import { createByteCollector } from "../runtime";
+import { BodyOutcome } from "./BodyOutcome";
+import { controlFlow } from "./controlFlow";
+import { hasBody } from "./hasBody";
+import { RequestMemory } from "./RequestMemory";
+
+/** What is reserved first for a body of unknown length, in bytes; later four times as much each time. */
+const firstBytes = 16_384;
+const growthFactor = 4;
+/**
+ * A body whose length is stated is refused at once where it exceeds the limit this many times, and otherwise where the limit is
+ * passed: a change of the routing document may raise the limit meanwhile.
+ */
+const farOverFactor = 2;
+/** How much of a body beyond the limit is discarded so that its connection can be kept, in bytes. */
+const maximumDiscardedBytes = 4_194_304;
+
+/** The options. */
+interface BodyOptions {
+    /** The request, of which nothing but the head has been read. */
+    request: IncomingMessage;
+    /** Gets the maximum size of the body, in bytes, which may change while the body arrives. */
+    getMaximumBytes(): number;
+    /** The memory that bodies share. */
+    memory: RequestMemory;
+    /** Aborted once the response has ended or the connection is closed, and the body's memory can be freed. */
+    signal: AbortSignal;
+    /** Ends the connection, which is no longer read, as more of a body arrives than is discarded. */
+    endConnection(): void;
+}
+
+/**
+ * Reads a body to its end, until it exceeds the limit, or until it is refused.
+ * @param options - The request, its limit and the memory.
+ */
+export function readRequestBody(options: BodyOptions): Promise<BodyOutcome> {
+    const { request, memory, signal, getMaximumBytes, endConnection } = options;
+    const declaredText = request.headers["content-length"];
+    const declaredBytes = declaredText === undefined ? undefined : Number(declaredText);
+    if (!hasBody(request)) {
+        request.resume();
+        return Promise.resolve({ kind: "read", body: Buffer.alloc(0) });
+    }
+    return new Promise(resolve => {
+        const flow = controlFlow(request);
+        const account = memory.open({ grant, refuse: reason => end({ kind: reason }) });
+        const excess = createByteCollector();
+        let buffer: Buffer | undefined;
+        let length = 0;
+        let reservedBytes = 0;
+        let discardedBytes = 0;
+        let hasEnded = false;
+        let stopDiscarding: (() => void) | undefined;
+        signal.addEventListener("abort", () => {
+            account.close();
+            stopDiscarding?.();
+            end({ kind: "aborted" });
+        }, { once: true });
+        request.on("data", addChunk);
+        request.on("end", finish);
+        request.on("close", () => {
+            stopDiscarding?.();
+            end({ kind: "aborted" });
+        });
+        request.on("error", () => end({ kind: "aborted" }));
+        if (declaredBytes !== undefined && declaredBytes > farOverFactor * getMaximumBytes()) {
+            refuseTooLarge();
+        }
+
+        function addChunk(chunk: Buffer): void {
+            if (hasEnded) {
+                discard(chunk);
+                return;
+            }
+            account.recordArrival(chunk.length);
+            const newLength = length + excess.getLength() + chunk.length;
+            if (newLength > getMaximumBytes()) {
+                discardedBytes = newLength;
+                refuseTooLarge();
+            }
+            else if (!flow.isPaused() && (buffer && newLength <= buffer.length || reserve(newLength))) {
+                append(chunk);
+            }
+            else if (account.addExcess(chunk.length)) {
+                excess.add(chunk);
+                flow.pause();
+            }
+        }
+
+        /** Reserves memory for more bytes; returns whether it is there. */
+        function reserve(newLength: number): boolean {
+            const grownBytes = Math.min(getMaximumBytes(), Math.max(firstBytes, growthFactor * (buffer?.length ?? 0)));
+            reservedBytes = Math.max(newLength, Math.min(declaredBytes ?? grownBytes, getMaximumBytes()));
+            return account.reserve(reservedBytes);
+        }
+
+        function append(chunk: Uint8Array): void {
+            if (!buffer && chunk.length === reservedBytes) {
+                buffer = Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length);
+                length = chunk.length;
+                return;
+            }
+            if (!buffer || buffer.length < reservedBytes) {
+                const larger = Buffer.allocUnsafeSlow(reservedBytes);
+                buffer?.copy(larger, 0, 0, length);
+                buffer = larger;
+            }
+            buffer.set(chunk, length);
+            length += chunk.length;
+        }
+
+        function grant(): void {
+            excess.takeParts().forEach(append);
+            flow.resume();
+        }
+
+        function finish(): void {
+            if (!request.complete) {
+                end({ kind: "aborted" });
+            }
+            else if (!hasEnded) {
+                const body = takeBody();
+                end({ kind: "read", body });
+            }
+        }
+
+        /** Takes the whole body, which needs no further memory, also where it waits for some. */
+        function takeBody(): Uint8Array {
+            const parts = excess.takeParts();
+            const read = buffer?.subarray(0, length) ?? Buffer.alloc(0);
+            const isCopied = parts.length > 0 || read.length < (buffer?.length ?? 0) / 2;
+            const body = isCopied ? Buffer.concat([read, ...parts]) : read;
+            account.complete(isCopied ? body.length : buffer?.length ?? 0);
+            return body;
+        }
+
+        function refuseTooLarge(): void {
+            const restBytes = (declaredBytes ?? 0) - discardedBytes;
+            stopDiscarding = restBytes > maximumDiscardedBytes ? undefined : memory.startDiscarding();
+            end({ kind: "tooLarge", mustClose: stopDiscarding === undefined });
+        }
+
+        function discard(chunk: Buffer): void {
+            discardedBytes += chunk.length;
+            if (discardedBytes > getMaximumBytes() + maximumDiscardedBytes) {
+                request.pause();
+                endConnection();
+            }
+        }
+
+        function end(outcome: BodyOutcome): void {
+            if (!hasEnded) {
+                hasEnded = true;
+                flow.release();
+                if (outcome.kind === "read" || outcome.kind === "tooLarge") {
+                    // The connection goes on with the next request, or the rest of this one is discarded.
+                    flow.resume();
+                }
+                if (outcome.kind !== "read") {
+                    account.close();
+                    excess.takeParts();
+                    buffer = undefined;
+                }
+                resolve(outcome);
+            }
+        }
+    });
+}
--- a/src/runtime/index.ts
+++ b/src/runtime/index.ts
@@ -12,6 +12,7 @@
 export * from "./createSystemClock";
 export * from "./createWakeup";
 export * from "./detach";
+export * from "./endAfterSending";
 export * from "./MemoryAccount";
 export * from "./MemoryBudget";
 export * from "./MemoryHolder";
--- /dev/null
+++ b/tests/platform/callers/refusedBodies.tests.ts
@@ -0,0 +1,93 @@
+import { expect } from "chai";
+import { setTimeout as sleep } from "node:timers/promises";
+import { CallerServer } from "../../../platform/callers";
+import { createSystemClock } from "../../../src/runtime";
+import { createTestDocument } from "../../documents/createTestDocument";
+import { createTestFeedState } from "../../feed/createTestFeed";
+import { openRawCaller } from "./openRawCaller";
+import { startTestCallerServer } from "./startTestCallerServer";
+
+describe("startCallerServer, where bodies need more memory than there is", () => {
+    const maximumBodyBytes = 262_144;
+    const head = "POST /reads/1 HTTP/1.1\r\nHost: one.example\r\nBasilwing-Request-Id: large\r\n";
+    const legalHead = `${head}Content-Length: ${maximumBodyBytes}\r\n\r\n`;
+    const bodyLengths: number[] = [];
+    let callerServer: CallerServer;
+
+    beforeEach(async () => {
+        bodyLengths.length = 0;
+        const { limits } = createTestDocument();
+        const state = createTestFeedState(createSystemClock(), [], { limits: { ...limits, maximumBodyBytes } });
+        callerServer = await startTestCallerServer(({ body }, reply) => {
+            bodyLengths.push(body.length);
+            reply.send({ status: 200, headers: [] }, Buffer.from("ok"));
+            // Room for one body of the largest size.
+        }, { state, memoryBytes: 1 });
+    });
+    afterEach(() => {
+        callerServer.server.closeAllConnections();
+        callerServer.server.close();
+    });
+
+    /** Opens a caller that sends all of a body but its last bytes. */
+    function openStalledCaller() {
+        const caller = openRawCaller(callerServer);
+        caller.socket.write(legalHead);
+        caller.socket.write(Buffer.alloc(maximumBodyBytes - 10));
+        return caller;
+    }
+
+    // A connection that is closed with unread bytes is reset, and the refusal is lost.
+    it("refuses the one without progress as not run, with its connection closed, and reads the other one", async () => {
+        const stalled = openStalledCaller();
+        await sleep(100);
+        const other = openRawCaller(callerServer);
+        other.socket.write(legalHead);
+        other.socket.write(Buffer.alloc(maximumBodyBytes));
+        expect(await stalled.waitForStatuses(1, 5_000)).to.deep.equal([503]);
+        expect(stalled.getText().toLowerCase()).to.include("connection: close").and.to.include("retry-after: 0.");
+        expect(await other.waitForStatuses(1, 5_000)).to.deep.equal([200]);
+        expect(bodyLengths).to.deep.equal([maximumBodyBytes]);
+    });
+
+    it("answers small requests meanwhile", async () => {
+        openStalledCaller();
+        openStalledCaller();
+        const small = openRawCaller(callerServer);
+        small.socket.write(`${head}Content-Length: 1000\r\n\r\n${"a".repeat(1_000)}`);
+        expect(await small.waitForStatuses(1)).to.deep.equal([200]);
+    });
+
+    // Reading stops while a body waits; the rest of its connection was not read where the body had arrived whole.
+    it("answers the next request on a connection whose body needed more memory than there was", async () => {
+        openStalledCaller();
+        await sleep(100);
+        const caller = openRawCaller(callerServer);
+        const chunk = `11000\r\n${"a".repeat(0x11000)}\r\n`;
+        caller.socket.write(`${head}Transfer-Encoding: chunked\r\n\r\n${chunk}0\r\n\r\n`);
+        expect(await caller.waitForStatuses(1, 5_000)).to.deep.equal([200]);
+        caller.request("2");
+        expect(await caller.waitForStatuses(2)).to.deep.equal([200, 200]);
+    });
+
+    it("delivers the refusal of a body far over the limit to a caller that is still sending", async () => {
+        const caller = openRawCaller(callerServer);
+        caller.socket.write(`${head}Content-Length: 100000000\r\n\r\n`);
+        caller.socket.write(Buffer.alloc(20_000_000));
+        expect(await caller.waitForStatuses(1)).to.deep.equal([413]);
+        expect(caller.getText().toLowerCase()).to.include("connection: close");
+    });
+
+    it("reads a body in chunks of one byte, which arrive piece by piece", async () => {
+        const caller = openRawCaller(callerServer);
+        caller.socket.write(`${head}Transfer-Encoding: chunked\r\n\r\n`);
+        const chunks = "1\r\na\r\n".repeat(20_000);
+        for (let offset = 0; offset < chunks.length; offset += 9_999) {
+            caller.socket.write(chunks.slice(offset, offset + 9_999));
+            await sleep(1);
+        }
+        caller.socket.write("0\r\n\r\n");
+        expect(await caller.waitForStatuses(1)).to.deep.equal([200]);
+        expect(bodyLengths).to.deep.equal([20_000]);
+    });
+});
--- a/tests/platform/callers/startTestCallerServer.ts
+++ b/tests/platform/callers/startTestCallerServer.ts
@@ -27,6 +27,7 @@
         },
         state: createTestFeedState(clock, []),
         plannedStop: createPlannedStop(clock),
+        memoryBytes: 160 * 1_048_576,
         clock,
         metrics: createMetrics(),
         logger: createSilentLogger(),
--- a/tests/platform/settings/decodePlatformSettings.tests.ts
+++ b/tests/platform/settings/decodePlatformSettings.tests.ts
@@ -12,7 +12,7 @@
         bootstrap: true,
         data_dir: JSON.parse("null") as unknown,
         fault_tolerance: { machines: 1, zones: 0, regions: 0 },
-        limits: { cpu_share: 0.513, memory_mb: 350 },
+        limits: { cpu_share: 0.513, memory_mb: 350, max_fds: 4_096 },
         bounds: {
             grace_s: 8,
             revoke_ms: 5_000,
@@ -39,6 +39,7 @@
             isFirstStart: true,
             toleratedMemberLosses: 1,
             memoryBytes: 350 * 1_048_576,
+            maximumDescriptors: 4_096,
             dataFolder: undefined,
             fleetListAddress: "10.200.0.117:8784",
             fleetListCallsPerSecond: 44,
