--- a/src/administration/AdministrationServerOptions.ts
+++ b/src/administration/AdministrationServerOptions.ts
@@ -2,6 +2,7 @@
  * The options of the administration server: its listener, its TLS identity and the sources of what it serves.
  */
 import { Metrics } from "../metrics";
+import { Clock } from "../runtime";
 import { TlsIdentity } from "../security";
 import { ListenerSettings } from "../settings";
 
@@ -17,4 +18,6 @@
     isReady(): boolean;
     /** Gets the state of the process for `/status`, to be serialized as JSON; it never contains prompts or keys. */
     getStatus(): unknown;
+    /** The clock by which the ends of connections are awaited; the system's clock if absent. */
+    clock?: Clock;
 }
--- a/src/administration/startAdministrationServer.ts
+++ b/src/administration/startAdministrationServer.ts
@@ -4,6 +4,8 @@
 import { once } from "node:events";
 import { IncomingMessage, ServerResponse } from "node:http";
 import { AddressInfo } from "node:net";
+import { bodilessServerOptions, limitBodilessServer } from "../requestMemory";
+import { createSystemClock } from "../runtime";
 import { createHttpServer } from "../security";
 import { AdministrationServer } from "./AdministrationServer";
 import { AdministrationServerOptions } from "./AdministrationServerOptions";
@@ -16,7 +18,12 @@
  */
 export async function startAdministrationServer(options: AdministrationServerOptions): Promise<AdministrationServer> {
     const { getStatus, isReady, listener, metrics } = options;
-    const server = createHttpServer(options.identity, {}, (request, response) => void handleRequest(request, response));
+    const server = createHttpServer(
+        options.identity,
+        bodilessServerOptions,
+        (request, response) => void handleRequest(request, response),
+    );
+    limitBodilessServer(server, options.clock ?? createSystemClock());
     server.listen(listener.port, listener.address);
     await once(server, "listening");
     const { address, port } = server.address() as AddressInfo;
--- a/src/requestMemory/index.ts
+++ b/src/requestMemory/index.ts
@@ -1,6 +1,7 @@
 /*
  * The memory that the bodies of callers' requests occupy: who may read on, and who is refused first.
  */
+export * from "./bodilessServerOptions";
 export * from "./BodyAccount";
 export * from "./BodyOutcome";
 export * from "./BodyReader";
@@ -9,6 +10,7 @@
 export * from "./findStalledBody";
 export * from "./getConnectionLimit";
 export * from "./getRequestMemoryBytes";
+export * from "./limitBodilessServer";
 export * from "./limitConnections";
 export * from "./readRequestBody";
 export * from "./RequestMemory";
--- a/tests/platform/operators/startOperatorServer.tests.ts
+++ b/tests/platform/operators/startOperatorServer.tests.ts
@@ -7,7 +7,9 @@
 import { ReplicatedLog } from "../../../src/control/consensus";
 import { createDocumentState } from "../../../src/documents";
 import { createSilentLogger } from "../../../src/logging";
+import { createMetrics } from "../../../src/metrics";
 import { DocumentCommandSchema } from "../../../src/protocol";
+import { createSystemClock } from "../../../src/runtime";
 
 describe("startOperatorServer", () => {
     let server: Server | undefined;
@@ -29,7 +31,14 @@
             create(DocumentCommandSchema, { command: { case: "quarantineSubject", value } }),
         ));
         const address = await getFreeAddress();
-        server = await startOperatorServer({ address, log, documents, logger: createSilentLogger() });
+        server = await startOperatorServer({
+            address,
+            log,
+            documents,
+            clock: createSystemClock(),
+            metrics: createMetrics(),
+            logger: createSilentLogger(),
+        });
         return async (method: "GET" | "DELETE" | "POST", path: string, text?: string) => {
             const { statusCode, body } = await request(`http://${address}${path}`, { method, body: text });
             return [statusCode, await body.json()];
