--- a/src/entry/admitRequest.ts
+++ b/src/entry/admitRequest.ts
@@ -3,9 +3,10 @@
  * configuration that it holds.
  */
 import { createHash } from "node:crypto";
-import { IncomingMessage } from "node:http";
+import { IncomingMessage, ServerResponse } from "node:http";
 import { EffectiveSettings, Subscriber } from "../control/configuration";
 import { RefusalReason } from "../protocol";
+import { RequestMemory } from "../requestMemory";
 import { AdmissionOutcome } from "./AdmissionOutcome";
 import { CallerWork } from "./CallerWork";
 import { createRefusal } from "./createRefusal";
@@ -24,19 +25,21 @@
 /**
  * Admits or refuses a request.
  * @param options - The entry's options.
- * @param request - The request, of which only the head has been read.
+ * @param exchange - The request, of which only the head has been read, and its response.
  * @param requestId - The request's id.
  * @param subscriber - The subscriber that the caller's key identifies.
+ * @param memory - The memory for bodies.
  * @returns The checked request, or the refusal.
  */
 export async function admitRequest(
     options: EntryOptions,
-    request: IncomingMessage,
+    { request, response }: { request: IncomingMessage; response: ServerResponse; },
     requestId: string,
     subscriber: Subscriber,
+    memory: RequestMemory,
 ): Promise<AdmissionOutcome> {
     const { authority, clock, configuration, settings } = options;
-    const read = await readBody(request, settings.maximumBodyBytes);
+    const read = await readBody(request, response, settings.maximumBodyBytes, memory);
     if (read.kind === "refused") {
         return read;
     }
--- a/src/entry/createRequestHandler.ts
+++ b/src/entry/createRequestHandler.ts
@@ -6,6 +6,8 @@
 import { assertNever } from "../errors";
 import { CounterName } from "../metrics";
 import { RefusalReason } from "../protocol";
+import { createRequestMemory } from "../requestMemory";
+import { pollConnections } from "../runtime";
 import { admitRequest } from "./admitRequest";
 import { AdmittedRequest } from "./AdmittedRequest";
 import { createRequestDispatcher } from "./createRequestDispatcher";
@@ -37,13 +39,20 @@
     refusalSender: RefusalSender,
     inputLimiter: InvalidInputLimiter,
 ): RequestHandler {
-    const { configuration, metrics, settings } = options;
+    const { clock, configuration, logger, metrics, settings } = options;
     const dispatcher = createRequestDispatcher(options);
     const startupGate = createStartupGate(options);
     const admissionGate = createAdmissionGate({
         maximumRequests: settings.maximumRequestsInFlight,
         maximumBytes: maximumBytesInFlight,
     });
+    const memory = createRequestMemory({
+        getMaximumBytes: () => maximumBytesInFlight,
+        pollConnections,
+        clock,
+        metrics,
+        logger,
+    });
     return {
         handle,
         hasBeenReady: startupGate.isOpen,
@@ -132,7 +141,7 @@
         requestId: string,
         subscriber: Subscriber,
     ): Promise<void> {
-        const admission = await admitRequest(options, request, requestId, subscriber);
+        const admission = await admitRequest(options, { request, response }, requestId, subscriber, memory);
         if (admission.kind === "refused") {
             refusalSender.send(request, response, requestId, admission.refusal, subscriber.workspace);
             return;
--- a/src/entry/intake/createRefusalSender.ts
+++ b/src/entry/intake/createRefusalSender.ts
@@ -4,7 +4,8 @@
 import { IncomingMessage, ServerResponse } from "node:http";
 import { Metrics } from "../../metrics";
 import { getRunState } from "../../outcome";
-import { Clock } from "../../runtime";
+import { RefusalReason } from "../../protocol";
+import { Clock, endAfterSending } from "../../runtime";
 import { RefusalDetails } from "../RefusalDetails";
 import { sendRefusal } from "../sendRefusal";
 import { InvalidInputLimiter } from "./InvalidInputLimiter";
@@ -13,6 +14,13 @@
 import { RefusalSender } from "./RefusalSender";
 
 const lingeringCloseMilliseconds = 2_000;
+/** How much of the rest is discarded, in bytes; more is not read. */
+const maximumDiscardedBytes = 4_194_304;
+/** Refusals for which the rest of a body is not awaited, so that its connection does not outlast the memory for it. */
+const closingReasons: ReadonlySet<RefusalReason> = new Set([
+    RefusalReason.OVERLOADED,
+    RefusalReason.REQUEST_TIMEOUT,
+]);
 
 /**
  * Creates the refusal sender of an entry.
@@ -40,6 +48,11 @@
         if (inputLimiter.isConnectionLimitReached(request.socket)) {
             response.setHeader("connection", "close");
         }
+        if (!request.complete && closingReasons.has(details.reason)) {
+            const { socket } = request;
+            response.setHeader("connection", "close");
+            socket.destroySoon = () => endAfterSending(socket, clock, true);
+        }
         const runState = getRunState({ kind: "refusedAtEntry", mayHaveRunBefore: mayBeResend(request) });
         sendRefusal(response, { ...details, runState }, requestId);
         void discardRemainingBody(request);
@@ -52,6 +65,13 @@
         }
         request.resume();
         request.on("error", () => {});
+        let discardedBytes = 0;
+        request.on("data", (chunk: Buffer) => {
+            discardedBytes += chunk.length;
+            if (discardedBytes > maximumDiscardedBytes) {
+                request.pause();
+            }
+        });
         await clock.sleep(lingeringCloseMilliseconds);
         if (!request.complete) {
             request.destroy();
