--- a/tests/platform/crowds/crowds.tests.ts
+++ b/tests/platform/crowds/crowds.tests.ts
@@ -47,6 +47,14 @@
     part: largePart,
     partCount: 128,
 };
+/** Documents of legal size whose values are empty objects. */
+const manyValuesText = Buffer.from(`[${"{},".repeat(5_333_333)}1]`);
+const manyValues: CrowdRequest = {
+    count: 3,
+    lengthHeader: `Content-Length: ${manyValuesText.length}`,
+    part: manyValuesText,
+    partCount: 1,
+};
 const farOverSent: CrowdRequest = { count: 96, lengthHeader: chunkedHeader, part: largeChunk, partCount: 128 };
 
 describe("crowds of untrusted clients", () => {
@@ -135,6 +143,8 @@
             doTest("control", { ...crowdRequest, target: path, method: "PUT" }, "operator", path);
         it("that send whole bodies and stop short", () => doOperatorTest(whole));
         it("that send chunks of one byte and stop short", () => doOperatorTest(tinyChunkBodies));
+        // A value of two bytes occupies many times as much once it is decoded.
+        it("that send bodies of very many values", () => doOperatorTest(manyValues));
         it("that send bodies far over the limit", () => doOperatorTest({ ...farOverSent, count: 24, partCount: 400 }));
     });
 });
