--- a/tests/platform/operators/startOperatorServer.tests.ts
+++ b/tests/platform/operators/startOperatorServer.tests.ts
@@ -61,6 +61,13 @@
         expect((await call("DELETE", `${path}/bad`))[0]).to.equal(404);
     });
 
+    // It would occupy many times its size once it is decoded.
+    it("refuses a body of more values than any document has", async () => {
+        const call = await createFixture();
+        const [status] = await call("POST", "/basilwing/version-put", `[${"{},".repeat(250_000)}1]`);
+        expect(status).to.equal(413);
+    });
+
     ["4294967296", "1e21", "1e999", "0", "-1", "1.5"].forEach(version => {
         it(`refuses weights of version ${version}, which can't be stored`, async () => {
             const call = await createFixture();
