--- a/tests/platform/crowds/crowds.tests.ts
+++ b/tests/platform/crowds/crowds.tests.ts
@@ -6,12 +6,14 @@
 import {
     crowdBodyBytes,
     CrowdDeployment,
-    crowdDescriptors,
     crowdMemoryMegabytes,
     CrowdProcess,
     startCrowdDeployment,
 } from "./startCrowdDeployment";
 
+/** The descriptors of each process in the settings, and those of the smallest instances. */
+const crowdDescriptors = 400;
+const instanceDescriptors = 2_212;
 const stopShortBytes = 10;
 const answerTimeoutMilliseconds = 20_000;
 const slowPauseMilliseconds = 3_000;
@@ -57,11 +59,17 @@
 };
 const farOverSent: CrowdRequest = { count: 96, lengthHeader: chunkedHeader, part: largeChunk, partCount: 128 };
 
+/** Heads of nearly the largest size, in many connections. */
+const unfinishedHeads: CrowdRequest = {
+    count: 1_300,
+    lengthHeader: `Filling: ${"a".repeat(60_000)}`,
+    headEnd: "",
+    part: Buffer.alloc(0),
+    partCount: 0,
+};
+
 describe("crowds of untrusted clients", () => {
-    let deployment: CrowdDeployment;
-    beforeEach(async () => {
-        deployment = await startCrowdDeployment();
-    });
+    let deployment: CrowdDeployment | undefined;
     afterEach(() => deployment?.stop());
 
     /**
@@ -70,20 +78,23 @@
      * @param crowdRequest - What they send.
      * @param listener - Where they send it to.
      * @param answeredTarget - What an ordinary client requests afterwards, while the others keep their connections.
+     * @param maximumDescriptors - The descriptors of the processes.
      */
     async function doTest(
         role: "control" | "entry",
         crowdRequest: CrowdRequest,
         listener: keyof CrowdProcess["addresses"],
         answeredTarget: string,
+        maximumDescriptors = crowdDescriptors,
     ): Promise<void> {
+        deployment = await startCrowdDeployment(maximumDescriptors);
         const process = deployment[role];
         const address = process.addresses[listener];
-        let maximumDescriptors = 0;
+        let descriptorCount = 0;
         let peakMegabytes = 0;
         const crowd = await startCrowd(address, crowdRequest, () => {
             if (process.isAlive()) {
-                maximumDescriptors = Math.max(maximumDescriptors, process.getDescriptorCount());
+                descriptorCount = Math.max(descriptorCount, process.getDescriptorCount());
                 peakMegabytes = process.getPeakMegabytes();
             }
         });
@@ -93,7 +104,7 @@
         expect(status, "ordinary request").to.equal(200);
         expect(process.isAlive(), "alive after the ordinary request").to.equal(true);
         expect(process.getPeakMegabytes(), "peak of the resident memory").to.be.below(crowdMemoryMegabytes);
-        expect(maximumDescriptors, "open descriptors").to.be.below(crowdDescriptors);
+        expect(descriptorCount, "open descriptors").to.be.below(maximumDescriptors);
     }
 
     describe("at the callers' server of an entry process", () => {
@@ -107,8 +118,12 @@
         it("that open more connections than there are descriptors", () =>
             doEntryTest({ ...whole, count: 600, part: smallPart }));
 
+        it("that send heads without their end", () =>
+            doTest("entry", unfinishedHeads, "caller", "/read/ordinary", instanceDescriptors));
+
         // A limit on crowds must not reach a client that sends slowly and is alone.
         it("serve a slow client that pauses for seconds in its body", async () => {
+            deployment = await startCrowdDeployment(crowdDescriptors);
             async function* send() {
                 for (let index = 0; index < 4; index++) {
                     yield Buffer.alloc(crowdBodyBytes / 4, "a");
--- a/tests/platform/crowds/startCrowd.ts
+++ b/tests/platform/crowds/startCrowd.ts
@@ -18,6 +18,8 @@
     method?: string;
     /** The header that states the length of the body. */
     lengthHeader: string;
+    /** What ends the head; absent for an empty line. */
+    headEnd?: string;
     /** A part of the body, which is sent repeatedly. */
     part: Buffer;
     /** How often it is sent. */
@@ -76,9 +78,10 @@
 }
 
 async function sendRequest(socket: Socket, crowdRequest: CrowdRequest): Promise<void> {
-    const { target = "/read/crowd", method = "POST", lengthHeader, part, partCount, lastPart } = crowdRequest;
+    const { target = "/read/crowd", method = "POST", lengthHeader, headEnd = "\r\n\r\n" } = crowdRequest;
+    const { part, partCount, lastPart } = crowdRequest;
     const head = `${method} ${target} HTTP/1.1\r\nHost: crowd.example\r\nBasilwing-Request-Id: crowd\r\n`;
-    await write(socket, Buffer.from(`${head}${lengthHeader}\r\n\r\n`));
+    await write(socket, Buffer.from(`${head}${lengthHeader}${headEnd}`));
     for (let index = 0; index < partCount && !socket.destroyed; index++) {
         await write(socket, part);
         await sleep(crowdRequest.pauseMilliseconds ?? 0);
--- a/tests/platform/crowds/startCrowdDeployment.ts
+++ b/tests/platform/crowds/startCrowdDeployment.ts
@@ -18,8 +18,6 @@
 
 /** The memory of each process in the settings, in megabytes: that of the smallest instances. */
 export const crowdMemoryMegabytes = 160;
-/** The descriptors of each process in the settings. */
-export const crowdDescriptors = 400;
 /** The maximum size of a body in the routing document, in bytes. */
 export const crowdBodyBytes = 2_097_152;
 
@@ -43,8 +41,11 @@
     stop(): Promise<void>;
 }
 
-/** Starts the processes, and waits until the entry process serves requests. */
-export async function startCrowdDeployment(): Promise<CrowdDeployment> {
+/**
+ * Starts the processes, and waits until the entry process serves requests.
+ * @param maximumDescriptors - The descriptors of each process in the settings.
+ */
+export async function startCrowdDeployment(maximumDescriptors: number): Promise<CrowdDeployment> {
     execFileSync(process.execPath, [join("scripts", "buildPlatform.mjs")]);
     const folder = mkdtempSync(join(tmpdir(), "crowd-"));
     const service = createServer((received, response) => {
@@ -75,8 +76,8 @@
     await new Promise<void>(resolve => list.listen(0, ips.service, resolve));
     const listAddress = `${ips.service}:${(list.address() as AddressInfo).port}`;
     const children = [
-        startProgram("control", folder, listAddress),
-        startProgram("entry", folder, listAddress),
+        startProgram("control", folder, listAddress, maximumDescriptors),
+        startProgram("entry", folder, listAddress, maximumDescriptors),
     ] as const;
     process.once("exit", killChildren);
     const [control, entry] = children.map(({ ip, child }) => createProcess(ip, child)) as [CrowdProcess, CrowdProcess];
@@ -105,7 +106,7 @@
 }
 
 /** Starts a program with the memory limits of deploy/system.toml. */
-function startProgram(role: "control" | "entry", folder: string, listAddress: string) {
+function startProgram(role: "control" | "entry", folder: string, listAddress: string, maximumDescriptors: number) {
     const ip = ips[role];
     const settingsFile = join(folder, `${role}.json`);
     writeFileSync(
@@ -120,7 +121,7 @@
             port_range: [ports.internal, ports.internal + 15],
             seeds: [`${ips.control}:${ports.operator}`],
             bootstrap: true,
-            limits: { memory_mb: crowdMemoryMegabytes, max_fds: crowdDescriptors },
+            limits: { memory_mb: crowdMemoryMegabytes, max_fds: maximumDescriptors },
             data_dir: role === "control" ? folder : undefined,
             fault_tolerance: { machines: 0 },
             bounds: { grace_s: 8 },
