--- a/src/metrics/CounterName.ts
+++ b/src/metrics/CounterName.ts
@@ -14,6 +14,8 @@
     ConnectionsRefused = "basilwing_connections_refused_total",
     /** Bodies of requests that were refused, since there was no memory for them or others needed theirs. */
     BodiesRefusedForMemory = "basilwing_bodies_refused_for_memory_total",
+    /** Heads of requests that were refused before their end, since such heads occupied too much memory. */
+    HeadsRefusedForMemory = "basilwing_heads_refused_for_memory_total",
     /** Bodies of requests of which nothing arrived for too long. */
     BodiesTimedOut = "basilwing_bodies_timed_out_total",
     /** Requests whose caller left before any attempt was sent. */
--- a/src/requestMemory/RequestMemory.ts
+++ b/src/requestMemory/RequestMemory.ts
@@ -13,7 +13,7 @@
      * @returns Ends the right; undefined if too many bodies are being discarded.
      */
     startDiscarding(): (() => void) | undefined;
-    /** Refuses bodies without progress, since others need their connections. */
+    /** Refuses a body without progress at the next check, since a connection was refused. */
     relieveConnections(): void;
     /** Gets the bytes that are reserved or occupied. */
     getBytes(): number;
--- a/src/requestMemory/createRequestMemory.ts
+++ b/src/requestMemory/createRequestMemory.ts
@@ -62,7 +62,8 @@
     let incompleteCount = 0;
     let discardCount = 0;
     let isChecking = false;
-    let areConnectionsShort = false;
+    /** The connections that were refused since the last check. */
+    let refusedConnectionCount = 0;
     let unloggedCount = 0;
     let loggedMilliseconds = -Infinity;
     metrics.addGauge(GaugeName.RequestMemory, () => totalBytes);
@@ -70,7 +71,7 @@
     return {
         open,
         startDiscarding,
-        relieveConnections: () => void (areConnectionsShort = true),
+        relieveConnections: () => void (refusedConnectionCount += 1),
         getBytes: () => totalBytes,
         getWaitingCount,
     };
@@ -244,16 +245,16 @@
 
     function check(nowMilliseconds: number): void {
         for (;;) {
-            const stalled = getWaitingCount() > 0 || areConnectionsShort
+            const stalled = getWaitingCount() > 0 || refusedConnectionCount > 0
                 ? findStalledBody(bodies, nowMilliseconds)
                 : undefined;
             if (!stalled) {
                 break;
             }
             refuse(stalled, "overloaded");
-            areConnectionsShort = false;
+            refusedConnectionCount = Math.max(0, refusedConnectionCount - 1);
         }
-        areConnectionsShort = false;
+        refusedConnectionCount = 0;
         for (const body of [...bodies]) {
             if (
                 body.requestedBytes !== undefined
--- a/src/requestMemory/index.ts
+++ b/src/requestMemory/index.ts
@@ -12,6 +12,7 @@
 export * from "./getRequestMemoryBytes";
 export * from "./limitBodilessServer";
 export * from "./limitConnections";
+export * from "./limitUnfinishedHeads";
 export * from "./readRequestBody";
 export * from "./RequestMemory";
 export * from "./UnreadBody";
--- a/tests/platform/callers/refusedBodies.tests.ts
+++ b/tests/platform/callers/refusedBodies.tests.ts
@@ -90,4 +90,32 @@
         expect(await caller.waitForStatuses(1)).to.deep.equal([200]);
         expect(bodyLengths).to.deep.equal([20_000]);
     });
+
+    it("refuses a head that has not ended, where there is no memory for parts of heads", async () => {
+        const caller = openRawCaller(callerServer);
+        caller.socket.write(head);
+        expect(await caller.waitForStatuses(1)).to.deep.equal([408]);
+    });
+
+    // Its bytes are not those of a head, though a response on its connection has ended before.
+    it("reads a slow body behind another request on its connection", async () => {
+        const caller = openRawCaller(callerServer);
+        caller.socket.write(`${head}Content-Length: 0\r\n\r\n${head}Content-Length: 1000\r\n\r\n`);
+        for (let index = 0; index < 10; index++) {
+            await sleep(100);
+            caller.socket.write("a".repeat(100));
+        }
+        expect(await caller.waitForStatuses(2)).to.deep.equal([200, 200]);
+    });
+
+    it("discards the rest of a body above the limit, and answers the next request", async () => {
+        const caller = openRawCaller(callerServer);
+        caller.socket.write(`${head}Content-Length: 400000\r\n\r\n`);
+        for (let index = 0; index < 10; index++) {
+            await sleep(100);
+            caller.socket.write("a".repeat(40_000));
+        }
+        caller.request("2");
+        expect(await caller.waitForStatuses(2)).to.deep.equal([413, 200]);
+    });
 });
--- a/tests/requestMemory/createRequestMemory.tests.ts
+++ b/tests/requestMemory/createRequestMemory.tests.ts
@@ -11,7 +11,7 @@
     type Step =
         | readonly [name: string, action: "reserve" | "excess" | "arrive" | "complete", bytes: number]
         | readonly [name: string, action: "close"]
-        | readonly ["wait", number];
+        | readonly ["refusedConnections" | "wait", number];
 
     /** Plays steps under a limit of 1,024 KB, and checks what the bodies are told and what they occupy at the end. */
     async function doTest(steps: readonly Step[], expected: readonly string[], expectedBytes: number) {
@@ -31,6 +31,12 @@
                 await clock.advance(step[1] as number);
                 continue;
             }
+            if (step[0] === "refusedConnections") {
+                for (let index = 0; index < Number(step[1]); index++) {
+                    memory.relieveConnections();
+                }
+                continue;
+            }
             const [name, action, bytes = 0] = step as readonly [string, string, number?];
             const account = accounts.get(name) ?? memory.open({
                 grant: () => addNotice(`${name} granted`),
@@ -112,6 +118,21 @@
             ["a reserved", "b waits", "b overloaded"],
             768,
         ));
+    it("refuses as many bodies without progress as connections were refused", () =>
+        doTest(
+            [
+                ["a", "reserve", 10],
+                ["wait", 300],
+                ["b", "reserve", 10],
+                ["wait", 300],
+                ["c", "reserve", 10],
+                ["wait", 450],
+                ["refusedConnections", 2],
+                ["wait", 250],
+            ],
+            ["a reserved", "b reserved", "c reserved", "a overloaded", "b overloaded"],
+            10,
+        ));
     it("reserves nothing for a body whose account has been closed", () =>
         doTest(
             [["a", "reserve", 100], ["a", "close"], ["a", "reserve", 200], ["a", "excess", 10]],
