--- a/tests/platform/operators/startOperatorServer.tests.ts
+++ b/tests/platform/operators/startOperatorServer.tests.ts
@@ -7,7 +7,9 @@
 import { ReplicatedLog } from "../../../src/control/consensus";
 import { createDocumentState } from "../../../src/documents";
 import { createSilentLogger } from "../../../src/logging";
+import { createMetrics } from "../../../src/metrics";
 import { DocumentCommandSchema } from "../../../src/protocol";
+import { createSystemClock } from "../../../src/runtime";
 
 describe("startOperatorServer", () => {
     let server: Server | undefined;
@@ -29,7 +31,14 @@
             create(DocumentCommandSchema, { command: { case: "quarantineSubject", value } }),
         ));
         const address = await getFreeAddress();
-        server = await startOperatorServer({ address, log, documents, logger: createSilentLogger() });
+        server = await startOperatorServer({
+            address,
+            log,
+            documents,
+            clock: createSystemClock(),
+            metrics: createMetrics(),
+            logger: createSilentLogger(),
+        });
         return async (method: "GET" | "DELETE" | "POST", path: string, text?: string) => {
             const { statusCode, body } = await request(`http://${address}${path}`, { method, body: text });
             return [statusCode, await body.json()];
@@ -52,6 +61,13 @@
         expect((await call("DELETE", `${path}/bad`))[0]).to.equal(404);
     });
 
+    // It would occupy many times its size once it is decoded.
+    it("refuses a body of more values than any document has", async () => {
+        const call = await createFixture();
+        const [status] = await call("POST", "/basilwing/version-put", `[${"{},".repeat(250_000)}1]`);
+        expect(status).to.equal(413);
+    });
+
     ["4294967296", "1e21", "1e999", "0", "-1", "1.5"].forEach(version => {
         it(`refuses weights of version ${version}, which can't be stored`, async () => {
             const call = await createFixture();
