--- a/src/feed/PollExtension.ts
+++ b/src/feed/PollExtension.ts
@@ -7,6 +7,8 @@
 export interface PollExtension {
     /** Gets the fields of a poll that is about to be sent. */
     createPollFields(): Partial<Pick<PollRequest, "quotaReporter" | "workspaceUsages">>;
+    /** Called before the state of the feed takes over a response of the leader, which renews the contact. */
+    prepareResponse(): void;
     /** Reads a response of the leader. */
     readResponse(response: PollResponse): void;
     /**
--- a/src/feed/runFeed.ts
+++ b/src/feed/runFeed.ts
@@ -81,6 +81,7 @@
             members = response.memberAddresses.length > 0 ? response.memberAddresses : members;
             if (response.outcome === PollOutcome.CURRENT) {
                 recordConnected(address);
+                extension?.prepareResponse();
                 state.applyResponse(response, sendTime);
                 factSync.readResponse(response);
                 extension?.readResponse(response);
--- a/src/forwarding/createAttemptDispatcher.ts
+++ b/src/forwarding/createAttemptDispatcher.ts
@@ -164,10 +164,10 @@
         }
         const needsKey = task.admission.workspace !== undefined && !task.admission.route.isPublic;
         const isStale = needsKey && state.getDocumentAgeMilliseconds() > options.maximumDocumentAgeMilliseconds;
-        const reason = isStale
-            ? RefusalReason.STALE_SETTINGS
+        const refusal = isStale
+            ? { reason: RefusalReason.STALE_SETTINGS, retryAfterMilliseconds: overloadRetryAfterMilliseconds }
             : task.quotaCharge?.prepareSending(task.counts.run > 0);
-        return reason === undefined ? undefined : getTaskRefusal(task, reason, overloadRetryAfterMilliseconds);
+        return refusal && getTaskRefusal(task, refusal.reason, refusal.retryAfterMilliseconds);
     }
 
     async function send(
--- a/src/workspaceQuotas/QuotaAccount.ts
+++ b/src/workspaceQuotas/QuotaAccount.ts
@@ -18,6 +18,8 @@
     writeOffCredit(): void;
     /** Counts all that is granted or charged as used, since the leader no longer counts it; what is not sent must be charged again. */
     lapse(): void;
+    /** Lapses at a time on the monotonic clock, before anything else is charged or sent then. */
+    lapseAt(milliseconds: number): void;
     /** Settles what was sent some time ago, and gets the amounts for the leader. */
     createReport(): Pick<WorkspaceUsage, "granted" | "charged" | "settled">;
 }
--- a/src/workspaceQuotas/QuotaCharge.ts
+++ b/src/workspaceQuotas/QuotaCharge.ts
@@ -1,16 +1,16 @@
 /*
  * The amount that one request has taken from the quota of its workspace.
  */
-import { RefusalReason } from "../protocol";
+import { QuotaRefusal } from "./QuotaRefusal";
 
 /** The charge of a request. */
 export interface QuotaCharge {
     /**
      * Checks whether the request may be sent now.
      * @param hasRun - Whether an attempt of the request ran, may have run or is in progress.
-     * @returns Why it must not be sent; undefined where it may be.
+     * @returns Why it must not be sent, and when to retry; undefined where it may be sent.
      */
-    prepareSending(hasRun: boolean): RefusalReason | undefined;
+    prepareSending(hasRun: boolean): QuotaRefusal | undefined;
     /** Records that an attempt is being sent. */
     recordSent(): void;
     /**
--- a/src/workspaceQuotas/QuotaWaitEnd.ts
+++ b/src/workspaceQuotas/QuotaWaitEnd.ts
@@ -9,4 +9,6 @@
     /** The bucket has too little. */
     | { kind: "exhausted"; }
     /** The workspace has no quota any more. */
-    | { kind: "unlimited"; };
+    | { kind: "unlimited"; }
+    /** The quota counts another unit, in which the request must ask again. */
+    | { kind: "unitChanged"; };
--- a/src/workspaceQuotas/createDebtLimits.ts
+++ b/src/workspaceQuotas/createDebtLimits.ts
@@ -19,6 +19,11 @@
  * delay of a poll. Only after that and another window is there a debt limit.
  */
 const divisionMilliseconds = quotaTiming.contact + 500;
+/**
+ * How much longer than a window the debt limit is divided by a former number of entry processes, in milliseconds. A process that
+ * stopped has used debts in the same window, and a new leader doesn't name it.
+ */
+const entryCountMilliseconds = 10_000;
 
 interface DebtLimitsOptions {
     getQuotas(): ReadonlyMap<string, WorkspaceQuota>;
@@ -36,7 +41,27 @@
         windowsUntilDebt * bounds.windowMilliseconds,
         bounds.windowMilliseconds + divisionMilliseconds,
     );
-    return { isInContact, getDebtLimit };
+    /** The numbers of entry processes in ascending order of time, each above all later ones. */
+    let entryCounts: readonly { count: number; milliseconds: number; }[] = [];
+    return { isInContact, getDebtLimit, recordEntryCount };
+
+    /** Records how many entry processes control names now. */
+    function recordEntryCount(): void {
+        const now = clock.getMonotonicMilliseconds();
+        const count = state.getEntryCount();
+        const oldest = now - bounds.windowMilliseconds - entryCountMilliseconds;
+        entryCounts = [
+            ...entryCounts.filter(former => former.milliseconds >= oldest && former.count > count),
+            { count, milliseconds: now },
+        ];
+    }
+
+    /** Gets the largest number of entry processes whose debts may share a window with one of now. */
+    function getEntryCount(): number {
+        const oldest = clock.getMonotonicMilliseconds() - bounds.windowMilliseconds - entryCountMilliseconds;
+        const first = entryCounts.find(({ milliseconds }) => milliseconds >= oldest);
+        return Math.max(first?.count ?? 1, state.getEntryCount());
+    }
 
     /** Returns whether the last poll that was answered is so recent that credit and debts may be used. */
     function isInContact(): boolean {
@@ -51,7 +76,7 @@
         }
         const startMilliseconds = state.getContactStartMilliseconds() ?? Infinity;
         return clock.getMonotonicMilliseconds() - startMilliseconds >= youngMilliseconds
-            ? quotaShares.debt * getQuotaTolerance(quota, bounds) / state.getEntryCount()
+            ? quotaShares.debt * getQuotaTolerance(quota, bounds) / getEntryCount()
             : 0;
     }
 }
--- a/src/workspaceQuotas/createQuotaAccount.ts
+++ b/src/workspaceQuotas/createQuotaAccount.ts
@@ -9,6 +9,7 @@
 import { Clock } from "../runtime";
 import { QuotaAccount } from "./QuotaAccount";
 import { QuotaCharge } from "./QuotaCharge";
+import { QuotaRefusal } from "./QuotaRefusal";
 import { quotaTiming } from "./quotaTiming";
 
 enum ChargeState {
@@ -23,27 +24,39 @@
 
 interface ChargeRecord {
     amount: number;
+    /** What was charged when this was, inclusive. While that is granted, the charge is not part of a debt. */
+    position: number;
     state: ChargeState;
     sentMilliseconds: number;
 }
 
+interface QuotaAccountOptions {
+    /**
+     * Gets what may be used beyond the grants; undefined where neither credit nor debts may be used, since the last contact
+     * with the leader is too old.
+     */
+    getDebtLimit(): number | undefined;
+    /** Gets the delay after which a request may be sent that was charged, in milliseconds, where an amount must be granted first. */
+    getRetryAfterMilliseconds(reason: RefusalReason, missingAmount: number): number;
+    /** Called after the amount of a request was refunded. */
+    onRefund(): void;
+    /** Measures the time since requests were sent. */
+    clock: Clock;
+}
+
 /**
  * Creates an empty account.
- * @param getDebtLimit - Gets what may be used beyond the grants; undefined where neither credit nor debts may be used, since the
- * last contact with the leader is too old.
- * @param clock - Measures the time since requests were sent.
- * @param onRefund - Called after the amount of a request was refunded.
+ * @param options - The debt limit, the clock and what is called on changes.
  */
-export function createQuotaAccount(
-    getDebtLimit: () => number | undefined,
-    clock: Clock,
-    onRefund: () => void = () => undefined,
-): QuotaAccount {
+export function createQuotaAccount(options: QuotaAccountOptions): QuotaAccount {
+    const { getDebtLimit, clock } = options;
     /** The charges that can still be refunded. */
     const openCharges = new Set<ChargeRecord>();
     let granted = 0;
     let charged = 0;
     let settled = 0;
+    /** When the account lapses, in ascending order, on the monotonic clock. */
+    let lapseTimes: readonly number[] = [];
     return {
         tryCharge,
         setGranted: amount => granted = Math.max(granted, amount),
@@ -51,15 +64,17 @@
         isBalanced: () => granted === charged && charged === settled,
         writeOffCredit,
         lapse,
+        lapseAt: milliseconds => lapseTimes = [...lapseTimes, milliseconds].sort((left, right) => left - right),
         createReport,
     };
 
     function tryCharge(amount: number): QuotaCharge | undefined {
+        lapseIfDue();
         if (!fits(amount)) {
             return undefined;
         }
         charged += amount;
-        const charge = { amount, state: ChargeState.Pending, sentMilliseconds: 0 };
+        const charge = { amount, position: charged, state: ChargeState.Pending, sentMilliseconds: 0 };
         openCharges.add(charge);
         return createCharge(charge);
     }
@@ -77,20 +92,34 @@
         };
     }
 
-    /** Checks again what was checked at admission: the request may have waited, and the debt limit may be lower by now. */
-    function prepareSending(charge: ChargeRecord): RefusalReason | undefined {
-        if (getDebtLimit() === undefined) {
-            return RefusalReason.STALE_SETTINGS;
+    /**
+     * Checks again what was checked at admission: the request may have waited, and the debt limit may be lower by now. What was
+     * granted is sent even if later charges exceed that limit.
+     */
+    function prepareSending(charge: ChargeRecord): QuotaRefusal | undefined {
+        lapseIfDue();
+        const debtLimit = getDebtLimit();
+        if (charge.state === ChargeState.Ended) {
+            return createRefusal(RefusalReason.QUOTA_EXCEEDED, charge.amount);
+        }
+        if (debtLimit === undefined) {
+            return createRefusal(RefusalReason.STALE_SETTINGS, 0);
         }
         if (charge.state === ChargeState.Settled) {
             if (!fits(charge.amount)) {
-                return RefusalReason.QUOTA_EXCEEDED;
+                return createRefusal(RefusalReason.QUOTA_EXCEEDED, charged + charge.amount - granted - debtLimit);
             }
             charged += charge.amount;
+            charge.position = charged;
         }
         openCharges.add(charge);
         charge.state = ChargeState.Pending;
-        return charged - granted > getDebtLimit()! ? RefusalReason.QUOTA_EXCEEDED : undefined;
+        const missing = Math.min(charged, charge.position) - granted - debtLimit;
+        return missing > 0 ? createRefusal(RefusalReason.QUOTA_EXCEEDED, missing) : undefined;
+    }
+
+    function createRefusal(reason: RefusalReason, missingAmount: number): QuotaRefusal {
+        return { reason, retryAfterMilliseconds: options.getRetryAfterMilliseconds(reason, missingAmount) };
     }
 
     function recordSent(charge: ChargeRecord): void {
@@ -109,7 +138,7 @@
         }
         else if (isOpen) {
             charged -= charge.amount;
-            onRefund();
+            options.onRefund();
         }
     }
 
@@ -126,7 +155,16 @@
         settled = charged;
     }
 
+    function lapseIfDue(): void {
+        const now = clock.getMonotonicMilliseconds();
+        if (lapseTimes.length > 0 && lapseTimes[0]! <= now) {
+            lapseTimes = lapseTimes.filter(time => time > now);
+            lapse();
+        }
+    }
+
     function createReport() {
+        lapseIfDue();
         const oldestUnsettled = clock.getMonotonicMilliseconds() - quotaTiming.settlement;
         for (const charge of openCharges) {
             if (charge.state === ChargeState.Sent && charge.sentMilliseconds <= oldestUnsettled) {
--- a/src/workspaceQuotas/createQuotaLedger.ts
+++ b/src/workspaceQuotas/createQuotaLedger.ts
@@ -45,9 +45,7 @@
     }
 
     function readPoll({ quotaReporter, workspaceUsages }: PollRequest): void {
-        if (workspaceUsages.length === 0) {
-            return;
-        }
+        // The buckets of workspaces that nobody uses are refilled, too.
         readQuotas();
         for (const usage of workspaceUsages) {
             ledgers.get(usage.workspace)?.recordUsage(quotaReporter, usage);
--- a/src/workspaceQuotas/createWorkspaceLedger.ts
+++ b/src/workspaceQuotas/createWorkspaceLedger.ts
@@ -5,7 +5,7 @@
  * The bucket and what is granted and unused never exceed the burst and the share for credit together. Whatever is sent in a
  * window was in one of both at its begin, or is refill, or a debt.
  */
-import { WorkspaceQuota } from "../documents";
+import { QuotaUnit, WorkspaceQuota } from "../documents";
 import { WorkspaceGrant, WorkspaceUsage } from "../protocol";
 import { Clock } from "../runtime";
 import { getQuotaTolerance } from "./getQuotaTolerance";
@@ -55,11 +55,18 @@
 
     function setQuota(newQuota: WorkspaceQuota): void {
         refill();
+        if (newQuota.unit !== quota.unit) {
+            accounts.clear();
+            [level, outstanding, formerOutstanding] = [0, 0, 0];
+        }
         quota = newQuota;
         refill();
     }
 
     function recordUsage(reporter: string, usage: WorkspaceUsage): void {
+        if (usage.countsTokens !== (quota.unit === QuotaUnit.Tokens)) {
+            return;
+        }
         const id = getAccountId(reporter, usage);
         const former = accounts.get(id);
         const account: LedgerAccount = {
--- a/src/workspaceQuotas/createWorkspaceQuotas.ts
+++ b/src/workspaceQuotas/createWorkspaceQuotas.ts
@@ -11,9 +11,9 @@
 import { PollRequest, PollResponse, RefusalReason, WorkspaceUsageSchema } from "../protocol";
 import { waitWithTimeout } from "../runtime";
 import { createDebtLimits } from "./createDebtLimits";
-import { createQuotaAccount } from "./createQuotaAccount";
+import { createQuotaDelays } from "./createQuotaDelays";
 import { createQuotaView } from "./createQuotaView";
-import { QuotaAccount } from "./QuotaAccount";
+import { createWorkspaceUses } from "./createWorkspaceUses";
 import { QuotaDecision } from "./QuotaDecision";
 import { QuotaRequest } from "./QuotaRequest";
 import { quotaTiming } from "./quotaTiming";
@@ -21,6 +21,7 @@
 import { QuotaWaiter } from "./QuotaWaiter";
 import { WorkspaceQuotas } from "./WorkspaceQuotas";
 import { WorkspaceQuotasOptions } from "./WorkspaceQuotasOptions";
+import { WorkspaceUse } from "./WorkspaceUse";
 
 /** How long a request waits for a grant at most, in milliseconds: an urgent poll with a slow read barrier. */
 const maximumWaitMilliseconds = 300;
@@ -30,41 +31,27 @@
 const unansweredPauseMilliseconds = 500;
 /** The shortest time after which requests of a workspace that has used up its quota ask again, in milliseconds. */
 const minimumPauseMilliseconds = 100;
-const millisecondsPerSecond = 1_000;
-const noContactRetryAfterMilliseconds = 1_000;
-/** The share of a delay that is added at random, so that callers that were refused together return apart. */
-const retryJitter = 0.3;
+/** The longest such time: others may use less than the leader expected, or the quota may be raised. */
+const maximumPauseMilliseconds = 1_000;
 /** The maximum number of waiting requests of a workspace that one poll reports; the others are reported by the next one. */
 const maximumReportedWaiters = 64;
-/** A workspace that this process uses. */
-interface WorkspaceUse {
-    account: QuotaAccount;
-    accountNumber: number;
-    unit: QuotaUnit;
-    waiters: QuotaWaiter[];
-    /** When the next request may ask that needs as much as the smallest one that was refused, on the monotonic clock. */
-    exhaustedUntilMilliseconds: number;
-    exhaustedAmount: number;
-    unansweredUntilMilliseconds: number;
-    useMilliseconds: number;
-}
 
 /**
  * Creates the quotas of an entry process.
  * @param options - The state of the process, and the bound of the quotas.
  */
 export function createWorkspaceQuotas(options: WorkspaceQuotasOptions): WorkspaceQuotas {
-    const { state, bounds, clock, random, metrics } = options;
+    const { state, clock, random, metrics } = options;
     const getQuotas = createQuotaView(() => state.getRouteTable()?.document);
-    const { isInContact, getDebtLimit } = createDebtLimits({ ...options, getQuotas });
-    const uses = new Map<string, WorkspaceUse>();
+    const { isInContact, getDebtLimit, recordEntryCount } = createDebtLimits({ ...options, getQuotas });
+    const delays = createQuotaDelays(clock, random);
+    const uses = createWorkspaceUses({ ...options, getQuotas, getDebtLimit, getDelay: delays.getDelayAfterCharge });
     const urgentListeners = new Set<() => void>();
-    let accountCount = 0;
     metrics.addGauge(
         GaugeName.QuotaDebt,
-        () => [...uses.values()].reduce((largest, { account }) => Math.max(largest, account.getDebt()), 0),
+        () => uses.getAll().reduce((largest, [, { account }]) => Math.max(largest, account.getDebt()), 0),
     );
-    return { admit, createPollFields, readResponse, addUrgentListener };
+    return { admit, createPollFields, prepareResponse, readResponse, addUrgentListener };
 
     function admit(request: QuotaRequest): QuotaDecision | Promise<QuotaDecision> {
         const quota = getQuotas().get(request.workspace);
@@ -72,7 +59,7 @@
         if (!quota || amount === 0) {
             return { kind: "admitted", charge: undefined };
         }
-        const use = getUse(request.workspace, quota);
+        const use = uses.getOrAdd(request.workspace, quota);
         const now = clock.getMonotonicMilliseconds();
         use.useMilliseconds = now;
         const charge = use.account.tryCharge(amount);
@@ -80,7 +67,7 @@
             metrics.addCount(CounterName.QuotaAdmissionsAtOnce);
             return { kind: "admitted", charge };
         }
-        if (now < use.exhaustedUntilMilliseconds && amount >= use.exhaustedAmount) {
+        if (now < use.pausedUntilMilliseconds && amount >= use.exhaustedAmount) {
             return refuse(request, use, amount, RefusalReason.QUOTA_EXCEEDED);
         }
         return now < use.unansweredUntilMilliseconds
@@ -106,6 +93,12 @@
             request.logger.info({ ...getLogFields(request, use, amount), waitedMilliseconds }, "quota granted");
             return { kind: "admitted", charge: lastEnd.kind === "charged" ? lastEnd.charge : undefined };
         }
+        if (lastEnd?.kind === "unitChanged") {
+            return admit({
+                ...request,
+                remainingMilliseconds: request.remainingMilliseconds - waitedMilliseconds,
+            });
+        }
         if (lastEnd?.kind === "exhausted") {
             return refuse(request, use, amount, RefusalReason.QUOTA_EXCEEDED);
         }
@@ -124,10 +117,7 @@
     }
 
     function refuse(request: QuotaRequest, use: WorkspaceUse, amount: number, reason: RefusalReason): QuotaDecision {
-        const delay = reason === RefusalReason.QUOTA_EXCEEDED
-            ? getRefillMilliseconds(request.workspace, use, amount)
-            : noContactRetryAfterMilliseconds;
-        const retryAfterMilliseconds = delay * (1 + retryJitter * random.getFraction());
+        const retryAfterMilliseconds = delays.getDelayBeforeCharge(use, reason, amount);
         request.logger.info(
             { ...getLogFields(request, use, amount), reason: RefusalReason[reason], retryAfterMilliseconds },
             "quota refuses the request",
@@ -135,17 +125,6 @@
         return { kind: "refused", reason, retryAfterMilliseconds };
     }
 
-    /** Gets when the bucket can supply an amount, by what the leader has said of the smallest one that it could not. */
-    function getRefillMilliseconds(workspace: string, use: WorkspaceUse, amount: number): number {
-        const remaining = use.exhaustedUntilMilliseconds - clock.getMonotonicMilliseconds();
-        const rate = getQuotas().get(workspace)?.amountPerSecond ?? Infinity;
-        const furtherAmount = Math.max(0, amount - use.exhaustedAmount);
-        return Math.min(
-            Math.max(minimumPauseMilliseconds, remaining) + furtherAmount / rate * millisecondsPerSecond,
-            Math.max(bounds.windowMilliseconds, minimumPauseMilliseconds),
-        );
-    }
-
     function getLogFields({ workspace }: QuotaRequest, { account, waiters }: WorkspaceUse, amount: number) {
         return {
             workspace,
@@ -158,41 +137,12 @@
         };
     }
 
-    function getUse(workspace: string, { unit }: WorkspaceQuota): WorkspaceUse {
-        const known = uses.get(workspace);
-        if (known && known.unit === unit) {
-            return known;
-        }
-        accountCount += 1;
-        const use: WorkspaceUse = {
-            account: createQuotaAccount(
-                () => getDebtLimit(workspace),
-                clock,
-                () => metrics.addCount(CounterName.QuotaRefunds),
-            ),
-            accountNumber: accountCount,
-            unit,
-            waiters: [],
-            exhaustedUntilMilliseconds: 0,
-            exhaustedAmount: 0,
-            unansweredUntilMilliseconds: 0,
-            useMilliseconds: 0,
-        };
-        uses.set(workspace, use);
-        return use;
-    }
-
     function createPollFields(): Partial<Pick<PollRequest, "quotaReporter" | "workspaceUsages">> {
-        const quotas = getQuotas();
+        uses.update();
         const now = clock.getMonotonicMilliseconds();
-        const workspaceUsages = [...uses].flatMap(([workspace, use]) => {
-            if (!quotas.has(workspace)) {
-                uses.delete(workspace);
-                use.waiters.splice(0).forEach(({ resolve }) => resolve({ kind: "unlimited" }));
-                return [];
-            }
-            return isReported(use, now) ? [createUsage(workspace, use, now)] : [];
-        });
+        const workspaceUsages = uses.getAll().flatMap(([workspace, use]) =>
+            isReported(use, now) ? [createUsage(workspace, use, now)] : []
+        );
         return workspaceUsages.length > 0 ? { quotaReporter: options.reporter, workspaceUsages } : {};
     }
 
@@ -213,12 +163,22 @@
         return create(WorkspaceUsageSchema, {
             workspace,
             account: accountNumber,
+            countsTokens: use.quota.unit === QuotaUnit.Tokens,
             ...account.createReport(),
             waiting: reportedWaiters.map(({ amount }) => amount),
         });
     }
 
+    /** Lapses before a response renews the contact: the leader no longer counts what was granted before that. */
+    function prepareResponse(): void {
+        if (!isInContact()) {
+            uses.lapseAll();
+        }
+    }
+
     function readResponse({ workspaceGrants }: PollResponse): void {
+        recordEntryCount();
+        uses.update();
         for (const { workspace, account: accountNumber, granted, waitMilliseconds } of workspaceGrants) {
             const use = uses.get(workspace);
             if (use && use.accountNumber === accountNumber) {
@@ -230,7 +190,7 @@
                 }
             }
         }
-        if ([...uses.values()].some(({ waiters }) => waiters.length > 0)) {
+        if (uses.getAll().some(([, { waiters }]) => waiters.length > 0)) {
             urgentListeners.forEach(listener => listener());
         }
     }
@@ -253,8 +213,10 @@
             return;
         }
         use.exhaustedAmount = Math.min(...refusedAmounts);
-        use.exhaustedUntilMilliseconds = clock.getMonotonicMilliseconds()
-            + Math.max(minimumPauseMilliseconds, waitMilliseconds);
+        const now = clock.getMonotonicMilliseconds();
+        const pauseMilliseconds = Math.max(minimumPauseMilliseconds, waitMilliseconds);
+        use.exhaustedUntilMilliseconds = now + pauseMilliseconds;
+        use.pausedUntilMilliseconds = now + Math.min(pauseMilliseconds, maximumPauseMilliseconds);
         for (const waiter of use.waiters.filter(({ amount }) => amount >= use.exhaustedAmount)) {
             removeWaiter(use, waiter);
             waiter.resolve({ kind: "exhausted" });
--- a/src/workspaceQuotas/index.ts
+++ b/src/workspaceQuotas/index.ts
@@ -4,16 +4,19 @@
  */
 export * from "./createDebtLimits";
 export * from "./createQuotaAccount";
+export * from "./createQuotaDelays";
 export * from "./createQuotaLedger";
 export * from "./createQuotaView";
 export * from "./createWorkspaceLedger";
 export * from "./createWorkspaceQuotas";
+export * from "./createWorkspaceUses";
 export * from "./getQuotaTolerance";
 export * from "./QuotaAccount";
 export * from "./QuotaBounds";
 export * from "./QuotaCharge";
 export * from "./QuotaDecision";
 export * from "./QuotaLedger";
+export * from "./QuotaRefusal";
 export * from "./QuotaRequest";
 export * from "./quotaShares";
 export * from "./quotaTiming";
@@ -22,3 +25,4 @@
 export * from "./WorkspaceLedger";
 export * from "./WorkspaceQuotas";
 export * from "./WorkspaceQuotasOptions";
+export * from "./WorkspaceUse";
--- a/tests/feed/runFeed.tests.ts
+++ b/tests/feed/runFeed.tests.ts
@@ -140,7 +140,12 @@
             const facts = createTestFactStore(clock, "entry-1 1", [kind]);
             const state = createFeedState({ decode: decodeTestDocument, clock, logger: createSilentLogger() });
             const polls: { milliseconds: number; factCount: number; isComplete: boolean; }[] = [];
-            const extension = { reporters: [] as string[], responseCount: 0, pollAtOnce: () => undefined as void };
+            const extension = {
+                reporters: [] as string[],
+                responseCount: 0,
+                contactStarts: [] as (number | undefined)[],
+                pollAtOnce: () => undefined as void,
+            };
             void runFeed({
                 entryId: "entry-1",
                 getSeedAddresses: () => seeds,
@@ -169,6 +174,7 @@
                 factSync: createFactSync(facts),
                 extension: {
                     createPollFields: () => ({ quotaReporter: "entry-1 1" }),
+                    prepareResponse: () => extension.contactStarts.push(state.getContactStartMilliseconds()),
                     readResponse: () => extension.responseCount += 1,
                     addUrgentListener: listener => {
                         extension.pollAtOnce = listener;
@@ -205,6 +211,12 @@
             expect(new Set(extension.reporters)).to.deep.equal(new Set(["entry-1 1"]));
         });
 
+        it("is preceded by a notice before the first response starts the contact", async () => {
+            const { extension } = await createUrgentTrial();
+            expect(extension.contactStarts[0]).to.equal(undefined);
+            expect(extension.contactStarts.slice(1)).not.to.include(undefined);
+        });
+
         it("is followed by the confirmation of the fleet, also where that is asked for while others are awaited", async () => {
             const { clock, state, polls } = await createUrgentTrial();
             const start = clock.getMonotonicMilliseconds();
--- a/tests/forwarding/quotaCharges.tests.ts
+++ b/tests/forwarding/quotaCharges.tests.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import { AttemptResult } from "../../src/forwarding";
 import { RefusalReason } from "../../src/protocol";
-import { QuotaDecision, QuotaRequest } from "../../src/workspaceQuotas";
+import { QuotaDecision, QuotaRefusal, QuotaRequest } from "../../src/workspaceQuotas";
 import { createTestDocument } from "../documents/createTestDocument";
 import { createTestFeedState, createTestInstance } from "../feed/createTestFeed";
 import { createManualClock } from "../support/createManualClock";
@@ -13,7 +13,7 @@
 describe("the quota charge of a request", () => {
     interface TrialOptions {
         decision?: QuotaDecision;
-        preparation?: RefusalReason;
+        preparation?: QuotaRefusal;
         respond?: (number: number) => AttemptResult;
         isPublic?: boolean;
     }
@@ -70,8 +70,9 @@
     it("is none on a public route", async () => expect((await getResult({ isPublic: true })).calls).to.deep.equal([]));
 
     it("prevents attempts where it no longer holds, and the request is refused as not run", async () => {
-        const { sent, refusal } = await getResult({ preparation: RefusalReason.QUOTA_EXCEEDED });
-        expect([sent, refusal?.kind, refusal?.reason]).to.deep.equal([0, "notRun", RefusalReason.QUOTA_EXCEEDED]);
+        const preparation = { reason: RefusalReason.QUOTA_EXCEEDED, retryAfterMilliseconds: 70_000 };
+        const { sent, refusal } = await getResult({ preparation });
+        expect([sent, refusal]).to.deep.equal([0, { ...preparation, kind: "notRun" }]);
     });
 
     it("is none for a request beyond the quota, which gets the time of the refill and no attempt", async () => {
--- a/tests/workspaceQuotas/quotaHistories.tests.ts
+++ b/tests/workspaceQuotas/quotaHistories.tests.ts
@@ -69,7 +69,7 @@
                     atMilliseconds: times,
                     forMilliseconds: durations,
                     entry: fc.integer({ min: 0, max: 19 }),
-                    factor: fc.constantFrom(0.3, 0.5, 1.5, 3),
+                    factor: fc.constantFrom(0.1, 0.3, 0.5, 1.5, 3),
                 }),
                 { maxLength: 25 },
             ),
@@ -120,6 +120,20 @@
             }))
     );
 
+    /** Requests that were charged before the quota was lowered must not all be sent after it binds. */
+    [0.1, 0.3].forEach(factor =>
+        [3, 20].forEach(entryCount =>
+            it(`is not exceeded by requests that were held while it was multiplied by ${factor}, at ${entryCount} processes`, () => {
+                const event = { entry: 0, factor, atMilliseconds: 29_500 };
+                const events = [
+                    { ...event, kind: QuotaEventKind.Holding, forMilliseconds: 12_000 },
+                    { ...event, kind: QuotaEventKind.Quota, forMilliseconds: 0, atMilliseconds: 32_000 },
+                ];
+                return doTest({ events, entryCount, demand: 3, lengthMilliseconds: 75_000 }, () => undefined);
+            })
+        )
+    );
+
     it("gives a workspace in excess all that its quota allows, with few polls", () =>
         doTest({ demand: 5 }, ({ arrivedAmount, polls }) => {
             const allowed = quiet.quota.amountPerSecond * lengthMilliseconds / 1_000;
--- a/tests/workspaceQuotas/simulateQuotas.ts
+++ b/tests/workspaceQuotas/simulateQuotas.ts
@@ -38,6 +38,8 @@
     Quota = "quota",
     /** Requests wait before they are sent, in all processes. */
     Queueing = "queueing",
+    /** Requests wait before they are sent, and are sent all at once at the end. */
+    Holding = "holding",
 }
 
 /** A history of the entry processes. */
@@ -116,6 +118,7 @@
     let document = createDocument(1);
     let leader: { registry: EntryRegistry; ledger: QuotaLedger; } | undefined = createLeader();
     let queueingUntil = 0;
+    let heldUntil = 0;
     const ideal = { level: history.quota.burst, time: 0 };
     let startCount = 0;
     const entries: SimulatedEntry[] = [];
@@ -228,6 +231,7 @@
                 }
                 runIn(entry, getDelay(), () => {
                     if (!isOver) {
+                        entry.quotas.prepareResponse();
                         entry.state.applyResponse(response, sendTime as ClockReading);
                         entry.quotas.readResponse(response);
                         pollAgain(entry.isUrgent ? urgentDelayMilliseconds : 0);
@@ -290,6 +294,9 @@
             case QuotaEventKind.Queueing:
                 queueingUntil = now() + forMilliseconds;
                 return;
+            case QuotaEventKind.Holding:
+                heldUntil = now() + forMilliseconds;
+                return;
         }
     }
 
@@ -347,7 +354,8 @@
         }
         result.admitted += counted;
         const { charge } = decided as { charge: QuotaCharge | undefined; };
-        const wait = queueingUntil > now() ? random.getFraction() * (queueingUntil - now() + 500) : 0;
+        const queueingWait = queueingUntil > now() ? random.getFraction() * (queueingUntil - now() + 500) : 0;
+        const wait = heldUntil > now() ? heldUntil - now() : queueingWait;
         runIn(entry, wait + random.getFraction() * 5, () => sendAttempt(entry, charge, tokens, 3));
     }
 
