--- a/tests/platform/operators/startOperatorServer.tests.ts
+++ b/tests/platform/operators/startOperatorServer.tests.ts
@@ -35,6 +35,7 @@
             address,
             log,
             documents,
+            quotaBounds: { windowMilliseconds: 8_000, overshoot: 0.1, slack: 0 },
             clock: createSystemClock(),
             metrics: createMetrics(),
             logger: createSilentLogger(),
