--- a/src/workspaceQuotas/createDebtLimits.ts
+++ b/src/workspaceQuotas/createDebtLimits.ts
@@ -4,6 +4,7 @@
 import { WorkspaceQuota } from "../documents";
 import { FeedState } from "../feed";
 import { Clock } from "../runtime";
+import { createRecentMaximum } from "./createRecentMaximum";
 import { getQuotaTolerance } from "./getQuotaTolerance";
 import { QuotaBounds } from "./QuotaBounds";
 import { quotaShares } from "./quotaShares";
@@ -19,6 +20,11 @@
  * delay of a poll. Only after that and another window is there a debt limit.
  */
 const divisionMilliseconds = quotaTiming.contact + 500;
+/**
+ * How much longer than a window the debt limit is divided by a former number of entry processes, in milliseconds. A process that
+ * stopped has used debts in the same window, and a new leader doesn't name it.
+ */
+const entryCountMilliseconds = 10_000;
 
 interface DebtLimitsOptions {
     getQuotas(): ReadonlyMap<string, WorkspaceQuota>;
@@ -36,7 +42,8 @@
         windowsUntilDebt * bounds.windowMilliseconds,
         bounds.windowMilliseconds + divisionMilliseconds,
     );
-    return { isInContact, getDebtLimit };
+    const entryCounts = createRecentMaximum(bounds.windowMilliseconds + entryCountMilliseconds, clock);
+    return { isInContact, getDebtLimit, recordEntryCount: () => entryCounts.record(state.getEntryCount()) };
 
     /** Returns whether the last poll that was answered is so recent that credit and debts may be used. */
     function isInContact(): boolean {
@@ -51,7 +58,7 @@
         }
         const startMilliseconds = state.getContactStartMilliseconds() ?? Infinity;
         return clock.getMonotonicMilliseconds() - startMilliseconds >= youngMilliseconds
-            ? quotaShares.debt * getQuotaTolerance(quota, bounds) / state.getEntryCount()
+            ? quotaShares.debt * getQuotaTolerance(quota, bounds) / Math.max(entryCounts.get(), state.getEntryCount())
             : 0;
     }
 }
--- a/tests/platform/settings/decodePlatformSettings.tests.ts
+++ b/tests/platform/settings/decodePlatformSettings.tests.ts
@@ -12,7 +12,7 @@
         bootstrap: true,
         data_dir: JSON.parse("null") as unknown,
         fault_tolerance: { machines: 1, zones: 0, regions: 0 },
-        limits: { cpu_share: 0.513, memory_mb: 350 },
+        limits: { cpu_share: 0.513, memory_mb: 350, max_fds: 4_096 },
         bounds: {
             grace_s: 8,
             revoke_ms: 5_000,
@@ -42,6 +42,7 @@
             isFirstStart: true,
             toleratedMemberLosses: 1,
             memoryBytes: 350 * 1_048_576,
+            maximumDescriptors: 4_096,
             dataFolder: undefined,
             fleetListAddress: "10.200.0.117:8784",
             fleetListCallsPerSecond: 44,
@@ -68,6 +69,10 @@
     it("names a missing property", () => doTest({ seeds: undefined }, "settings must have required property 'seeds'"));
     it("names the path of an invalid value", () =>
         doTest({ seeds: ["here"] }, "settings/seeds/0 must match pattern \"^[0-9.]+:[0-9]+$\""));
+    ["quota_window_s", "quota_overshoot", "quota_slack"].forEach(name =>
+        it(`refuses an infinite product with ${name}`, () =>
+            doTest({ bounds: { grace_s: 1, [name]: 1e308 } }, `settings/bounds/${name} must be <= 1000000000000`))
+    );
     it("reports a file that isn't JSON", () => {
         const outcome = decodePlatformSettings("{");
         expect(outcome.kind === "invalid" && outcome.problem).to.match(/^the settings are not JSON/);
