--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -1,6 +1,10 @@
-// Bundles the platform's programs with esbuild, one file a role, so that a role loads nothing that it does not run.
+// Bundles the platform's programs with esbuild, one file a role, so that a role loads nothing that it does not run. Beside each
+// bundle lies its V8 code cache, which saves the compilation at each start.
 import { build } from "esbuild";
-import { mkdirSync } from "node:fs";
+import { spawnSync } from "node:child_process";
+import { copyFileSync, mkdirSync, readFileSync } from "node:fs";
+
+const roles = ["entry", "control"];
 
 mkdirSync("target", { recursive: true });
 await build({
@@ -9,9 +13,30 @@
     target: "node20",
     format: "cjs",
     external: ["dtrace-provider"],
-    entryPoints: { entry: "platform/entry.ts", control: "platform/control.ts" },
+    entryPoints: Object.fromEntries(roles.map(role => [`${role}.bundle`, `platform/${role}.ts`])),
     outdir: "target",
     minifySyntax: true,
     minifyWhitespace: true,
+    // The loader reads bundles as Latin-1, which V8 stores in half the memory of UTF-16.
+    charset: "ascii",
     logLevel: "warning",
 });
+const deployment = readFileSync("deploy/system.toml", "utf8");
+for (const role of roles) {
+    copyFileSync("scripts/loadBundle.cjs", `target/${role}.js`);
+    createCodeCache(role);
+}
+
+/**
+ * Creates the code cache of a role. V8 accepts a cache only under the options under which it was created, so these come from
+ * the command that runs the role; under others the bundle is compiled as without a cache.
+ */
+function createCodeCache(role) {
+    const options = deployment.match(new RegExp(`"node (.*)target/${role}\\.js"`))?.[1].split(" ").filter(Boolean) ?? [];
+    const { status, stderr } = spawnSync(process.execPath, [...options, "scripts/createCodeCache.cjs", role], {
+        encoding: "utf8",
+    });
+    if (status !== 0) {
+        console.warn(`no code cache for ${role}: ${stderr}`);
+    }
+}
