--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -3,8 +3,28 @@
 import { build } from "esbuild";
 import { spawnSync } from "node:child_process";
 import { copyFileSync, mkdirSync, readFileSync } from "node:fs";
+import { resolve } from "node:path";
 
 const roles = ["entry", "control"];
+const bundleFolder = resolve("scripts/bundle");
+/** What is bundled in place of modules that load more than the programs use. */
+const replacements = new Map([
+    ["undici", "undici.cjs"],
+    ["hdr-histogram-js", "hdrHistogram.cjs"],
+    ["assert", "assert.cjs"],
+    ["node:assert", "assert.cjs"],
+]);
+const replacePlugin = {
+    name: "replace",
+    setup: ({ onResolve }) =>
+        onResolve(
+            { filter: /^(undici|hdr-histogram-js|(node:)?assert)$/ },
+            ({ path, importer }) =>
+                importer.startsWith(bundleFolder)
+                    ? { path, external: true }
+                    : { path: resolve(bundleFolder, replacements.get(path)) },
+        ),
+};
 
 mkdirSync("target", { recursive: true });
 await build({
@@ -13,8 +33,9 @@
     target: "node20",
     format: "cjs",
     external: ["dtrace-provider"],
-    entryPoints: Object.fromEntries(roles.map(role => [`${role}.bundle`, `platform/${role}.ts`])),
+    entryPoints: Object.fromEntries(roles.map(role => [`${role}.bundle`, `scripts/bundle/${role}.mjs`])),
     outdir: "target",
+    plugins: [replacePlugin],
     minifySyntax: true,
     minifyWhitespace: true,
     // The loader reads bundles as Latin-1, which V8 stores in half the memory of UTF-16.
@@ -23,7 +44,7 @@
 });
 const deployment = readFileSync("deploy/system.toml", "utf8");
 for (const role of roles) {
-    copyFileSync("scripts/loadBundle.cjs", `target/${role}.js`);
+    copyFileSync("scripts/bundle/loadBundle.cjs", `target/${role}.js`);
     createCodeCache(role);
 }
 
@@ -32,8 +53,9 @@
  * the command that runs the role; under others the bundle is compiled as without a cache.
  */
 function createCodeCache(role) {
-    const options = deployment.match(new RegExp(`"node (.*)target/${role}\\.js"`))?.[1].split(" ").filter(Boolean) ?? [];
-    const { status, stderr } = spawnSync(process.execPath, [...options, "scripts/createCodeCache.cjs", role], {
+    const options = deployment.match(new RegExp(`"node (.*)target/${role}\\.js"`))?.[1].split(" ").filter(Boolean)
+        ?? [];
+    const { status, stderr } = spawnSync(process.execPath, [...options, "scripts/bundle/createCodeCache.cjs", role], {
         encoding: "utf8",
     });
     if (status !== 0) {
--- a/scripts/createCodeCache.cjs
+++ b/scripts/bundle/createCodeCache.cjs
@@ -1,5 +1,5 @@
 // Writes the code cache of a role's bundle. The role runs without settings, and so ends once it has loaded all modules; the cache
-// holds the functions that were compiled until then. Run: node OPTIONS scripts/createCodeCache.cjs ROLE
+// holds the functions that were compiled until then. Run: node OPTIONS scripts/bundle/createCodeCache.cjs ROLE
 "use strict";
 const { readFileSync, writeFileSync } = require("node:fs");
 const { join, resolve } = require("node:path");
