--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -2,28 +2,31 @@
 // bundle lies its V8 code cache, which saves the compilation at each start.
 import { build } from "esbuild";
 import { spawnSync } from "node:child_process";
-import { copyFileSync, mkdirSync, readFileSync } from "node:fs";
+import { mkdirSync, readFileSync } from "node:fs";
 import { resolve } from "node:path";
 
 const roles = ["entry", "control"];
 const bundleFolder = resolve("scripts/bundle");
-/** What is bundled in place of modules that load more than the programs use. */
-const replacements = new Map([
-    ["undici", "undici.cjs"],
-    ["hdr-histogram-js", "hdrHistogram.cjs"],
-    ["assert", "assert.cjs"],
-    ["node:assert", "assert.cjs"],
-]);
+/** The files that are bundled in place of modules which load more than the programs use. */
+const replacements = { "undici": "undici.mjs", "hdr-histogram-js": "hdrHistogram.mjs" };
+/** Loads the module `assert` when an assertion fails, as it opens the standard error stream, which took 10 ms of each start. */
+const lazyAssert = `
+    module.exports = (value, message = "assertion failed") => value || require("node:assert")(value, message);
+    for (const name of ["AssertionError", "deepStrictEqual", "equal", "fail", "ifError", "notEqual", "ok", "strictEqual"]) {
+        Object.defineProperty(module.exports, name, { get: () => require("node:assert")[name] });
+    }`;
 const replacePlugin = {
     name: "replace",
-    setup: ({ onResolve }) =>
+    setup: ({ onResolve, onLoad }) => {
+        onResolve({ filter: /^(undici|hdr-histogram-js)$/ }, ({ path }) => ({
+            path: resolve(bundleFolder, replacements[path]),
+        }));
         onResolve(
-            { filter: /^(undici|hdr-histogram-js|(node:)?assert)$/ },
-            ({ path, importer }) =>
-                importer.startsWith(bundleFolder)
-                    ? { path, external: true }
-                    : { path: resolve(bundleFolder, replacements.get(path)) },
-        ),
+            { filter: /^(node:)?assert$/ },
+            ({ namespace }) => namespace === "assert" ? { external: true } : { path: "assert", namespace: "assert" },
+        );
+        onLoad({ filter: /^assert$/, namespace: "assert" }, () => ({ contents: lazyAssert }));
+    },
 };
 
 mkdirSync("target", { recursive: true });
@@ -44,7 +47,7 @@
 });
 const deployment = readFileSync("deploy/system.toml", "utf8");
 for (const role of roles) {
-    copyFileSync("scripts/bundle/loadBundle.cjs", `target/${role}.js`);
+    await build({ entryPoints: ["scripts/bundle/loadBundle.mjs"], format: "cjs", outfile: `target/${role}.js` });
     createCodeCache(role);
 }
 
@@ -55,8 +58,9 @@
 function createCodeCache(role) {
     const options = deployment.match(new RegExp(`"node (.*)target/${role}\\.js"`))?.[1].split(" ").filter(Boolean)
         ?? [];
-    const { status, stderr } = spawnSync(process.execPath, [...options, "scripts/bundle/createCodeCache.cjs", role], {
+    const { status, stderr } = spawnSync(process.execPath, [...options, "scripts/bundle/createCodeCache.mjs", role], {
         encoding: "utf8",
+        env: {},
     });
     if (status !== 0) {
         console.warn(`no code cache for ${role}: ${stderr}`);
--- a/scripts/bundle/headers.cjs
+++ b/scripts/bundle/headers.mjs
@@ -1,3 +1,4 @@
 // Sets the global class `Headers`. That of Node.js loads its whole fetch, which took 27 ms of each start.
-"use strict";
-globalThis.Headers = require("undici/lib/web/fetch/headers").Headers;
+import { Headers } from "undici/lib/web/fetch/headers";
+
+globalThis.Headers = Headers;
--- a/scripts/measure/measureProcessorTime.ts
+++ b/scripts/measure/measureProcessorTime.ts
@@ -11,11 +11,11 @@
 import { basename, join, resolve } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
+import { MeasuredProcess } from "../../tests/platform/processorTime/MeasuredProcess";
+import { startMeasuredDeployment } from "../../tests/platform/processorTime/startMeasuredDeployment";
 import { createSoakClient, SoakClient } from "../../tests/platform/soak/createSoakClient";
 import { soakPorts } from "../../tests/platform/soak/soakPorts";
 import { printFigure } from "./printFigure";
-import { MeasuredProcess } from "./processorTime/MeasuredProcess";
-import { startMeasuredDeployment } from "./processorTime/startMeasuredDeployment";
 
 const fewEntries = 3;
 const manyEntries = 12;
--- a/scripts/measure/processorTime/startMeasuredDeployment.ts
+++ b/tests/platform/processorTime/startMeasuredDeployment.ts
@@ -5,12 +5,12 @@
 import { AddressInfo } from "node:net";
 import { join } from "node:path";
 import { createRandomSource, RandomSource } from "../../../src/runtime";
-import { createRunTracker } from "../../../tests/platform/soak/createRunTracker";
-import { createSoakLimitChanges } from "../../../tests/platform/soak/createSoakLimitChanges";
-import { soakPorts } from "../../../tests/platform/soak/soakPorts";
-import { soakSoftwareVersions } from "../../../tests/platform/soak/soakSoftwareVersions";
-import { startSoakBackend } from "../../../tests/platform/soak/startSoakBackend";
-import { startSoakOperator } from "../../../tests/platform/soak/startSoakOperator";
+import { createRunTracker } from "../soak/createRunTracker";
+import { createSoakLimitChanges } from "../soak/createSoakLimitChanges";
+import { soakPorts } from "../soak/soakPorts";
+import { soakSoftwareVersions } from "../soak/soakSoftwareVersions";
+import { startSoakBackend } from "../soak/startSoakBackend";
+import { startSoakOperator } from "../soak/startSoakOperator";
 import { MeasuredProcess } from "./MeasuredProcess";
 import { startMeasuredProcess } from "./startMeasuredProcess";
 
--- a/scripts/measure/processorTime/startMeasuredProcess.ts
+++ b/tests/platform/processorTime/startMeasuredProcess.ts
@@ -5,8 +5,8 @@
 import { once } from "node:events";
 import { mkdirSync, openSync, readFileSync, writeFileSync } from "node:fs";
 import { join, resolve } from "node:path";
-import { soakBounds } from "../../../tests/platform/soak/soakBounds";
-import { soakPorts } from "../../../tests/platform/soak/soakPorts";
+import { soakBounds } from "../soak/soakBounds";
+import { soakPorts } from "../soak/soakPorts";
 import { MeasuredProcess } from "./MeasuredProcess";
 
 /** The heap limits of `deploy/system.toml`. */
