--- a/src/protocol/createPeerTransports.ts
+++ b/src/protocol/createPeerTransports.ts
@@ -11,6 +11,7 @@
 import { connectToPeer } from "./connectToPeer";
 import { createPeerConnection } from "./createPeerConnection";
 import { createRefusingTransport } from "./createRefusingTransport";
+import { createUnaryCaller } from "./createUnaryCaller";
 import { getServerRole } from "./getServerRole";
 import { PeerConnection } from "./PeerConnection";
 import { PeerTransports } from "./PeerTransports";
@@ -70,11 +71,12 @@
     }
 
     function addPeer(key: string, connection: PeerConnection): Peer {
-        const transport = createConnectTransport({
+        const { stream } = createConnectTransport({
             baseUrl: connection.manager.authority,
             httpVersion: "2",
             sessionManager: connection.manager,
         });
+        const transport = { unary: createUnaryCaller(connection.manager), stream };
         const peer: Peer = { transport, connection };
         peers.set(key, peer);
         return peer;
