--- a/src/facts/FactStore.ts
+++ b/src/facts/FactStore.ts
@@ -37,6 +37,15 @@
         position: number,
         isWanted: (fact: Pick<SharedFact, "key" | "reporter">, kind: FactKind<unknown>, origin: string) => boolean,
     ): FactChanges;
+    /**
+     * Returns whether `getChanges` would get any facts.
+     * @param position - A position of this store; 0 for all facts.
+     * @param isWanted - Returns whether the receiver needs a fact of a kind, which came from a store.
+     */
+    hasChanges(
+        position: number,
+        isWanted: (fact: Pick<SharedFact, "key" | "reporter">, kind: FactKind<unknown>, origin: string) => boolean,
+    ): boolean;
     /** Gets the position of the last change. */
     getPosition(): number;
     /**
--- a/src/facts/createFactHub.ts
+++ b/src/facts/createFactHub.ts
@@ -74,10 +74,10 @@
 
     /** Facts for few entry processes wait for the next response, since nobody but a later leader acts on the copies. */
     function hasNewFactsForAll({ factPosition, entryId }: PollRequest): boolean {
-        return store.getChanges(
+        return store.hasChanges(
             Number(factPosition),
             (...[, { distribution }, origin]) => distribution === FactDistribution.AllEntries && origin !== entryId,
-        ).facts.length > 0;
+        );
     }
 
     function createResponseFields(
--- a/src/facts/createFactStore.ts
+++ b/src/facts/createFactStore.ts
@@ -17,6 +17,11 @@
 const maximumFactsPerMessage = 512;
 /** How long a withdrawn fact is kept where its kind has no shorter lifetime, in milliseconds. */
 const withdrawnLifetimeMilliseconds = 60_000;
+/** The list of changes is made anew once it is this many times as long as the facts, and longer by the number below. */
+const maximumOutdatedShare = 2;
+const minimumChanges = 64;
+
+type IsWanted = Parameters<FactStore["getChanges"]>[1];
 
 interface FactStoreOptions {
     /** The kinds of facts; others are ignored. */
@@ -46,6 +51,17 @@
     position: number;
 }
 
+/** The facts of a kind. */
+interface KindFacts {
+    kind: FactKind<unknown>;
+    /** The facts by reporter and key, in the order of their changes. */
+    byId: Map<string, StoredFact>;
+    /** The same facts in the same order, among others that have been replaced or removed since. */
+    changes: StoredFact[];
+    /** No fact expires before this, on the monotonic clock, in milliseconds. */
+    nextExpiryMilliseconds: number;
+}
+
 /**
  * Creates an empty store.
  * @param options - The kinds of facts, the reporter and the clock.
@@ -53,8 +69,7 @@
 export function createFactStore(options: FactStoreOptions): FactStore {
     const { reporter: ownReporter, clock, logger } = options;
     const kinds = new Map(options.kinds.map(kind => [kind.name, kind]));
-    /** The facts of each kind by reporter and key, in the order of their changes. */
-    const factsByKind = new Map([...kinds.keys()].map(name => [name, new Map<string, StoredFact>()]));
+    const factsByKind = new Map(options.kinds.map(kind => [kind.name, createKindFacts(kind)]));
     const listeners: ((kind: FactKind<unknown>, isOwn: boolean) => void)[] = [];
     let position = 0;
     let ownRevision = 0n;
@@ -65,6 +80,7 @@
         getAll,
         merge,
         getChanges,
+        hasChanges,
         getPosition: () => position,
         addListener: listener => void listeners.push(listener),
     };
@@ -74,7 +90,7 @@
     }
 
     function withdraw<T>(kind: FactKind<T>, key: string): void {
-        const known = factsByKind.get(kind.name)?.get(getId(ownReporter, key));
+        const known = factsByKind.get(kind.name)?.byId.get(getId(ownReporter, key));
         if (known && !known.isWithdrawn) {
             addOwn(known.kind, key, new Uint8Array(), undefined, 0);
         }
@@ -108,14 +124,20 @@
         const facts = factsByKind.get(kind.name)!;
         const id = getId(fact.reporter, fact.key);
         position += 1;
-        facts.delete(id);
-        facts.set(id, { ...fact, position });
-        removeExpired(kind);
-        for (const oldestId of facts.keys()) {
-            if (facts.size <= kind.maximumCount) {
+        const stored = { ...fact, position };
+        facts.byId.delete(id);
+        facts.byId.set(id, stored);
+        facts.changes.push(stored);
+        facts.nextExpiryMilliseconds = Math.min(facts.nextExpiryMilliseconds, getExpiryMilliseconds(stored));
+        removeExpired(facts);
+        for (const oldestId of facts.byId.keys()) {
+            if (facts.byId.size <= kind.maximumCount) {
                 break;
             }
-            facts.delete(oldestId);
+            facts.byId.delete(oldestId);
+        }
+        if (facts.changes.length > maximumOutdatedShare * facts.byId.size + minimumChanges) {
+            facts.changes = [...facts.byId.values()];
         }
         listeners.forEach(listener => listener(kind, fact.isOwn));
     }
@@ -126,7 +148,7 @@
             const { kind: kindName, key, reporter, revision, ageMilliseconds, value: bytes, isWithdrawn } of received
         ) {
             const kind = kinds.get(kindName);
-            const known = factsByKind.get(kindName)?.get(getId(reporter, key));
+            const known = factsByKind.get(kindName)?.byId.get(getId(reporter, key));
             const isExpired = kind === undefined || ageMilliseconds >= getLifetime(kind, isWithdrawn);
             if (reporter === ownReporter || isExpired || known && known.revision >= revision) {
                 continue;
@@ -161,25 +183,27 @@
     }
 
     function getOwn<T>(kind: FactKind<T>, key: string): Fact<T> | undefined {
-        removeExpired(kind);
-        const fact = factsByKind.get(kind.name)?.get(getId(ownReporter, key));
+        const facts = factsByKind.get(kind.name);
+        if (!facts) {
+            return undefined;
+        }
+        removeExpired(facts);
+        const fact = facts.byId.get(getId(ownReporter, key));
         return fact && !fact.isWithdrawn ? fact as Fact<T> : undefined;
     }
 
     function getAll<T>(kind: FactKind<T>): readonly Fact<T>[] {
-        removeExpired(kind);
-        return [...factsByKind.get(kind.name)?.values() ?? []].filter(({ isWithdrawn }) =>
-            !isWithdrawn
-        ) as unknown as readonly Fact<T>[];
+        const facts = factsByKind.get(kind.name);
+        if (!facts) {
+            return [];
+        }
+        removeExpired(facts);
+        return [...facts.byId.values()].filter(({ isWithdrawn }) => !isWithdrawn) as unknown as readonly Fact<T>[];
     }
 
-    function getChanges(
-        after: number,
-        isWanted: (fact: Pick<SharedFact, "key" | "reporter">, kind: FactKind<unknown>, origin: string) => boolean,
-    ): FactChanges {
-        kinds.forEach(removeExpired);
+    function getChanges(after: number, isWanted: IsWanted): FactChanges {
         const wanted = [...factsByKind.values()]
-            .flatMap(facts => [...facts.values()].filter(fact => fact.position > after))
+            .flatMap(facts => [...getChangesOfKind(facts, after)])
             .filter(fact => isWanted(fact, fact.kind, fact.origin))
             .sort((left, right) => left.position - right.position);
         const sent = wanted.slice(0, maximumFactsPerMessage);
@@ -189,6 +213,17 @@
         };
     }
 
+    function hasChanges(after: number, isWanted: IsWanted): boolean {
+        for (const facts of factsByKind.values()) {
+            for (const fact of getChangesOfKind(facts, after)) {
+                if (isWanted(fact, fact.kind, fact.origin)) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
     function getSharedFact(
         { kind, key, reporter, revision, timeMilliseconds, bytes, isWithdrawn }: StoredFact,
     ): SharedFact {
@@ -204,15 +239,47 @@
         });
     }
 
-    function removeExpired(kind: FactKind<unknown>): void {
+    /** Removes expired facts; as each poll asks for changes, all facts are looked at only once one has expired. */
+    function removeExpired(facts: KindFacts): void {
         const now = clock.getMonotonicMilliseconds();
-        const facts = factsByKind.get(kind.name);
-        facts?.forEach(({ timeMilliseconds, isWithdrawn }, id) => {
-            if (now - timeMilliseconds >= getLifetime(kind, isWithdrawn)) {
-                facts.delete(id);
+        if (now < facts.nextExpiryMilliseconds) {
+            return;
+        }
+        facts.nextExpiryMilliseconds = Infinity;
+        facts.byId.forEach((fact, id) => {
+            const expiryMilliseconds = getExpiryMilliseconds(fact);
+            if (now >= expiryMilliseconds) {
+                facts.byId.delete(id);
+            }
+            else {
+                facts.nextExpiryMilliseconds = Math.min(facts.nextExpiryMilliseconds, expiryMilliseconds);
             }
         });
     }
+
+    /** Gets the facts of a kind that changed after a position, in the order of their changes. */
+    function* getChangesOfKind(facts: KindFacts, after: number): Generator<StoredFact> {
+        removeExpired(facts);
+        const { byId, changes } = facts;
+        let first = changes.length;
+        while (first > 0 && changes[first - 1]!.position > after) {
+            first -= 1;
+        }
+        for (let index = first; index < changes.length; index++) {
+            const fact = changes[index]!;
+            if (byId.get(getId(fact.reporter, fact.key)) === fact) {
+                yield fact;
+            }
+        }
+    }
+}
+
+function createKindFacts(kind: FactKind<unknown>): KindFacts {
+    return { kind, byId: new Map(), changes: [], nextExpiryMilliseconds: Infinity };
+}
+
+function getExpiryMilliseconds({ kind, isWithdrawn, timeMilliseconds }: StoredFact): number {
+    return timeMilliseconds + getLifetime(kind, isWithdrawn);
 }
 
 function getId(reporter: string, key: string): string {
