--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -4,6 +4,7 @@
 import { spawnSync } from "node:child_process";
 import { mkdirSync, readFileSync } from "node:fs";
 import { resolve } from "node:path";
+import { compileSchemas } from "./bundle/compileSchemas.mjs";
 
 const roles = ["entry", "control"];
 const bundleFolder = resolve("scripts/bundle");
@@ -15,6 +16,16 @@
     for (const name of ["AssertionError", "deepStrictEqual", "equal", "fail", "ifError", "notEqual", "ok", "strictEqual"]) {
         Object.defineProperty(module.exports, name, { get: () => require("node:assert")[name] });
     }`;
+/** The options of `platform/wire/createValidator.ts`. */
+const schemaOptions = { meta: false, validateSchema: false, allowUnionTypes: true, strict: false };
+/** Gets the functions that the build has compiled, and loads the compiler for any other schema or options. */
+const compiledAjv = `
+    const { validators } = require("compiled-schemas");
+    exports.Ajv = function (options) {
+        const isUsual = JSON.stringify(options) === ${JSON.stringify(JSON.stringify(schemaOptions))};
+        this.compile = schema => isUsual && validators.get(JSON.stringify(schema))
+            || new (require("ajv/dist/ajv").Ajv)(options).compile(schema);
+    };`;
 const replacePlugin = {
     name: "replace",
     setup: ({ onResolve, onLoad }) => {
@@ -26,6 +37,12 @@
             ({ namespace }) => namespace === "assert" ? { external: true } : { path: "assert", namespace: "assert" },
         );
         onLoad({ filter: /^assert$/, namespace: "assert" }, () => ({ contents: lazyAssert }));
+        onResolve({ filter: /^(ajv|compiled-schemas)$/ }, ({ path }) => ({ path, namespace: "schemas" }));
+        onLoad({ filter: /^ajv$/, namespace: "schemas" }, () => ({ contents: compiledAjv, resolveDir: resolve(".") }));
+        onLoad({ filter: /^compiled-schemas$/, namespace: "schemas" }, async () => ({
+            contents: await compileSchemas(schemaOptions),
+            resolveDir: resolve("."),
+        }));
     },
 };
 
