--- a/src/control/consensus/createSignal.ts
+++ b/src/control/consensus/createSignal.ts
@@ -1,7 +1,7 @@
 /*
  * Implements a signal over promises, with timeouts from a given clock.
  */
-import { Clock } from "../../runtime";
+import { abortWait, Clock } from "../../runtime";
 import { Signal } from "./Signal";
 
 /**
@@ -28,7 +28,7 @@
 
     async function waitForTime(milliseconds: number): Promise<void> {
         const controller = new AbortController();
-        const wake = () => controller.abort();
+        const wake = () => abortWait(controller);
         waiters.add(wake);
         await clock.sleep(milliseconds, controller.signal);
         waiters.delete(wake);
--- a/src/forwarding/createRequestSignal.ts
+++ b/src/forwarding/createRequestSignal.ts
@@ -1,7 +1,7 @@
 /*
  * Combines the caller's disconnection, the deadline and the end of the process into one signal.
  */
-import { Clock, detach } from "../runtime";
+import { abortWait, Clock, detach } from "../runtime";
 import { RequestSignal } from "./RequestSignal";
 import { RequestSignalOptions } from "./RequestSignalOptions";
 
@@ -44,7 +44,7 @@
     }
 
     function release(): void {
-        released.abort();
+        abortWait(released);
         endSignals.forEach(endSignal => endSignal.removeEventListener("abort", end));
     }
 }
--- a/src/forwarding/startRuns.ts
+++ b/src/forwarding/startRuns.ts
@@ -5,7 +5,7 @@
  */
 import { getErrorMessage } from "../errors";
 import { Logger } from "../logging";
-import { createAsyncQueue, detach } from "../runtime";
+import { abortWait, createAsyncQueue, detach } from "../runtime";
 import { AttemptDispatcher } from "./AttemptDispatcher";
 import { createHedgeTask } from "./createHedgeTask";
 import { DeliveredValue } from "./DeliveredValue";
@@ -84,7 +84,7 @@
         }
     }
     finally {
-        finished.abort();
+        abortWait(finished);
         if (hedge) {
             supersede(hedge, SupersededReason.Overtaken);
         }
--- a/src/runtime/createSystemClock.ts
+++ b/src/runtime/createSystemClock.ts
@@ -21,7 +21,7 @@
         const endMilliseconds = performance.now() + milliseconds;
         return new Promise(resolve => {
             let timer = startTimer(milliseconds);
-            signal?.addEventListener("abort", finish, { once: true });
+            signal?.addEventListener("abort", abort, { once: true });
 
             function startTimer(remainingMilliseconds: number): NodeJS.Timeout {
                 return remainingMilliseconds > maximumTimerMilliseconds
@@ -34,8 +34,12 @@
             }
 
             function finish(): void {
+                signal?.removeEventListener("abort", abort);
+                resolve();
+            }
+
+            function abort(): void {
                 clearTimeout(timer);
-                signal?.removeEventListener("abort", finish);
                 resolve();
             }
         });
--- a/src/runtime/createWakeup.ts
+++ b/src/runtime/createWakeup.ts
@@ -1,6 +1,7 @@
 /*
  * Notifications between two tasks of a process.
  */
+import { abortWait } from "./abortWait";
 import { Clock } from "./Clock";
 import { Wakeup } from "./Wakeup";
 
@@ -15,7 +16,9 @@
 
     function wake(): void {
         isPending = true;
-        waitAbort?.abort();
+        if (waitAbort) {
+            abortWait(waitAbort);
+        }
     }
 
     async function wait(milliseconds: number): Promise<boolean> {
--- a/src/runtime/index.ts
+++ b/src/runtime/index.ts
@@ -1,6 +1,7 @@
 /*
  * Basic abstractions for all folders: clocks, random numbers, queues, notifications between tasks, and shutdown.
  */
+export * from "./abortWait";
 export * from "./AsyncQueue";
 export * from "./breakOffResponse";
 export * from "./ByteCollector";
--- a/src/runtime/runWithTimeout.ts
+++ b/src/runtime/runWithTimeout.ts
@@ -2,6 +2,7 @@
  * Runs operations that end with a signal. `AbortSignal.any` does not serve for this with `AbortSignal.timeout`: nothing
  * but the combined signal refers to the timeout then, which Node collects as garbage before it has passed.
  */
+import { abortWait } from "./abortWait";
 import { Clock } from "./Clock";
 import { runAfter } from "./runAfter";
 
@@ -32,6 +33,6 @@
     }
     finally {
         signal?.removeEventListener("abort", abort);
-        ended.abort();
+        abortWait(ended);
     }
 }
--- a/src/runtime/waitWithTimeout.ts
+++ b/src/runtime/waitWithTimeout.ts
@@ -1,6 +1,7 @@
 /*
  * Waits for operations that may never complete.
  */
+import { abortWait } from "./abortWait";
 import { Clock } from "./Clock";
 
 /**
@@ -18,7 +19,7 @@
     signal?: AbortSignal,
 ): Promise<T | undefined> {
     const timerAbort = new AbortController();
-    const endTimer = () => timerAbort.abort();
+    const endTimer = () => abortWait(timerAbort);
     if (signal?.aborted) {
         endTimer();
     }
