--- a/src/protocol/startInternalServer.ts
+++ b/src/protocol/startInternalServer.ts
@@ -15,6 +15,7 @@
 import { createPeerSessions } from "./createPeerSessions";
 import { createRateBucket } from "./createRateBucket";
 import { createRateLimitInterceptor } from "./createRateLimitInterceptor";
+import { createUnaryHandler } from "./createUnaryHandler";
 import { RefusalReason } from "./generated/basilwing/v1/common_pb";
 import { InternalServer } from "./InternalServer";
 import { InternalServerOptions } from "./InternalServerOptions";
@@ -46,15 +47,21 @@
         throw createInvariantError(problem);
     }
     const peerSessions = createPeerSessions(identity, clock, reportUnauthorizedPeer);
-    const handler = connectNodeAdapter({
-        routes: router => addServices(limitMessageSizes(router)),
-        interceptors: [
-            createAuthorizationInterceptor(identity === undefined, reportUnauthorizedPeer),
-            createRateLimitInterceptor(clock, reportRateLimitedPeer),
-        ],
+    const interceptors = [
+        createAuthorizationInterceptor(identity === undefined, reportUnauthorizedPeer),
+        createRateLimitInterceptor(clock, reportRateLimitedPeer),
+    ];
+    const unaryHandler = createUnaryHandler({
+        otherwise: (request, response) => libraryHandler(request, response),
+        interceptors,
+        getContextValues: peerSessions.getContextValues,
+    });
+    const libraryHandler = connectNodeAdapter({
+        routes: router => addServices(unaryHandler.wrapRouter(limitMessageSizes(router))),
+        interceptors,
         contextValues: request => peerSessions.getContextValues(request),
     });
-    const server = createHttp2Server(identity, handler);
+    const server = createHttp2Server(identity, unaryHandler.handle);
     const stopReloading = identity === undefined ? undefined : reloadCertificatesOnChange(server, identity, "TLSv1.3");
     server.on("session", peerSessions.addSession);
     server.on("tlsClientError", (error, socket) => {
