--- /dev/null
+++ b/scripts/bundle/replacePlugin.mjs
@@ -0,0 +1,42 @@
+// The esbuild plugin that replaces modules which load more at each start than the platform's programs use.
+import { resolve } from "node:path";
+import { compileSchemas } from "./compileSchemas.mjs";
+
+/** The files that are bundled in place of modules which load more than the programs use. */
+const replacements = { "undici": "undici.mjs", "hdr-histogram-js": "hdrHistogram.mjs" };
+/** Loads the module `assert` when an assertion fails, as it opens the standard error stream, which took 10 ms of each start. */
+const lazyAssert = `
+    module.exports = (value, message = "assertion failed") => value || require("node:assert")(value, message);
+    for (const name of ["AssertionError", "deepStrictEqual", "equal", "fail", "ifError", "notEqual", "ok", "strictEqual"]) {
+        Object.defineProperty(module.exports, name, { get: () => require("node:assert")[name] });
+    }`;
+/** The options of `platform/wire/createValidator.ts`. */
+const schemaOptions = { meta: false, validateSchema: false, allowUnionTypes: true, strict: false };
+/** Gets the functions that the build has compiled, and loads the compiler for any other schema or options. */
+const compiledAjv = `
+    const { validators } = require("compiled-schemas");
+    exports.Ajv = function (options) {
+        const isUsual = JSON.stringify(options) === ${JSON.stringify(JSON.stringify(schemaOptions))};
+        this.compile = schema => isUsual && validators.get(JSON.stringify(schema))
+            || new (require("ajv/dist/ajv").Ajv)(options).compile(schema);
+    };`;
+/** Replaces modules that load more than the platform's programs use. */
+export const replacePlugin = {
+    name: "replace",
+    setup: ({ onResolve, onLoad }) => {
+        onResolve({ filter: /^(undici|hdr-histogram-js)$/ }, ({ path }) => ({
+            path: resolve(import.meta.dirname, replacements[path]),
+        }));
+        onResolve(
+            { filter: /^(node:)?assert$/ },
+            ({ namespace }) => namespace === "assert" ? { external: true } : { path: "assert", namespace: "assert" },
+        );
+        onLoad({ filter: /^assert$/, namespace: "assert" }, () => ({ contents: lazyAssert }));
+        onResolve({ filter: /^(ajv|compiled-schemas)$/ }, ({ path }) => ({ path, namespace: "schemas" }));
+        onLoad({ filter: /^ajv$/, namespace: "schemas" }, () => ({ contents: compiledAjv, resolveDir: resolve(".") }));
+        onLoad({ filter: /^compiled-schemas$/, namespace: "schemas" }, async () => ({
+            contents: await compileSchemas(schemaOptions),
+            resolveDir: resolve("."),
+        }));
+    },
+};
