--- a/tests/scripts/bundle/buildRole.tests.ts
+++ b/tests/scripts/bundle/buildRole.tests.ts
@@ -110,4 +110,26 @@
             expect(existsSync(getPath("test.cache"))).to.equal(false);
         });
     }
+
+    // verror checks its arguments with the functions that assert-plus copies from the replaced module `assert`.
+    it("bundles errors with a cause, and the functions of assert", () => {
+        buildSound(`
+            import assert from "node:assert";
+            import { createInvariantError } from ${JSON.stringify(resolve("src/errors"))};
+            const texts = [createInvariantError("m", {}, new Error("c")).message];
+            assert(true);
+            assert.ok(1);
+            assert.deepStrictEqual({ a: 1 }, { a: 1 });
+            for (const fail of [() => assert(0), () => assert.ok(0), () => assert.equal(1, 2), () => assert.throws(() => 1)]) {
+                try {
+                    fail();
+                }
+                catch (thrown) {
+                    texts.push(String(thrown instanceof assert.AssertionError));
+                }
+            }
+            process.stdout.write(texts.join());
+            process.exit(1);`);
+        expectOutput("m: c,true,true,true,true");
+    });
 });
