--- a/src/protocol/createUnaryCaller.ts
+++ b/src/protocol/createUnaryCaller.ts
@@ -11,6 +11,9 @@
     validateResponseWithCompression,
 } from "@connectrpc/connect/protocol-connect";
 import { ClientHttp2Stream, constants, IncomingHttpHeaders, OutgoingHttpHeaders } from "node:http2";
+import { getErrorMessage } from "../errors";
+import { getResetError } from "./getResetError";
+import { getStreamError } from "./getStreamError";
 import { PeerConnection } from "./PeerConnection";
 
 const acceptedCompressions = [compressionGzip, compressionBrotli];
@@ -34,7 +37,8 @@
 }
 
 /**
- * Creates the part of a transport that sends unary calls. Calls fail with the errors of the library's transport.
+ * Creates the part of a transport that sends unary calls. Calls fail with the error codes of the library's transport, but see
+ * `getResetError`.
  * @param manager - Opens the streams of the connection.
  */
 export function createUnaryCaller(manager: PeerConnection["manager"]): Transport["unary"] {
@@ -98,7 +102,7 @@
                     manager.notifyResponseByteRead(opened);
                 });
                 stream.on("end", () => finish(opened));
-                stream.on("close", () => fail(getEndError(opened.rstCode)));
+                stream.on("close", () => fail(getResetError(opened.rstCode)));
                 stream.end(body);
             }
 
@@ -106,7 +110,7 @@
                 manager.notifyResponseByteRead(ended);
                 // A stream that the peer resets ends as if it were complete.
                 if (ended.aborted || ended.rstCode !== constants.NGHTTP2_NO_ERROR || !responseHeaders) {
-                    fail(getEndError(ended.rstCode));
+                    fail(getResetError(ended.rstCode));
                     return;
                 }
                 const received = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
@@ -128,7 +132,7 @@
                     return;
                 }
                 settle();
-                const error = ConnectError.from(reason, Code.Unavailable);
+                const error = getStreamError(reason);
                 if (stream && !stream.closed) {
                     const isCancelled = error.code === Code.Canceled;
                     stream.close(isCancelled ? constants.NGHTTP2_CANCEL : constants.NGHTTP2_INTERNAL_ERROR);
@@ -187,10 +191,6 @@
         return parseMessage();
     }
     catch (thrown) {
-        throw ConnectError.from(thrown, Code.InvalidArgument);
+        throw new ConnectError(`parse binary: ${getErrorMessage(thrown)}`, Code.Internal);
     }
 }
-
-function getEndError(resetCode: number | undefined): ConnectError {
-    return new ConnectError(`the stream ended without a response, reset code ${resetCode}`, Code.Unavailable);
-}
--- a/tests/protocol/createUnaryCaller.tests.ts
+++ b/tests/protocol/createUnaryCaller.tests.ts
@@ -2,12 +2,13 @@
  * Tests that unary calls end as with the library's transport, whatever the server responds.
  */
 import { create, toBinary } from "@bufbuild/protobuf";
-import { ConnectError, type Transport } from "@connectrpc/connect";
+import { Code, ConnectError, type Transport } from "@connectrpc/connect";
 import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
 import { expect } from "chai";
 import { once } from "node:events";
-import { createServer, Http2Server, ServerHttp2Stream } from "node:http2";
+import { constants, createServer, Http2Server, ServerHttp2Stream } from "node:http2";
 import { AddressInfo } from "node:net";
+import { addAbortSignal } from "node:stream";
 import { gzipSync } from "node:zlib";
 import { RecordStreamOriginsResponseSchema, StreamOriginService } from "../../src/protocol";
 import { createUnaryCaller } from "../../src/protocol/createUnaryCaller";
@@ -73,10 +74,7 @@
         respond = newRespond;
         const [libraryEnd, end] = [await call(transports[0]!), await call(transports[1]!)];
         expect(end).to.include(expected);
-        expect({ ...end, code: undefined }).to.deep.equal({ ...libraryEnd, code: undefined });
-        if (expected.code !== undefined) {
-            expect(libraryEnd.code).to.equal(expected.code);
-        }
+        expect(end).to.deep.equal(libraryEnd);
         expect(requests[1]).to.deep.equal(requests[0]);
 
         async function call(transport: Transport): Promise<CallEnd> {
@@ -136,7 +134,7 @@
         doTest(respondWith(message, { "content-encoding": "deflate" }), { hasFailed: true, code: 13 }));
 
     it("fails on bytes that are no message", () =>
-        doTest(respondWith(Buffer.from([255, 255, 255])), { hasFailed: true }));
+        doTest(respondWith(Buffer.from([255, 255, 255])), { hasFailed: true, code: 13 }));
 
     it("does not take a part for the whole where the length differs", () =>
         doTest(respondWith(message.subarray(0, 2), { "content-length": "4" }), { hasFailed: true }));
@@ -152,8 +150,33 @@
             }, { hasFailed: true }));
     }
 
+    // Callers tell a cancelled call from a failed one by its code.
+    for (const resetCode of [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13]) {
+        it(`fails at reset code ${resetCode} before headers`, () =>
+            doTest(stream => stream.close(resetCode), {
+                hasFailed: true,
+                code: resetCode === constants.NGHTTP2_CANCEL ? Code.Canceled : Code.Internal,
+            }));
+    }
+
+    for (const sent of [0, 2]) {
+        it(`fails where the server cancels the stream after headers and ${sent} bytes`, () =>
+            doTest(stream => {
+                stream.respond(headers);
+                stream.write(message.subarray(0, sent));
+                setImmediate(() => addAbortSignal(AbortSignal.abort(), stream));
+            }, { hasFailed: true }));
+    }
+
+    it("fails where the stream ends without headers and without an error, where the library waits", async () => {
+        respond = stream => stream.close(constants.NGHTTP2_NO_ERROR);
+        const calling = transports[1]!.unary(StreamOriginService.method.record, undefined, undefined, {}, {});
+        const thrown = await calling.then(() => undefined, (error: ConnectError) => error);
+        expect(thrown?.code).to.equal(Code.Unavailable);
+    });
+
     it("fails where the connection ends without a response", () =>
-        doTest(stream => void stream.session?.destroy(), { hasFailed: true }));
+        doTest(stream => void stream.session?.destroy(), { hasFailed: true, code: 1 }));
 
     it("fails at its timeout", () => doTest(() => undefined, { hasFailed: true, code: 4 }, { timeoutMs: 30 }));
 
