--- a/src/facts/createFactStore.ts
+++ b/src/facts/createFactStore.ts
@@ -136,9 +136,7 @@
             }
             facts.byId.delete(oldestId);
         }
-        if (facts.changes.length > maximumOutdatedShare * facts.byId.size + minimumChanges) {
-            facts.changes = [...facts.byId.values()];
-        }
+        compactChanges(facts);
         listeners.forEach(listener => listener(kind, fact.isOwn));
     }
 
@@ -255,6 +253,14 @@
                 facts.nextExpiryMilliseconds = Math.min(facts.nextExpiryMilliseconds, expiryMilliseconds);
             }
         });
+        compactChanges(facts);
+    }
+
+    /** Makes the list of changes anew once most of it is outdated, as it keeps the values of removed facts in memory. */
+    function compactChanges(facts: KindFacts): void {
+        if (facts.changes.length > maximumOutdatedShare * facts.byId.size + minimumChanges) {
+            facts.changes = [...facts.byId.values()];
+        }
     }
 
     /** Gets the facts of a kind that changed after a position, in the order of their changes. */
--- a/tests/facts/createFactStore.tests.ts
+++ b/tests/facts/createFactStore.tests.ts
@@ -1,4 +1,6 @@
 import { expect } from "chai";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
 import { FactStore } from "../../src/facts";
 import { createManualClock } from "../support/createManualClock";
 import { createTestFactKind } from "./createTestFactKind";
@@ -41,6 +43,29 @@
         });
     });
 
+    describe("getAll", () => {
+        // The list of changes kept the values of expired facts until another fact of the kind was added.
+        it("lets the values of expired facts be collected, whether or not another fact follows", async () => {
+            setFlagsFromString("--expose-gc");
+            const collectGarbage = runInNewContext("gc") as () => void;
+            const values: WeakRef<Uint8Array>[] = [];
+            const encode = (value: string) => {
+                const bytes = Buffer.from(value);
+                values.push(new WeakRef(bytes));
+                return bytes;
+            };
+            const large = createTestFactKind({ maximumCount: 2_000, encode });
+            const clock = createManualClock();
+            const store = createTestFactStore(clock, "own", [large]);
+            Array.from({ length: 500 }, (...[, index]) => store.publish(large, String(index), "1"));
+            await clock.advance(large.lifetimeMilliseconds);
+            expect(store.getAll(large)).to.deep.equal([]);
+            await new Promise(resolve => setImmediate(resolve));
+            collectGarbage();
+            expect(values.filter(value => value.deref())).to.have.length(0);
+        });
+    });
+
     describe("merge", () => {
         it("adds the facts of others, with their age", async () => {
             const { clock, own, other } = createFixture();
