--- a/src/protocol/createUnaryHandler.ts
+++ b/src/protocol/createUnaryHandler.ts
@@ -15,7 +15,7 @@
 } from "@connectrpc/connect";
 import { compressionGzip } from "@connectrpc/connect-node";
 import { codeToHttpStatus, errorToJsonBytes } from "@connectrpc/connect/protocol-connect";
-import type { Http2ServerRequest, Http2ServerResponse } from "node:http2";
+import { constants, type Http2ServerRequest, type Http2ServerResponse } from "node:http2";
 import { detach } from "../runtime";
 import { getServiceLimits } from "./getServiceLimits";
 
@@ -24,6 +24,18 @@
 const minimumCompressedBytes = 1_024;
 const protoType = "application/proto";
 
+/** Headers that the metadata of an error must not set: those of the encoding, and those that HTTP/2 forbids. */
+const framingHeaders = [
+    "connection",
+    "content-encoding",
+    "http2-settings",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "transfer-encoding",
+    "upgrade",
+];
+
 /** The forms of `connect-timeout-ms` that need no error; the library's handlers don't end a call at it either. */
 const timeoutPattern = /^\d{1,10}$/;
 
@@ -196,9 +208,18 @@
     const error = thrown instanceof ConnectError
         ? thrown
         : new ConnectError("internal error", Code.Internal, undefined, undefined, thrown);
-    response.writeHead(codeToHttpStatus(error.code), {
-        ...Object.fromEntries(error.metadata),
-        "content-type": "application/json",
-    });
-    response.end(errorToJsonBytes(error, {}));
+    try {
+        const body = errorToJsonBytes(error, {});
+        const metadata = [...error.metadata].filter(([name]) => !framingHeaders.includes(name));
+        response.writeHead(codeToHttpStatus(error.code), {
+            ...Object.fromEntries(metadata),
+            "content-type": "application/json",
+            "content-length": body.length,
+        });
+        response.end(body);
+    }
+    catch {
+        // The metadata or the details can't be sent, or a part of the response has been sent.
+        response.stream.close(constants.NGHTTP2_INTERNAL_ERROR);
+    }
 }
--- a/tests/protocol/createUnaryHandler.tests.ts
+++ b/tests/protocol/createUnaryHandler.tests.ts
@@ -6,7 +6,7 @@
 import { connectNodeAdapter } from "@connectrpc/connect-node";
 import { expect } from "chai";
 import { once } from "node:events";
-import { connect, createServer, Http2Server, IncomingHttpHeaders } from "node:http2";
+import { connect, constants, createServer, Http2Server, IncomingHttpHeaders } from "node:http2";
 import { AddressInfo } from "node:net";
 import { gunzipSync, gzipSync } from "node:zlib";
 import { StreamOriginSchema, StreamOriginService } from "../../src/protocol";
@@ -28,6 +28,19 @@
             switch (requestId) {
                 case "refused":
                     throw new ConnectError("no", Code.PermissionDenied, { "basilwing-run": "no" });
+                case "framed":
+                    throw new ConnectError("no", Code.PermissionDenied, {
+                        "basilwing-run": "no",
+                        "connection": "close",
+                        "content-encoding": "gzip",
+                        "content-length": "3",
+                        "content-type": "text/plain",
+                        "te": "gzip",
+                        "transfer-encoding": "chunked",
+                        "upgrade": "h2c",
+                    });
+                case "unsendable":
+                    throw Object.assign(new ConnectError("no", Code.PermissionDenied), { metadata: undefined });
                 case "broken":
                     throw new Error("a detail that nobody may learn");
                 case "long":
@@ -70,7 +83,7 @@
         const chunks: Buffer[] = [];
         stream.on("data", (chunk: Buffer) => chunks.push(chunk));
         stream.end(body);
-        await once(stream, "close");
+        await new Promise<void>(resolve => void stream.on("close", resolve));
         session.destroy();
         const raw = Buffer.concat(chunks);
         const content = received["content-encoding"] === "gzip" ? gunzipSync(raw) : raw;
@@ -80,6 +93,7 @@
             type: received["content-type"],
             encoding: received["content-encoding"],
             run: received["basilwing-run"],
+            resetCode: stream.rstCode,
             content: isJson ? (JSON.parse(content.toString()) as { code?: string; }).code : content.toString("hex"),
         };
     }
@@ -111,6 +125,25 @@
     it("sends the code and the metadata of an error", () =>
         doTest({}, getRequest("refused"), { status: 403, run: "no", content: "permission_denied" }));
 
+    // Metadata of an error from elsewhere may have the headers of the response with which it came.
+    it("does not let the metadata of an error set how the response is framed", async () => {
+        expect(await send(servers[1]!, {}, getRequest("framed"))).to.deep.equal({
+            status: 403,
+            type: "application/json",
+            encoding: undefined,
+            run: "no",
+            content: "permission_denied",
+            resetCode: constants.NGHTTP2_NO_ERROR,
+        });
+    });
+
+    // The caller waited for its deadline, and the process ended.
+    it("resets the stream of an error that can't be sent, and goes on", async () => {
+        const response = await send(servers[1]!, {}, getRequest("unsendable"));
+        expect(response).to.include({ status: undefined, resetCode: constants.NGHTTP2_INTERNAL_ERROR });
+        await doTest({}, getRequest("a"), { status: 200 });
+    });
+
     it("hides other failures", () => doTest({}, getRequest("broken"), { status: 500, content: "internal" }));
 
     it("refuses bytes that are no message", () =>
