--- a/tests/protocol/createUnaryCaller.tests.ts
+++ b/tests/protocol/createUnaryCaller.tests.ts
@@ -190,6 +190,7 @@
         const manager = new Http2SessionManager("http://127.0.0.1:1");
         const calling = createUnaryCaller(manager)(StreamOriginService.method.record, undefined, undefined, {}, {});
         const thrown = await calling.then(() => undefined, (error: ConnectError) => error);
+        expect(thrown?.code).to.equal(Code.Unavailable);
         expect((thrown?.cause as NodeJS.ErrnoException).code).to.equal("ECONNREFUSED");
     });
 });
