--- a/scripts/bundle/createCodeCache.mjs
+++ b/scripts/bundle/createCodeCache.mjs
@@ -18,6 +18,10 @@
 const script = new Script(source, { filename: bundlePath });
 let hasThrown = false;
 process.on("uncaughtExceptionMonitor", () => hasThrown = true);
+// The handler of a role would keep a rejection from becoming an uncaught exception.
+process.on("unhandledRejection", reason => {
+    throw reason;
+});
 process.on("exit", status => {
     // An uncaught exception also ends the process with status 1.
     if (hasThrown || status !== missingSettingsStatus) {
--- a/tests/scripts/bundle/buildRole.tests.ts
+++ b/tests/scripts/bundle/buildRole.tests.ts
@@ -99,6 +99,11 @@
                 name: "throws after it has set a handler",
                 program: "process.on('uncaughtException', () => process.exit(1)); throw 1;",
             },
+            {
+                name: "rejects after it has set a handler",
+                program:
+                    "process.on('unhandledRejection', () => process.exit(1)); void Promise.reject(new Error('x'));",
+            },
             { name: "ends with another status", program: "process.exit(0);" },
         ]
     ) {
