--- a/tests/platform/backends/createBackendLink.tests.ts
+++ b/tests/platform/backends/createBackendLink.tests.ts
@@ -147,6 +147,23 @@
             doTest(`${head.replace("request-1", "request-0")}Content-Length: 0\r\n\r\n`, "keep", "lost"));
     });
 
+    describe("a response with a status that no final response has", () => {
+        async function doTest(status: string) {
+            const server = await startServer(socket =>
+                void socket.write(`${head.replace("200", status)}Content-Length: 4\r\n\r\nabcd`)
+            );
+            expect(await send(server.address)).to.deep.equal({
+                kind: "lost",
+                reason: `status ${Number(status)} is not a status of a final response`,
+            });
+        }
+
+        ["000", "099", "600", "999"].forEach(status => {
+            it(`is lost by the link's own decision, not by an assertion of the HTTP client (${status})`, () =>
+                doTest(status));
+        });
+    });
+
     it("ignores a second response that follows the first on the same connection", async () => {
         const server = await startServer((socket, request) => {
             const [, requestId = ""] = /Request-Id: (\S+)/i.exec(request) ?? [];
--- a/tests/platform/backends/decodeResponseHead.tests.ts
+++ b/tests/platform/backends/decodeResponseHead.tests.ts
@@ -12,6 +12,15 @@
 
     it("accepts a sealed success", () => doTest(200, sealed, "response"));
     it("accepts a sealed failure", () => doTest(500, sealed, "response"));
+    [0, 99, 100, 199, 600, 999].forEach(status => {
+        it(`does not pass status ${status} on, which no final response has`, () => doTest(status, sealed, "invalid"));
+        it(`does not conclude from status ${status} that a request was not run`, () =>
+            doTest(status, [...named, "Basilwing-Not-Executed", "1"], "invalid"));
+    });
+    it("accepts the statuses at both ends of the range", () => {
+        doTest(200, sealed, "response");
+        doTest(599, sealed, "response");
+    });
     it("rejects a success without a seal", () => doTest(200, ["Basilwing-Request-Id", "request-1"], "invalid"));
     it("rejects a response to another request", () =>
         doTest(200, ["Basilwing-Request-Id", "request-0", "Basilwing-Response-Seal", "seal"], "invalid"));
--- a/tests/platform/truncatedAnswers.tests.ts
+++ b/tests/platform/truncatedAnswers.tests.ts
@@ -24,6 +24,7 @@
         "Basilwing-Prefix-Hash": "a1:500",
     };
     const stream = "content-type: text/event-stream\r\n";
+    const events = "id: 1\ndata: 1\n\n";
     const whole = "whole answer ".repeat(20);
 
     let servers: Awaited<ReturnType<typeof startPartServer>>[] = [];
@@ -32,9 +33,11 @@
     let heads: string[] = [];
     let respondFirst: (socket: Socket, identity: string) => void = () => undefined;
     let respondNext: (socket: Socket, identity: string) => void = () => undefined;
+    let faultySocket: Socket | undefined;
 
     beforeEach(async () => {
         heads = [];
+        faultySocket = undefined;
         link = createBackendLink();
         servers = await Promise.all(instanceIds.map(() => startPartServer(respondEarly, respond)));
         const clock = createSystemClock();
@@ -80,6 +83,7 @@
         if (heads.length > 1) {
             return false;
         }
+        faultySocket = socket;
         respondFirst(socket, getIdentity(head));
         return true;
     }
@@ -202,4 +206,51 @@
             });
         }
     }
+
+    for (const status of ["000", "099", "600", "999"]) {
+        for (const [name, bodyBytes] of [["a long upload", uploadBytes], ["a short body", 4]] as const) {
+            describe(`status ${status}, ${name}`, () => {
+                beforeEach(() => {
+                    respondFirst = (socket, identity) =>
+                        void socket.write(`HTTP/1.1 ${status} Odd\r\n${identity}Content-Length: 4\r\n\r\npart`);
+                    respondNext = (socket, identity) =>
+                        void socket.write(
+                            `HTTP/1.1 200 OK\r\n${identity}${stream}Content-Length: ${events.length}\r\n\r\n${events}`,
+                        );
+                });
+
+                it("is not passed on for a safe request, and its connection is closed", async () => {
+                    expect(await call("/reads/1", bodyBytes))
+                        .to.deep.equal({ status: 200, text: events, isWhole: true });
+                    await waitForClose();
+                });
+                it("is not passed on for an unsafe request, which is not sent again", async () => {
+                    const { status: callerStatus, text } = await call("/releases/1", bodyBytes);
+                    expect(callerStatus).to.equal(502);
+                    expect(text).not.to.include("part");
+                    expect(heads.length).to.equal(1);
+                    await waitForClose();
+                });
+                it("is not passed on for a stream that can't be resumed", async () => {
+                    expect((await call("/summaries/1", bodyBytes, promptHeaders)).status).to.equal(502);
+                    expect(heads.length).to.equal(1);
+                    await waitForClose();
+                });
+                it("is not passed on for a stream that can be resumed", async () => {
+                    expect(await call("/labels/1", bodyBytes, promptHeaders))
+                        .to.deep.equal({ status: 200, text: events, isWhole: true });
+                    await waitForClose();
+                });
+            });
+        }
+    }
+
+    async function waitForClose(): Promise<void> {
+        const end = performance.now() + 2_000;
+        faultySocket?.resume();
+        while (faultySocket && !faultySocket.destroyed && performance.now() < end) {
+            await new Promise(resolve => setTimeout(resolve, 5));
+        }
+        expect(faultySocket?.destroyed).to.equal(true);
+    }
 });
