--- a/src/backends/createBackendAgent.ts
+++ b/src/backends/createBackendAgent.ts
@@ -2,9 +2,10 @@
  * The connection pools of clients of backend servers and of the platform, which may send bytes without end.
  */
 import type { Socket } from "node:net";
-import { Agent, buildConnector } from "undici";
+import { Agent, buildConnector, Dispatcher } from "undici";
 import { maximumHeaderBytes } from "./maximumHeaderBytes";
 import { readInPieces } from "./readInPieces";
+import { rejectInvalidResponses } from "./rejectInvalidResponses";
 
 /** The options of `createBackendAgent`. */
 interface BackendAgentOptions extends Omit<Agent.Options, "connect"> {
@@ -15,12 +16,12 @@
 }
 
 /**
- * Creates connection pools with limits on what a response's head and trailer may hold.
+ * Creates connection pools with limits on what a response's head and trailer may hold, which reject invalid responses.
  * @param options - Further options of undici's agent.
  */
 export function createBackendAgent(
     { connectTimeoutMilliseconds, onConnected, ...options }: BackendAgentOptions,
-): Agent {
+): Dispatcher {
     const connect = buildConnector({ timeout: connectTimeoutMilliseconds });
     return new Agent({
         maxHeaderSize: maximumHeaderBytes,
@@ -35,5 +36,5 @@
                 callback(...result);
             });
         },
-    });
+    }).compose(rejectInvalidResponses());
 }
--- a/src/backends/createServiceAdapter.ts
+++ b/src/backends/createServiceAdapter.ts
@@ -16,6 +16,7 @@
 import { maximumHeaderBytes } from "./maximumHeaderBytes";
 import { readInPieces } from "./readInPieces";
 import { readJsonBody } from "./readJsonBody";
+import { rejectInvalidResponses } from "./rejectInvalidResponses";
 import { ResetCounter } from "./ResetCounter";
 import { ServiceAdapter } from "./ServiceAdapter";
 import { ServiceAdapterOptions } from "./ServiceAdapterOptions";
@@ -143,7 +144,8 @@
             bodyTimeout: 0,
             connect: buildWatchedConnector(resets, () => isConnected ||= !signal.aborted),
         });
-        return { dispatcher: client, hasSent: () => isConnected, resets, close: () => client.destroy() };
+        const dispatcher = client.compose(rejectInvalidResponses());
+        return { dispatcher, hasSent: () => isConnected, resets, close: () => client.destroy() };
     }
 }
 
--- a/src/backends/index.ts
+++ b/src/backends/index.ts
@@ -16,6 +16,7 @@
 export * from "./EngineRequest";
 export * from "./FailureCause";
 export * from "./getFailureCause";
+export * from "./getStatusProblem";
 export * from "./KvCacheStore";
 export * from "./KvCacheStoreClientOptions";
 export * from "./limitUnusedBytes";
--- /dev/null
+++ b/tests/platform/answerFaults.ts
@@ -0,0 +1,26 @@
+/*
+ * Answers that a test's server gives in place of a whole one, and that no client may take for a success.
+ */
+import type { Socket } from "node:net";
+
+/** The whole answer that a fault is made from. */
+interface WholeAnswer {
+    /** The status and reason phrase of the whole answer. */
+    statusLine: string;
+    /** The header lines, each with its line end, without the framing. */
+    fields: string;
+    /** The body. */
+    body: string;
+}
+
+type AnswerFault = (socket: Socket, whole: WholeAnswer) => void;
+
+/** The faults, by what they are. */
+export const answerFaults: Readonly<Record<string, AnswerFault>> = {
+    ...Object.fromEntries(["000", "099", "600", "999"].map(status => [`status ${status}`, sendStatus(status)])),
+};
+
+function sendStatus(status: string): AnswerFault {
+    return (socket, { fields, body }) =>
+        void socket.write(`HTTP/1.1 ${status} Odd\r\n${fields}Content-Length: ${body.length}\r\n\r\n${body}`);
+}
