--- a/src/backends/createEngineAdapter.ts
+++ b/src/backends/createEngineAdapter.ts
@@ -15,6 +15,7 @@
 import { readBody } from "./readBody";
 import { readJsonBody } from "./readJsonBody";
 import { readLines } from "./readLines";
+import { readUnusedBody } from "./readUnusedBody";
 import { streamCompletion } from "./streamCompletion";
 
 const connectTimeoutMilliseconds = 2_000;
@@ -109,7 +110,7 @@
         try {
             return await runWithTimeout(clock, cacheTransferTimeoutMilliseconds, signal, async limit => {
                 const response = await send("PUT", `/cache/${hash}`, data, limit);
-                await response.body.dump();
+                await readUnusedBody(response.body);
                 return response.statusCode === 200;
             });
         }
--- a/src/backends/createKvCacheStoreClient.ts
+++ b/src/backends/createKvCacheStoreClient.ts
@@ -11,6 +11,7 @@
 import { KvCacheStoreClientOptions } from "./KvCacheStoreClientOptions";
 import { maximumCacheBytes } from "./maximumCacheBytes";
 import { readBody } from "./readBody";
+import { readUnusedBody } from "./readUnusedBody";
 
 const requestTimeoutMilliseconds = 5_000;
 const concurrentLookups = 8;
@@ -76,7 +77,7 @@
     async function write(scope: PrefixScope, hash: string, data: Uint8Array, signal?: AbortSignal): Promise<boolean> {
         try {
             return await send("PUT", scope, hash, data, signal, async response => {
-                await response.body.dump();
+                await readUnusedBody(response.body);
                 if (response.statusCode !== 200) {
                     reportFailure(signal);
                 }
--- a/src/backends/index.ts
+++ b/src/backends/index.ts
@@ -26,6 +26,7 @@
 export * from "./readBody";
 export * from "./readJsonBody";
 export * from "./readLines";
+export * from "./readUnusedBody";
 export * from "./ResetCounter";
 export * from "./ResponsePart";
 export * from "./ServiceAdapter";
--- a/tests/platform/answerFaults.ts
+++ b/tests/platform/answerFaults.ts
@@ -18,9 +18,22 @@
 /** The faults, by what they are. */
 export const answerFaults: Readonly<Record<string, AnswerFault>> = {
     ...Object.fromEntries(["000", "099", "600", "999"].map(status => [`status ${status}`, sendStatus(status)])),
+    "less than its length": (socket, whole) =>
+        void socket.end(getPart({ ...whole, fields: `${whole.fields}Content-Length: 1000\r\n` }, whole.body)),
+    "chunks without the last one": (socket, whole) =>
+        void socket.end(
+            getPart(
+                { ...whole, fields: `${whole.fields}Transfer-Encoding: chunked\r\n` },
+                `${whole.body.length.toString(16)}\r\n${whole.body}\r\n`,
+            ),
+        ),
 };
 
 function sendStatus(status: string): AnswerFault {
     return (socket, { fields, body }) =>
         void socket.write(`HTTP/1.1 ${status} Odd\r\n${fields}Content-Length: ${body.length}\r\n\r\n${body}`);
 }
+
+function getPart({ statusLine, fields }: WholeAnswer, text: string): string {
+    return `HTTP/1.1 ${statusLine}\r\n${fields}\r\n${text}`;
+}
--- a/tests/platform/truncatedCalls.tests.ts
+++ b/tests/platform/truncatedCalls.tests.ts
@@ -110,6 +110,21 @@
         });
     }
 
+    it("finds a server sound whose response to a probe has no end, and closes the connection", async () => {
+        let isClosed = false;
+        const server = await startRawServer(socket => {
+            socket.on("close", () => isClosed = true);
+            socket.write(`HTTP/1.1 200 OK\r\n\r\n${"x".repeat(262_144)}`);
+        });
+        const probe = calls["a probe of a plain server"]!;
+        expect(await probe.succeeds(server.address, AbortSignal.timeout(10_000))).to.equal(true);
+        for (let count = 0; !isClosed && count < 400; count++) {
+            await new Promise(resolve => setTimeout(resolve, 5));
+        }
+        expect(isClosed).to.equal(true);
+        await server.stop();
+    });
+
     ["000", "099", "600", "999"].forEach(status => {
         it(`is not judged by an assertion of the HTTP client (status ${status})`, async () => {
             const server = await startRawServer(socket =>
