--- a/src/backends/createBackendAgent.ts
+++ b/src/backends/createBackendAgent.ts
@@ -3,6 +3,7 @@
  */
 import type { Socket } from "node:net";
 import { Agent, buildConnector, Dispatcher } from "undici";
+import { createResetCounter } from "./createResetCounter";
 import { maximumHeaderBytes } from "./maximumHeaderBytes";
 import { readInPieces } from "./readInPieces";
 import { rejectInvalidResponses } from "./rejectInvalidResponses";
@@ -11,8 +12,6 @@
 interface BackendAgentOptions extends Omit<Agent.Options, "connect"> {
     /** The connection timeout, in milliseconds. */
     connectTimeoutMilliseconds?: number;
-    /** Called with each connection that was opened. */
-    onConnected?(socket: Socket): void;
 }
 
 /**
@@ -20,9 +19,10 @@
  * @param options - Further options of undici's agent.
  */
 export function createBackendAgent(
-    { connectTimeoutMilliseconds, onConnected, ...options }: BackendAgentOptions,
+    { connectTimeoutMilliseconds, ...options }: BackendAgentOptions,
 ): Dispatcher {
     const connect = buildConnector({ timeout: connectTimeoutMilliseconds });
+    const resets = createResetCounter();
     return new Agent({
         maxHeaderSize: maximumHeaderBytes,
         ...options,
@@ -31,10 +31,10 @@
                 const socket = result[1] as Socket | null;
                 if (socket) {
                     readInPieces(socket);
-                    onConnected?.(socket);
+                    resets.watch(socket);
                 }
                 callback(...result);
             });
         },
-    }).compose(rejectInvalidResponses());
+    }).compose(rejectInvalidResponses(resets));
 }
--- a/src/backends/createServiceAdapter.ts
+++ b/src/backends/createServiceAdapter.ts
@@ -1,8 +1,7 @@
 /*
  * An HTTP adapter for a plain service, based on the undici library. A call that is not idempotent gets a dedicated
  * connection: on a pooled connection that the service is closing at the same time, it would be unknown whether the
- * service has received the call. A response that ends with its connection is complete only if the connection was not
- * reset; on pooled connections, a reset of another one at the same time counts as well.
+ * service has received the call.
  */
 import type { Socket } from "node:net";
 import { buildConnector, Client, Dispatcher } from "undici";
@@ -44,8 +43,6 @@
     dispatcher: Dispatcher;
     /** Returns whether any byte of the call may have been sent, given the error that it failed with. */
     hasSent(thrown: unknown): boolean;
-    /** Counts the resets of the connection. */
-    resets: ResetCounter;
     close(): Promise<void>;
 }
 
@@ -56,10 +53,8 @@
 export function createServiceAdapter(options: ServiceAdapterOptions): ServiceAdapter & { stop(): Promise<void>; } {
     const { address } = options;
     const clock = createSystemClock();
-    const agentResets = createResetCounter();
     const agent = createBackendAgent({
         connectTimeoutMilliseconds,
-        onConnected: agentResets.watch,
         keepAliveTimeout: keepAliveMilliseconds,
         headersTimeout: 0,
         bodyTimeout: 0,
@@ -73,7 +68,6 @@
             return;
         }
         const connection = work.idempotent ? getPooledConnection(signal) : openDedicatedConnection(signal);
-        const formerResetCount = connection.resets.getCount();
         try {
             const response = await connection.dispatcher.request({
                 origin: address,
@@ -92,11 +86,6 @@
             for await (const data of response.body as AsyncIterable<Uint8Array>) {
                 yield { kind: "body", data };
             }
-            if (endsWithConnection(response) && connection.resets.getCount() > formerResetCount) {
-                const message = "The connection was reset before the end of the answer";
-                yield { kind: "failed", hasSent: true, message, cause: FailureCause.ConnectionLost };
-                return;
-            }
             yield { kind: "end" };
         }
         catch (error) {
@@ -128,7 +117,6 @@
         return {
             dispatcher: agent,
             hasSent: thrown => getFailureCause(thrown, signal) !== FailureCause.Unreachable,
-            resets: agentResets,
             close: () => Promise.resolve(),
         };
     }
@@ -144,8 +132,8 @@
             bodyTimeout: 0,
             connect: buildWatchedConnector(resets, () => isConnected ||= !signal.aborted),
         });
-        const dispatcher = client.compose(rejectInvalidResponses());
-        return { dispatcher, hasSent: () => isConnected, resets, close: () => client.destroy() };
+        const dispatcher = client.compose(rejectInvalidResponses(resets));
+        return { dispatcher, hasSent: () => isConnected, close: () => client.destroy() };
     }
 }
 
@@ -165,11 +153,6 @@
     };
 }
 
-/** Returns whether the end of the connection marks the end of a response. */
-function endsWithConnection({ headers }: Dispatcher.ResponseData): boolean {
-    return headers["content-length"] === undefined && headers["transfer-encoding"] === undefined;
-}
-
 function createRequestIdMismatch(): ServiceEvent {
     const message = "The answer bears the id of another request";
     return { kind: "failed", hasSent: true, message, cause: FailureCause.RequestIdMismatch };
