--- a/tests/wholePath/startTestDeployment.ts
+++ b/tests/wholePath/startTestDeployment.ts
@@ -50,6 +50,7 @@
             lockers: [
                 { method: "POST", path: "/release", idempotent: false },
                 { method: "GET", path: "/status", idempotent: true },
+                { method: "POST", path: "/report", idempotent: true },
             ],
         },
     },
@@ -70,8 +71,13 @@
  * Starts a deployment. All its listeners are on loopback, on ports that the operating system chooses.
  * @param engineCount - The number of engines, which all serve one model.
  * @param identity - The TLS identity of the listener for callers; plain HTTP where undefined.
+ * @param serviceAddresses - The addresses of servers that take the place of the service's stand-in.
  */
-export async function startTestDeployment(engineCount: number, identity?: TlsIdentity): Promise<TestDeployment> {
+export async function startTestDeployment(
+    engineCount: number,
+    identity?: TlsIdentity,
+    serviceAddresses?: readonly string[],
+): Promise<TestDeployment> {
     const clock = createSystemClock();
     const logger = createSilentLogger();
     const metrics = createMetrics();
@@ -86,8 +92,11 @@
         await addSidecar(`companion-${index}`, "large", { kind: "engine", adapter, index: createEmptyIndex() });
     }
     const service = await startServiceStandIn({});
-    const serviceAdapter = createServiceAdapter({ address: service.address });
-    await addSidecar("companion-service", "lockers", { kind: "service", adapter: serviceAdapter });
+    for (const [index, address] of (serviceAddresses ?? [service.address]).entries()) {
+        const serviceAdapter = createServiceAdapter({ address });
+        const instanceId = index === 0 ? "companion-service" : `companion-service-${index}`;
+        await addSidecar(instanceId, "lockers", { kind: "service", adapter: serviceAdapter });
+    }
     const configurationView = createConfigurationView({});
     const parsedConfiguration = parseConfigurationFile(configuration, "/");
     if (parsedConfiguration.kind !== "read") {
