--- a/tests/platform/callers/refusedBodies.tests.ts
+++ b/tests/platform/callers/refusedBodies.tests.ts
@@ -97,6 +97,29 @@
         expect(await caller.waitForStatuses(1)).to.deep.equal([408]);
     });
 
+    // Guards against a request that is forwarded although its caller was told by 408 that it has not run.
+    it("does not forward a request whose head was refused and ends afterwards", async () => {
+        const unreadBytes = 2_500_000;
+        let forwardedCount = 0;
+        const slowlyRead = await startTestCallerServer((_request, reply) => {
+            forwardedCount += 1;
+            reply.send({ status: 200, headers: [] }, Buffer.alloc(unreadBytes));
+        }, { memoryBytes: 200_000 });
+        const caller = openRawCaller(slowlyRead);
+        caller.socket.pause();
+        caller.socket.write(`${head}Content-Length: 0\r\n\r\n`);
+        await sleep(600);
+        caller.socket.write(`${head}Filling: ${"a".repeat(12_000)}`);
+        await sleep(600);
+        caller.socket.write("\r\nContent-Length: 0\r\n\r\n");
+        await sleep(300);
+        caller.socket.resume();
+        expect(await caller.waitForStatuses(2)).to.deep.equal([200, 408]);
+        expect(forwardedCount).to.equal(1);
+        slowlyRead.server.closeAllConnections();
+        slowlyRead.server.close();
+    });
+
     // Its bytes are not those of a head, though a response on its connection has ended before.
     it("reads a slow body behind another request on its connection", async () => {
         const caller = openRawCaller(callerServer);
