--- a/src/requestMemory/createRequestMemory.ts
+++ b/src/requestMemory/createRequestMemory.ts
@@ -9,7 +9,7 @@
 import { BodyAccount } from "./BodyAccount";
 import { BodyReader } from "./BodyReader";
 import { BodyState } from "./BodyState";
-import { findStalledBody } from "./findStalledBody";
+import { getStalledBodies } from "./getStalledBodies";
 import { RequestMemory } from "./RequestMemory";
 
 /** Bodies up to this size are small, in bytes: nearly all of those that callers send. */
@@ -117,9 +117,10 @@
         return false;
     }
 
-    function fits({ reservedBytes, excessBytes }: Body, bytes: number): boolean {
+    /** Returns whether there is room for a body, also with what others would free. */
+    function fits({ reservedBytes, excessBytes }: Body, bytes: number, freedBytes = 0): boolean {
         const share = bytes <= smallBodyBytes ? 1 : largeShare;
-        return totalBytes - reservedBytes - excessBytes + bytes <= share * getMaximumBytes();
+        return totalBytes - freedBytes - reservedBytes - excessBytes + bytes <= share * getMaximumBytes();
     }
 
     function grant(body: Body, bytes: number): void {
@@ -243,17 +244,42 @@
         isChecking = false;
     }
 
-    function check(nowMilliseconds: number): void {
-        for (;;) {
-            const stalled = getWaitingCount() > 0 || refusedConnectionCount > 0
-                ? findStalledBody(bodies, nowMilliseconds)
-                : undefined;
-            if (!stalled) {
+    /**
+     * Refuses bodies without progress until those that wait fit; none for one that doesn't fit even then. Small bodies are
+     * refused for a large one only if the large ones don't suffice.
+     * @param stalled - The bodies without progress, in the order in which they are refused.
+     * @returns The number of refused bodies.
+     */
+    function relieveWaiting(stalled: readonly Body[]): number {
+        let refusedCount = 0;
+        for (let waiting = getWaiting().at(0); waiting; waiting = getWaiting().at(0)) {
+            const { requestedBytes = 0 } = waiting;
+            const candidates = stalled.filter(body => bodies.has(body) && getBytes(body) > 0);
+            const large = candidates.filter(body => getBytes(body) > smallBodyBytes);
+            const chosen = [large, candidates].find(group =>
+                fits(waiting!, requestedBytes, group.reduce((sum, body) => sum + getBytes(body), 0))
+            );
+            const first = chosen?.at(0);
+            if (!first) {
                 break;
             }
-            refuse(stalled, "overloaded");
-            refusedConnectionCount = Math.max(0, refusedConnectionCount - 1);
+            refuse(first, "overloaded");
+            refusedCount += 1;
         }
+        return refusedCount;
+    }
+
+    function getBytes({ reservedBytes, excessBytes }: Body): number {
+        return reservedBytes + excessBytes;
+    }
+
+    function check(nowMilliseconds: number): void {
+        const stalled = getWaitingCount() > 0 || refusedConnectionCount > 0
+            ? getStalledBodies(bodies, nowMilliseconds)
+            : [];
+        const refusedCount = relieveWaiting(stalled);
+        const connectionCount = Math.max(0, refusedConnectionCount - refusedCount);
+        stalled.filter(body => bodies.has(body)).slice(0, connectionCount).forEach(body => refuse(body, "overloaded"));
         refusedConnectionCount = 0;
         for (const body of [...bodies]) {
             if (
--- a/src/requestMemory/findStalledBody.ts
+++ b/src/requestMemory/getStalledBodies.ts
@@ -1,5 +1,5 @@
 /*
- * Decides which body is refused first if others need its memory or its connection. Addresses clients that send the larger part
+ * Decides the order in which bodies are refused if others need its memory or its connection. Addresses clients that send the larger part
  * of a body and keep the connection open: they make no progress, whereas a slow but honest client makes some.
  */
 import { BodyState } from "./BodyState";
@@ -10,12 +10,12 @@
 const equalMilliseconds = 100;
 
 /**
- * Finds the body that has made no progress for longest; of several, the one that occupies most. Bodies that wait for memory
+ * Gets the bodies that have made no progress for some time: the one without for longest first, of several the largest. Bodies that wait for memory
  * are not read, so that their lack of progress is not their fault.
  * @param bodies - The bodies.
  * @param nowMilliseconds - The time, on the monotonic clock, in milliseconds.
  */
-export function findStalledBody<T extends BodyState>(bodies: Iterable<T>, nowMilliseconds: number): T | undefined {
+export function getStalledBodies<T extends BodyState>(bodies: Iterable<T>, nowMilliseconds: number): readonly T[] {
     return [...bodies]
         .filter(body =>
             !body.isComplete && body.requestedBytes === undefined
@@ -25,8 +25,7 @@
             getAge(right, nowMilliseconds) - getAge(left, nowMilliseconds)
             || getBytes(right) - getBytes(left)
             || left.progressMilliseconds - right.progressMilliseconds
-        )
-        .at(0);
+        );
 }
 
 function getAge({ progressMilliseconds }: BodyState, nowMilliseconds: number): number {
--- a/tests/platform/callers/refusedBodies.tests.ts
+++ b/tests/platform/callers/refusedBodies.tests.ts
@@ -120,6 +120,33 @@
         slowlyRead.server.close();
     });
 
+    // A head without its body would otherwise be kept as long as the client likes.
+    it("refuses a head above the limit of the routing document before its body has arrived", async () => {
+        const caller = openRawCaller(callerServer);
+        caller.socket.write(`${head}Filling: ${"a".repeat(17_000)}\r\nContent-Length: 10\r\n\r\n`);
+        expect(await caller.waitForStatuses(1)).to.deep.equal([431]);
+        expect(caller.getText().toLowerCase()).to.include("connection: close");
+        expect(bodyLengths).to.deep.equal([]);
+    });
+
+    it("refuses a whole head without its body where there is no memory for another one, and takes the other one", async () => {
+        // Room for one of these heads.
+        const limited = await startTestCallerServer((_request, reply) => {
+            reply.send({ status: 200, headers: [] }, Buffer.from("ok"));
+        }, { memoryBytes: 800_000 });
+        const largeHead = `${head}Filling: ${"a".repeat(12_000)}\r\nContent-Length: 10\r\n\r\n`;
+        const waiting = openRawCaller(limited);
+        waiting.socket.write(largeHead);
+        await sleep(100);
+        const whole = openRawCaller(limited);
+        whole.socket.write(`${largeHead}0123456789`);
+        expect(await whole.waitForStatuses(1)).to.deep.equal([200]);
+        waiting.socket.write("0123456789");
+        expect(await waiting.waitForStatuses(1)).to.deep.equal([503]);
+        limited.server.closeAllConnections();
+        limited.server.close();
+    });
+
     // Its bytes are not those of a head, though a response on its connection has ended before.
     it("reads a slow body behind another request on its connection", async () => {
         const caller = openRawCaller(callerServer);
--- a/tests/platform/crowds/crowds.tests.ts
+++ b/tests/platform/crowds/crowds.tests.ts
@@ -68,6 +68,19 @@
     partCount: 0,
 };
 
+/** Whole heads without their bodies: one large header, and very many short ones. */
+const largeHeads: CrowdRequest = {
+    ...unfinishedHeads,
+    lengthHeader: `Filling: ${"a".repeat(60_000)}\r\nContent-Length: 10`,
+    headEnd: "\r\n\r\n",
+};
+const manyHeaders: CrowdRequest = {
+    ...largeHeads,
+    lengthHeader: `${"abcdefgh: aaaaaaaaaaaaaaaa\r\n".repeat(1_900)}Content-Length: 10`,
+};
+/** The same within the limit of the routing document. */
+const legalHeaders: CrowdRequest = { ...largeHeads, lengthHeader: `${"a:b\r\n".repeat(1_900)}Content-Length: 10` };
+
 describe("crowds of untrusted clients", () => {
     let deployment: CrowdDeployment | undefined;
     afterEach(() => deployment?.stop());
@@ -120,6 +133,12 @@
 
         it("that send heads without their end", () =>
             doTest("entry", unfinishedHeads, "caller", "/read/ordinary", instanceDescriptors));
+        it("that send heads with a large header, and not their bodies", () =>
+            doTest("entry", largeHeads, "caller", "/read/ordinary", instanceDescriptors));
+        it("that send heads with very many headers, and not their bodies", () =>
+            doTest("entry", manyHeaders, "caller", "/read/ordinary", instanceDescriptors));
+        it("that send heads with very many headers of legal size, and not their bodies", () =>
+            doTest("entry", legalHeaders, "caller", "/read/ordinary", instanceDescriptors));
 
         // A limit on crowds must not reach a client that sends slowly and is alone.
         it("serve a slow client that pauses for seconds in its body", async () => {
--- a/tests/requestMemory/createRequestMemory.tests.ts
+++ b/tests/requestMemory/createRequestMemory.tests.ts
@@ -133,6 +133,38 @@
             ["a reserved", "b reserved", "c reserved", "a overloaded", "b overloaded"],
             10,
         ));
+    // An honest client that pauses would be refused in vain.
+    it("keeps bodies without progress that occupy nothing", () =>
+        doTest(
+            [["a", "reserve", 768], ["a", "complete", 768], ["b", "arrive", 0], ["c", "reserve", 500], ["wait", 1_000], [
+                "b",
+                "reserve",
+                10,
+            ]],
+            ["a reserved", "c waits", "b reserved"],
+            778,
+        ));
+    it("keeps bodies without progress whose memory would not suffice for the one that waits", () =>
+        doTest(
+            [["a", "reserve", 600], ["a", "complete", 600], ["b", "reserve", 100], ["c", "reserve", 500], ["wait", 1_000]],
+            ["a reserved", "b reserved", "c waits"],
+            700,
+        ));
+    it("refuses large bodies without progress first, and no more of them than the one that waits needs", () =>
+        doTest(
+            [
+                ["small", "reserve", 10],
+                ["wait", 150],
+                ["a", "reserve", 300],
+                ["wait", 150],
+                ["b", "reserve", 300],
+                ["wait", 200],
+                ["c", "reserve", 300],
+                ["wait", 750],
+            ],
+            ["small reserved", "a reserved", "b reserved", "c waits", "c granted", "a overloaded"],
+            610,
+        ));
     it("reserves nothing for a body whose account has been closed", () =>
         doTest(
             [["a", "reserve", 100], ["a", "close"], ["a", "reserve", 200], ["a", "excess", 10]],
--- a/tests/requestMemory/findStalledBody.tests.ts
+++ b/tests/requestMemory/getStalledBodies.tests.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
-import { BodyState, findStalledBody } from "../../src/requestMemory";
+import { BodyState, getStalledBodies } from "../../src/requestMemory";
 
-describe("findStalledBody", () => {
+describe("getStalledBodies", () => {
     const nowMilliseconds = 100_000;
 
     /** Finds among bodies, given by their time without progress in milliseconds. */
@@ -17,7 +17,7 @@
             isComplete: false,
             ...changes,
         }));
-        expect(findStalledBody(states, nowMilliseconds)?.name).to.equal(expected);
+        expect(getStalledBodies(states, nowMilliseconds).at(0)?.name).to.equal(expected);
     }
 
     it("finds the one without progress for longest, also if another one occupies more", () =>
