--- a/src/entry/readBody.ts
+++ b/src/entry/readBody.ts
@@ -29,6 +29,9 @@
     }
     const closed = new AbortController();
     response.on("close", () => closed.abort());
+    if (response.destroyed) {
+        closed.abort();
+    }
     const outcome = await readRequestBody({
         request,
         getMaximumBytes: () => maximumBytes,
--- a/src/requestMemory/createRequestMemory.ts
+++ b/src/requestMemory/createRequestMemory.ts
@@ -20,10 +20,14 @@
 const excessShare = 7 / 8;
 /** How long a body waits for memory, in milliseconds: its caller has time to send the request to another entry process. */
 const maximumWaitMilliseconds = 2_000;
+/** Responses that have taken this long since their bodies arrived count as long ones, in milliseconds. */
+const longResponseMilliseconds = 500;
 /** How long nothing of a body may arrive, in milliseconds, also without a shortage; callers pause for seconds at most. */
 const maximumPauseMilliseconds = 60_000;
 /** Fewer bytes are no progress in a shortage; a client could keep its memory with a byte now and then. */
-const progressBytes = 1_024;
+const minimumProgressBytes = 1_024;
+/** Nor is a smaller part of what a body reserves: 16 KB a second for 4 MiB. Slow senders would keep all of the memory. */
+const progressShare = 1 / 512;
 /** How many bodies that are too large may be discarded at the same time; the connections of others are closed. */
 const maximumDiscardCount = 8;
 const checkMilliseconds = 250;
@@ -60,6 +64,7 @@
     const bodies = new Set<Body>();
     let totalBytes = 0;
     let incompleteCount = 0;
+    let waitingCount = 0;
     let discardCount = 0;
     let isChecking = false;
     /** The connections that were refused since the last check. */
@@ -67,13 +72,13 @@
     let unloggedCount = 0;
     let loggedMilliseconds = -Infinity;
     metrics.addGauge(GaugeName.RequestMemory, () => totalBytes);
-    metrics.addGauge(GaugeName.RequestsWaitingForMemory, getWaitingCount);
+    metrics.addGauge(GaugeName.RequestsWaitingForMemory, () => waitingCount);
     return {
         open,
         startDiscarding,
         relieveConnections: () => void (refusedConnectionCount += 1),
         getBytes: () => totalBytes,
-        getWaitingCount,
+        getWaitingCount: () => waitingCount,
     };
 
     function open(reader: BodyReader): BodyAccount {
@@ -112,11 +117,27 @@
             grant(body, bytes);
             return true;
         }
+        const nowMilliseconds = clock.getMonotonicMilliseconds();
+        if (!fits(body, bytes, totalBytes - getBytes(body) - getLongHeldBytes(nowMilliseconds))) {
+            refuse(body, "overloaded");
+            return false;
+        }
+        stopWaiting(body);
         body.requestedBytes = bytes;
-        body.waitingSinceMilliseconds = clock.getMonotonicMilliseconds();
+        body.waitingSinceMilliseconds = nowMilliseconds;
+        waitingCount += 1;
         return false;
     }
 
+    /** Gets what bodies occupy whose responses take long, so that it will hardly be free while another body waits. */
+    function getLongHeldBytes(nowMilliseconds: number): number {
+        return [...bodies]
+            .filter(({ isComplete, arrivalMilliseconds }) =>
+                isComplete && nowMilliseconds - arrivalMilliseconds >= longResponseMilliseconds
+            )
+            .reduce((sum, body) => sum + getBytes(body), 0);
+    }
+
     /** Returns whether there is room for a body, also with what others would free. */
     function fits({ reservedBytes, excessBytes }: Body, bytes: number, freedBytes = 0): boolean {
         const share = bytes <= smallBodyBytes ? 1 : largeShare;
@@ -125,11 +146,16 @@
 
     function grant(body: Body, bytes: number): void {
         setBytes(body, bytes, 0);
-        body.requestedBytes = undefined;
+        stopWaiting(body);
         body.progressMilliseconds = clock.getMonotonicMilliseconds();
         body.arrivalMilliseconds = body.progressMilliseconds;
     }
 
+    function stopWaiting(body: Body): void {
+        waitingCount -= body.requestedBytes === undefined ? 0 : 1;
+        body.requestedBytes = undefined;
+    }
+
     function setBytes(body: Body, reservedBytes: number, excessBytes: number): void {
         totalBytes += reservedBytes + excessBytes - body.reservedBytes - body.excessBytes;
         body.reservedBytes = reservedBytes;
@@ -151,7 +177,7 @@
     function recordArrival(body: Body, bytes: number): void {
         body.arrivalMilliseconds = clock.getMonotonicMilliseconds();
         body.newBytes += bytes;
-        if (body.newBytes >= progressBytes) {
+        if (body.newBytes >= Math.max(minimumProgressBytes, progressShare * body.reservedBytes)) {
             body.newBytes = 0;
             body.progressMilliseconds = body.arrivalMilliseconds;
         }
@@ -160,7 +186,7 @@
     function complete(body: Body, bytes: number): void {
         if (bodies.has(body) && !body.isComplete) {
             body.isComplete = true;
-            body.requestedBytes = undefined;
+            stopWaiting(body);
             incompleteCount -= 1;
             setBytes(body, bytes, 0);
             grantWaiting();
@@ -169,6 +195,7 @@
 
     function close(body: Body): void {
         if (bodies.delete(body)) {
+            stopWaiting(body);
             incompleteCount -= body.isComplete ? 0 : 1;
             totalBytes -= body.reservedBytes + body.excessBytes;
             grantWaiting();
@@ -177,6 +204,9 @@
 
     /** Grants what bodies wait for in the order of their arrival, first to small ones. */
     function grantWaiting(): void {
+        if (waitingCount === 0) {
+            return;
+        }
         for (const body of getWaiting()) {
             if (body.requestedBytes !== undefined && fits(body, body.requestedBytes)) {
                 grant(body, body.requestedBytes);
@@ -195,10 +225,6 @@
         return [...small, ...waiting.filter(body => !small.includes(body))];
     }
 
-    function getWaitingCount(): number {
-        return [...bodies].filter(({ requestedBytes }) => requestedBytes !== undefined).length;
-    }
-
     function refuse(body: Body, reason: "overloaded" | "timedOut"): void {
         unloggedCount += 1;
         metrics.addCount(
@@ -211,7 +237,7 @@
                 refusedCount: unloggedCount,
                 bodyBytes: body.reservedBytes + body.excessBytes,
                 withoutProgressMilliseconds: Math.round(nowMilliseconds - body.progressMilliseconds),
-                waitingCount: getWaitingCount(),
+                waitingCount,
                 totalBytes,
                 maximumBytes: getMaximumBytes(),
             }, "refused bodies");
@@ -274,7 +300,7 @@
     }
 
     function check(nowMilliseconds: number): void {
-        const stalled = getWaitingCount() > 0 || refusedConnectionCount > 0
+        const stalled = waitingCount > 0 || refusedConnectionCount > 0
             ? getStalledBodies(bodies, nowMilliseconds)
             : [];
         const refusedCount = relieveWaiting(stalled);
--- a/src/requestMemory/getRequestMemoryBytes.ts
+++ b/src/requestMemory/getRequestMemoryBytes.ts
@@ -7,6 +7,10 @@
  * requests, and up to 32 MB of received chunks between two collections of garbage.
  */
 const memoryShare = 1 / 10;
+/** The memory of the smallest processes, for which this share was measured, in bytes. */
+const smallestMemoryBytes = 160 * 1_048_576;
+/** The share of the memory beyond that; what the process occupies without requests doesn't grow with it. */
+const furtherMemoryShare = 1 / 4;
 /** How much more than the largest body the memory is at least; large bodies may reserve three quarters of it. */
 const largestBodyFactor = 1.5;
 
@@ -16,5 +20,10 @@
  * @param maximumBodyBytes - The maximum size of a body, in bytes.
  */
 export function getRequestMemoryBytes(memoryBytes: number | undefined, maximumBodyBytes: number): number {
-    return Math.max(memoryShare * (memoryBytes ?? Infinity), largestBodyFactor * maximumBodyBytes);
+    const processBytes = memoryBytes ?? Infinity;
+    return Math.max(
+        memoryShare * Math.min(processBytes, smallestMemoryBytes)
+            + furtherMemoryShare * Math.max(0, processBytes - smallestMemoryBytes),
+        largestBodyFactor * maximumBodyBytes,
+    );
 }
--- a/src/requestMemory/readRequestBody.ts
+++ b/src/requestMemory/readRequestBody.ts
@@ -46,6 +46,10 @@
         request.resume();
         return Promise.resolve({ kind: "read", body: Buffer.alloc(0) });
     }
+    if (request.destroyed || signal.aborted) {
+        // Neither would be announced again.
+        return Promise.resolve({ kind: "aborted" });
+    }
     return new Promise(resolve => {
         const flow = controlFlow(request);
         const account = memory.open({ grant, refuse: reason => end({ kind: reason }) });
--- a/tests/entry/readBody.tests.ts
+++ b/tests/entry/readBody.tests.ts
@@ -62,6 +62,34 @@
             [["Transfer-Encoding: chunked", `50000\r\n${"a".repeat(0x50000)}\r\n0\r\n\r\n`]],
             ["BODY_TOO_LARGE"],
         ));
+    // Neither the request nor the response would announce its end again.
+    it("refuses a body whose connection was closed before", async () => {
+        const memory = createRequestMemory({
+            getMaximumBytes: () => 400_000,
+            pollConnections,
+            clock: createSystemClock(),
+            metrics: createMetrics(),
+            logger: createSilentLogger(),
+        });
+        const closing = createServer((request, response) => {
+            request.socket.destroy();
+            response.once("close", () =>
+                void pollConnections().then(() => readBody(request, response, maximumBytes, memory)).then(outcome =>
+                    outcomes.push(outcome.kind)
+                ));
+        });
+        closing.listen(0, "127.0.0.1");
+        await once(closing, "listening");
+        const socket = createConnection((closing.address() as AddressInfo).port, "127.0.0.1");
+        socket.on("error", () => undefined);
+        socket.write("POST / HTTP/1.1\r\nHost: one.example\r\nContent-Length: 10\r\n\r\n");
+        while (outcomes.length === 0) {
+            await pollConnections();
+        }
+        expect(outcomes).to.deep.equal(["refused"]);
+        expect(memory.getBytes()).to.equal(0);
+        closing.close();
+    });
     // Two bodies of this size need more memory than there is.
     it("refuses a body that stops short where another one waits for memory", () =>
         doTest(
--- a/tests/platform/callers/refusedBodies.tests.ts
+++ b/tests/platform/callers/refusedBodies.tests.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import { setTimeout as sleep } from "node:timers/promises";
 import { CallerServer } from "../../../platform/callers";
+import { createPlannedStop } from "../../../src/forwarding";
 import { createSystemClock } from "../../../src/runtime";
 import { createTestDocument } from "../../documents/createTestDocument";
 import { createTestFeedState } from "../../feed/createTestFeed";
@@ -120,6 +121,48 @@
         slowlyRead.server.close();
     });
 
+    // Guards against refusals of honest uploads, which a larger process has the memory for.
+    it("reads five bodies of the largest size that arrive slowly at the same time", async () => {
+        const largestBytes = 4_194_304;
+        const { limits } = createTestDocument();
+        const changes = { limits: { ...limits, maximumBodyBytes: largestBytes } };
+        const state = createTestFeedState(createSystemClock(), [], changes);
+        const larger = await startTestCallerServer((_request, reply) => {
+            reply.send({ status: 200, headers: [] }, Buffer.from("ok"));
+        }, { state, memoryBytes: 210 * 1_048_576 });
+        const callers = Array.from({ length: 5 }, () => openRawCaller(larger));
+        callers.forEach(({ socket }) => socket.write(`${head}Content-Length: ${largestBytes}\r\n\r\n`));
+        for (let index = 0; index < 16; index++) {
+            callers.forEach(({ socket }) => socket.write(Buffer.alloc(largestBytes / 16)));
+            await sleep(200);
+        }
+        const statuses = await Promise.all(callers.map(caller => caller.waitForStatuses(1)));
+        expect(statuses).to.deep.equal(callers.map(() => [200]));
+        larger.server.closeAllConnections();
+        larger.server.close();
+    });
+
+    // The unread bytes would reset the connection, and the refusal would be lost.
+    it("refuses a body that waits for memory when the process ends soon, with its connection closed", async () => {
+        const plannedStop = createPlannedStop(createSystemClock());
+        const { limits } = createTestDocument();
+        const state = createTestFeedState(createSystemClock(), [], { limits: { ...limits, maximumBodyBytes } });
+        const stopping = await startTestCallerServer(() => undefined, { state, memoryBytes: 1, plannedStop });
+        const callers = [openRawCaller(stopping), openRawCaller(stopping)];
+        for (const { socket } of callers) {
+            socket.write(legalHead);
+            socket.write(Buffer.alloc(maximumBodyBytes - 10));
+            await sleep(100);
+        }
+        plannedStop.begin(100, 200);
+        for (const caller of callers) {
+            expect(await caller.waitForStatuses(1)).to.deep.equal([503]);
+            expect(caller.getText().toLowerCase()).to.include("connection: close").and.to.include("draining");
+        }
+        stopping.server.closeAllConnections();
+        stopping.server.close();
+    });
+
     // A head without its body would otherwise be kept as long as the client likes.
     it("refuses a head above the limit of the routing document before its body has arrived", async () => {
         const caller = openRawCaller(callerServer);
--- a/tests/platform/crowds/crowds.tests.ts
+++ b/tests/platform/crowds/crowds.tests.ts
@@ -92,6 +92,7 @@
      * @param listener - Where they send it to.
      * @param answeredTarget - What an ordinary client requests afterwards, while the others keep their connections.
      * @param maximumDescriptors - The descriptors of the processes.
+     * @param mustClose - Whether the server must close all connections of the crowd.
      */
     async function doTest(
         role: "control" | "entry",
@@ -99,6 +100,7 @@
         listener: keyof CrowdProcess["addresses"],
         answeredTarget: string,
         maximumDescriptors = crowdDescriptors,
+        mustClose = false,
     ): Promise<void> {
         deployment = await startCrowdDeployment(maximumDescriptors);
         const process = deployment[role];
@@ -113,6 +115,10 @@
         });
         expect(process.isAlive(), `alive, after ${peakMegabytes} MB`).to.equal(true);
         const status = await getStatus(address, answeredTarget);
+        for (const end = performance.now() + answerTimeoutMilliseconds; mustClose && crowd.getOpenCount() > 0;) {
+            expect(performance.now(), `${crowd.getOpenCount()} open connections`).to.be.below(end);
+            await sleep(100);
+        }
         crowd.close();
         expect(status, "ordinary request").to.equal(200);
         expect(process.isAlive(), "alive after the ordinary request").to.equal(true);
@@ -164,9 +170,11 @@
     });
 
     describe("at the other servers of an entry process", () => {
-        it("that send bodies to its readiness check", () => doTest("entry", farOverAnnounced, "readiness", "/"));
+        // These servers would otherwise read bodies of any length, and keep the connections for the rest.
+        it("that send bodies to its readiness check", () =>
+            doTest("entry", farOverAnnounced, "readiness", "/", crowdDescriptors, true));
         it("that send bodies to its metrics", () =>
-            doTest("entry", { ...farOverSent, target: "/metrics" }, "metrics", "/metrics"));
+            doTest("entry", { ...farOverSent, target: "/metrics" }, "metrics", "/metrics", crowdDescriptors, true));
         it("that open more connections to its metrics than there are descriptors", () =>
             doTest("entry", { ...whole, count: 600, part: smallPart, target: "/metrics" }, "metrics", "/metrics"));
     });
--- a/tests/platform/crowds/startCrowd.ts
+++ b/tests/platform/crowds/startCrowd.ts
@@ -34,6 +34,8 @@
 interface Crowd {
     /** Gets the statuses of the responses that have arrived. */
     getStatuses(): readonly number[];
+    /** Gets the number of connections that the server has not closed. */
+    getOpenCount(): number;
     /** Closes all connections. */
     close(): void;
 }
@@ -74,7 +76,11 @@
         await sleep(pollMilliseconds);
         check();
     }
-    return { getStatuses: () => statuses, close: () => sockets.forEach(socket => socket.destroy()) };
+    return {
+        getStatuses: () => statuses,
+        getOpenCount: () => sockets.filter(({ closed }) => !closed).length,
+        close: () => sockets.forEach(socket => socket.destroy()),
+    };
 }
 
 async function sendRequest(socket: Socket, crowdRequest: CrowdRequest): Promise<void> {
--- a/tests/requestMemory/createRequestMemory.tests.ts
+++ b/tests/requestMemory/createRequestMemory.tests.ts
@@ -133,6 +133,27 @@
             ["a reserved", "b reserved", "c reserved", "a overloaded", "b overloaded"],
             10,
         ));
+    // It would wait in vain, and its caller could try another entry process meanwhile.
+    it("refuses a body at once where responses that take long keep the memory", () =>
+        doTest(
+            [["a", "reserve", 700], ["a", "complete", 700], ["wait", 600], ["b", "reserve", 500]],
+            ["a reserved", "b overloaded", "b waits"],
+            700,
+        ));
+    it("takes a small part of a large body for no progress where another one waits", () =>
+        doTest(
+            [
+                ["a", "reserve", 768],
+                ["b", "reserve", 500],
+                ["wait", 250],
+                ["a", "arrive", 1],
+                ["wait", 250],
+                ["a", "arrive", 0.4],
+                ["wait", 250],
+            ],
+            ["a reserved", "b waits", "b granted", "a overloaded"],
+            500,
+        ));
     // An honest client that pauses would be refused in vain.
     it("keeps bodies without progress that occupy nothing", () =>
         doTest(
