--- a/tests/entry/readBody.tests.ts
+++ b/tests/entry/readBody.tests.ts
@@ -73,10 +73,13 @@
         });
         const closing = createServer((request, response) => {
             request.socket.destroy();
-            response.once("close", () =>
-                void pollConnections().then(() => readBody(request, response, maximumBytes, memory)).then(outcome =>
-                    outcomes.push(outcome.kind)
-                ));
+            response.once(
+                "close",
+                () =>
+                    void pollConnections().then(() => readBody(request, response, maximumBytes, memory)).then(outcome =>
+                        outcomes.push(outcome.kind)
+                    ),
+            );
         });
         closing.listen(0, "127.0.0.1");
         await once(closing, "listening");
--- a/tests/platform/callers/refusedBodies.tests.ts
+++ b/tests/platform/callers/refusedBodies.tests.ts
@@ -102,7 +102,7 @@
     it("does not forward a request whose head was refused and ends afterwards", async () => {
         const unreadBytes = 2_500_000;
         let forwardedCount = 0;
-        const slowlyRead = await startTestCallerServer((_request, reply) => {
+        const slowlyRead = await startTestCallerServer((...[, reply]) => {
             forwardedCount += 1;
             reply.send({ status: 200, headers: [] }, Buffer.alloc(unreadBytes));
         }, { memoryBytes: 200_000 });
@@ -127,7 +127,7 @@
         const { limits } = createTestDocument();
         const changes = { limits: { ...limits, maximumBodyBytes: largestBytes } };
         const state = createTestFeedState(createSystemClock(), [], changes);
-        const larger = await startTestCallerServer((_request, reply) => {
+        const larger = await startTestCallerServer((...[, reply]) => {
             reply.send({ status: 200, headers: [] }, Buffer.from("ok"));
         }, { state, memoryBytes: 210 * 1_048_576 });
         const callers = Array.from({ length: 5 }, () => openRawCaller(larger));
@@ -149,6 +149,8 @@
         const state = createTestFeedState(createSystemClock(), [], { limits: { ...limits, maximumBodyBytes } });
         const stopping = await startTestCallerServer(() => undefined, { state, memoryBytes: 1, plannedStop });
         const callers = [openRawCaller(stopping), openRawCaller(stopping)];
+        const problems: string[] = [];
+        callers.forEach(({ socket }) => socket.on("error", ({ message }) => problems.push(message)));
         for (const { socket } of callers) {
             socket.write(legalHead);
             socket.write(Buffer.alloc(maximumBodyBytes - 10));
@@ -159,6 +161,8 @@
             expect(await caller.waitForStatuses(1)).to.deep.equal([503]);
             expect(caller.getText().toLowerCase()).to.include("connection: close").and.to.include("draining");
         }
+        await sleep(300);
+        expect(problems).to.deep.equal([]);
         stopping.server.closeAllConnections();
         stopping.server.close();
     });
@@ -174,7 +178,7 @@
 
     it("refuses a whole head without its body where there is no memory for another one, and takes the other one", async () => {
         // Room for one of these heads.
-        const limited = await startTestCallerServer((_request, reply) => {
+        const limited = await startTestCallerServer((...[, reply]) => {
             reply.send({ status: 200, headers: [] }, Buffer.from("ok"));
         }, { memoryBytes: 800_000 });
         const largeHead = `${head}Filling: ${"a".repeat(12_000)}\r\nContent-Length: 10\r\n\r\n`;
--- a/tests/requestMemory/createRequestMemory.tests.ts
+++ b/tests/requestMemory/createRequestMemory.tests.ts
@@ -157,17 +157,27 @@
     // An honest client that pauses would be refused in vain.
     it("keeps bodies without progress that occupy nothing", () =>
         doTest(
-            [["a", "reserve", 768], ["a", "complete", 768], ["b", "arrive", 0], ["c", "reserve", 500], ["wait", 1_000], [
-                "b",
-                "reserve",
-                10,
-            ]],
+            [
+                ["a", "reserve", 768],
+                ["a", "complete", 768],
+                ["b", "arrive", 0],
+                ["c", "reserve", 500],
+                ["wait", 1_000],
+                [
+                    "b",
+                    "reserve",
+                    10,
+                ],
+            ],
             ["a reserved", "c waits", "b reserved"],
             778,
         ));
     it("keeps bodies without progress whose memory would not suffice for the one that waits", () =>
         doTest(
-            [["a", "reserve", 600], ["a", "complete", 600], ["b", "reserve", 100], ["c", "reserve", 500], ["wait", 1_000]],
+            [["a", "reserve", 600], ["a", "complete", 600], ["b", "reserve", 100], ["c", "reserve", 500], [
+                "wait",
+                1_000,
+            ]],
             ["a reserved", "b reserved", "c waits"],
             700,
         ));
