--- a/tests/platform/callers/refusedBodies.tests.ts
+++ b/tests/platform/callers/refusedBodies.tests.ts
@@ -146,14 +146,16 @@
     it("refuses a body that waits for memory when the process ends soon, with its connection closed", async () => {
         const plannedStop = createPlannedStop(createSystemClock());
         const { limits } = createTestDocument();
-        const state = createTestFeedState(createSystemClock(), [], { limits: { ...limits, maximumBodyBytes } });
+        const state = createTestFeedState(createSystemClock(), [], {
+            limits: { ...limits, maximumBodyBytes: 4_194_304 },
+        });
         const stopping = await startTestCallerServer(() => undefined, { state, memoryBytes: 1, plannedStop });
         const callers = [openRawCaller(stopping), openRawCaller(stopping)];
         const problems: string[] = [];
         callers.forEach(({ socket }) => socket.on("error", ({ message }) => problems.push(message)));
         for (const { socket } of callers) {
-            socket.write(legalHead);
-            socket.write(Buffer.alloc(maximumBodyBytes - 10));
+            socket.write(`${head}Content-Length: 4194304\r\n\r\n`);
+            socket.write(Buffer.alloc(4_194_294));
             await sleep(100);
         }
         plannedStop.begin(100, 200);
