--- a/tests/platform/callers/refusedBodies.tests.ts
+++ b/tests/platform/callers/refusedBodies.tests.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import { setTimeout as sleep } from "node:timers/promises";
 import { CallerServer } from "../../../platform/callers";
+import { createPlannedStop } from "../../../src/forwarding";
 import { createSystemClock } from "../../../src/runtime";
 import { createTestDocument } from "../../documents/createTestDocument";
 import { createTestFeedState } from "../../feed/createTestFeed";
@@ -97,6 +98,104 @@
         expect(await caller.waitForStatuses(1)).to.deep.equal([408]);
     });
 
+    // Guards against a request that is forwarded although its caller was told by 408 that it has not run.
+    it("does not forward a request whose head was refused and ends afterwards", async () => {
+        const unreadBytes = 2_500_000;
+        let forwardedCount = 0;
+        const slowlyRead = await startTestCallerServer((...[, reply]) => {
+            forwardedCount += 1;
+            reply.send({ status: 200, headers: [] }, Buffer.alloc(unreadBytes));
+        }, { memoryBytes: 200_000 });
+        const caller = openRawCaller(slowlyRead);
+        caller.socket.pause();
+        caller.socket.write(`${head}Content-Length: 0\r\n\r\n`);
+        await sleep(600);
+        caller.socket.write(`${head}Filling: ${"a".repeat(12_000)}`);
+        await sleep(600);
+        caller.socket.write("\r\nContent-Length: 0\r\n\r\n");
+        await sleep(300);
+        caller.socket.resume();
+        expect(await caller.waitForStatuses(2)).to.deep.equal([200, 408]);
+        expect(forwardedCount).to.equal(1);
+        slowlyRead.server.closeAllConnections();
+        slowlyRead.server.close();
+    });
+
+    // Guards against refusals of honest uploads, which a larger process has the memory for.
+    it("reads five bodies of the largest size that arrive slowly at the same time", async () => {
+        const largestBytes = 4_194_304;
+        const { limits } = createTestDocument();
+        const changes = { limits: { ...limits, maximumBodyBytes: largestBytes } };
+        const state = createTestFeedState(createSystemClock(), [], changes);
+        const larger = await startTestCallerServer((...[, reply]) => {
+            reply.send({ status: 200, headers: [] }, Buffer.from("ok"));
+        }, { state, memoryBytes: 210 * 1_048_576 });
+        const callers = Array.from({ length: 5 }, () => openRawCaller(larger));
+        callers.forEach(({ socket }) => socket.write(`${head}Content-Length: ${largestBytes}\r\n\r\n`));
+        for (let index = 0; index < 16; index++) {
+            callers.forEach(({ socket }) => socket.write(Buffer.alloc(largestBytes / 16)));
+            await sleep(200);
+        }
+        const statuses = await Promise.all(callers.map(caller => caller.waitForStatuses(1)));
+        expect(statuses).to.deep.equal(callers.map(() => [200]));
+        larger.server.closeAllConnections();
+        larger.server.close();
+    });
+
+    // The unread bytes would reset the connection, and the refusal would be lost.
+    it("refuses a body that waits for memory when the process ends soon, with its connection closed", async () => {
+        const plannedStop = createPlannedStop(createSystemClock());
+        const { limits } = createTestDocument();
+        const state = createTestFeedState(createSystemClock(), [], {
+            limits: { ...limits, maximumBodyBytes: 4_194_304 },
+        });
+        const stopping = await startTestCallerServer(() => undefined, { state, memoryBytes: 1, plannedStop });
+        const callers = [openRawCaller(stopping), openRawCaller(stopping)];
+        const problems: string[] = [];
+        callers.forEach(({ socket }) => socket.on("error", ({ message }) => problems.push(message)));
+        for (const { socket } of callers) {
+            socket.write(`${head}Content-Length: 4194304\r\n\r\n`);
+            socket.write(Buffer.alloc(4_194_294));
+            await sleep(100);
+        }
+        plannedStop.begin(100, 200);
+        for (const caller of callers) {
+            expect(await caller.waitForStatuses(1)).to.deep.equal([503]);
+            expect(caller.getText().toLowerCase()).to.include("connection: close").and.to.include("draining");
+        }
+        await sleep(300);
+        expect(problems).to.deep.equal([]);
+        stopping.server.closeAllConnections();
+        stopping.server.close();
+    });
+
+    // A head without its body would otherwise be kept as long as the client likes.
+    it("refuses a head above the limit of the routing document before its body has arrived", async () => {
+        const caller = openRawCaller(callerServer);
+        caller.socket.write(`${head}Filling: ${"a".repeat(17_000)}\r\nContent-Length: 10\r\n\r\n`);
+        expect(await caller.waitForStatuses(1)).to.deep.equal([431]);
+        expect(caller.getText().toLowerCase()).to.include("connection: close");
+        expect(bodyLengths).to.deep.equal([]);
+    });
+
+    it("refuses a whole head without its body where there is no memory for another one, and takes the other one", async () => {
+        // Room for one of these heads.
+        const limited = await startTestCallerServer((...[, reply]) => {
+            reply.send({ status: 200, headers: [] }, Buffer.from("ok"));
+        }, { memoryBytes: 800_000 });
+        const largeHead = `${head}Filling: ${"a".repeat(12_000)}\r\nContent-Length: 10\r\n\r\n`;
+        const waiting = openRawCaller(limited);
+        waiting.socket.write(largeHead);
+        await sleep(100);
+        const whole = openRawCaller(limited);
+        whole.socket.write(`${largeHead}0123456789`);
+        expect(await whole.waitForStatuses(1)).to.deep.equal([200]);
+        waiting.socket.write("0123456789");
+        expect(await waiting.waitForStatuses(1)).to.deep.equal([503]);
+        limited.server.closeAllConnections();
+        limited.server.close();
+    });
+
     // Its bytes are not those of a head, though a response on its connection has ended before.
     it("reads a slow body behind another request on its connection", async () => {
         const caller = openRawCaller(callerServer);
--- a/tests/platform/crowds/crowds.tests.ts
+++ b/tests/platform/crowds/crowds.tests.ts
@@ -68,6 +68,19 @@
     partCount: 0,
 };
 
+/** Whole heads without their bodies: one large header, and very many short ones. */
+const largeHeads: CrowdRequest = {
+    ...unfinishedHeads,
+    lengthHeader: `Filling: ${"a".repeat(60_000)}\r\nContent-Length: 10`,
+    headEnd: "\r\n\r\n",
+};
+const manyHeaders: CrowdRequest = {
+    ...largeHeads,
+    lengthHeader: `${"abcdefgh: aaaaaaaaaaaaaaaa\r\n".repeat(1_900)}Content-Length: 10`,
+};
+/** The same within the limit of the routing document. */
+const legalHeaders: CrowdRequest = { ...largeHeads, lengthHeader: `${"a:b\r\n".repeat(1_900)}Content-Length: 10` };
+
 describe("crowds of untrusted clients", () => {
     let deployment: CrowdDeployment | undefined;
     afterEach(() => deployment?.stop());
@@ -79,6 +92,7 @@
      * @param listener - Where they send it to.
      * @param answeredTarget - What an ordinary client requests afterwards, while the others keep their connections.
      * @param maximumDescriptors - The descriptors of the processes.
+     * @param mustClose - Whether the server must close all connections of the crowd.
      */
     async function doTest(
         role: "control" | "entry",
@@ -86,6 +100,7 @@
         listener: keyof CrowdProcess["addresses"],
         answeredTarget: string,
         maximumDescriptors = crowdDescriptors,
+        mustClose = false,
     ): Promise<void> {
         deployment = await startCrowdDeployment(maximumDescriptors);
         const process = deployment[role];
@@ -100,6 +115,10 @@
         });
         expect(process.isAlive(), `alive, after ${peakMegabytes} MB`).to.equal(true);
         const status = await getStatus(address, answeredTarget);
+        for (const end = performance.now() + answerTimeoutMilliseconds; mustClose && crowd.getOpenCount() > 0;) {
+            expect(performance.now(), `${crowd.getOpenCount()} open connections`).to.be.below(end);
+            await sleep(100);
+        }
         crowd.close();
         expect(status, "ordinary request").to.equal(200);
         expect(process.isAlive(), "alive after the ordinary request").to.equal(true);
@@ -120,6 +139,12 @@
 
         it("that send heads without their end", () =>
             doTest("entry", unfinishedHeads, "caller", "/read/ordinary", instanceDescriptors));
+        it("that send heads with a large header, and not their bodies", () =>
+            doTest("entry", largeHeads, "caller", "/read/ordinary", instanceDescriptors));
+        it("that send heads with very many headers, and not their bodies", () =>
+            doTest("entry", manyHeaders, "caller", "/read/ordinary", instanceDescriptors));
+        it("that send heads with very many headers of legal size, and not their bodies", () =>
+            doTest("entry", legalHeaders, "caller", "/read/ordinary", instanceDescriptors));
 
         // A limit on crowds must not reach a client that sends slowly and is alone.
         it("serve a slow client that pauses for seconds in its body", async () => {
@@ -145,9 +170,11 @@
     });
 
     describe("at the other servers of an entry process", () => {
-        it("that send bodies to its readiness check", () => doTest("entry", farOverAnnounced, "readiness", "/"));
+        // These servers would otherwise read bodies of any length, and keep the connections for the rest.
+        it("that send bodies to its readiness check", () =>
+            doTest("entry", farOverAnnounced, "readiness", "/", crowdDescriptors, true));
         it("that send bodies to its metrics", () =>
-            doTest("entry", { ...farOverSent, target: "/metrics" }, "metrics", "/metrics"));
+            doTest("entry", { ...farOverSent, target: "/metrics" }, "metrics", "/metrics", crowdDescriptors, true));
         it("that open more connections to its metrics than there are descriptors", () =>
             doTest("entry", { ...whole, count: 600, part: smallPart, target: "/metrics" }, "metrics", "/metrics"));
     });
