--- a/tests/platform/truncatedAnswers.tests.ts
+++ b/tests/platform/truncatedAnswers.tests.ts
@@ -29,6 +29,7 @@
 
     let servers: Awaited<ReturnType<typeof startPartServer>>[] = [];
     let link = createBackendLink();
+    let forwarderController = new AbortController();
     let callerServer: CallerServer | undefined;
     let heads: string[] = [];
     let respondFirst: (socket: Socket, identity: string) => void = () => undefined;
@@ -39,6 +40,7 @@
         heads = [];
         faultySocket = undefined;
         link = createBackendLink();
+        forwarderController = new AbortController();
         servers = await Promise.all(instanceIds.map(() => startPartServer(respondEarly, respond)));
         const clock = createSystemClock();
         const instances = instanceIds.flatMap((id, index) => {
@@ -63,12 +65,13 @@
             state,
             link as unknown as Parameters<typeof createTestForwarder>[1],
             clock as Parameters<typeof createTestForwarder>[2],
-            { maximumDocumentAgeMilliseconds: 60_000, streamOrigins },
+            { maximumDocumentAgeMilliseconds: 60_000, streamOrigins, signal: forwarderController.signal },
         );
         callerServer = await startTestCallerServer(forwarder.forward, { forwarder, state, clock });
     });
 
     afterEach(async () => {
+        forwarderController.abort();
         callerServer?.server.closeAllConnections();
         callerServer?.server.close();
         await link.stop();
