Test crowds of more shapes at an entry process and a control member

The crowds so far all send one fixed shape at one moment. Single clients with small chunks guard the other side: they are served. The bounds are those of the former tests: alive, below 160 MB and the descriptors, one ordinary request answered within 20 s.

--- a/tests/platform/crowds/crowds.tests.ts
+++ b/tests/platform/crowds/crowds.tests.ts
@@ -2,6 +2,7 @@
 import { Readable } from "node:stream";
 import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
+import { createRandomCrowd } from "./createRandomCrowd";
 import { CrowdRequest, startCrowd } from "./startCrowd";
 import {
     crowdBodyBytes,
@@ -59,6 +60,87 @@
 };
 const farOverSent: CrowdRequest = { count: 96, lengthHeader: chunkedHeader, part: largeChunk, partCount: 128 };
 
+/** The descriptors of an entry process that crowds of 300 clients don't exhaust. */
+const waveDescriptors = 1_000;
+const waveCount = 300;
+/** Bodies in chunks of one and two bytes, without an end. */
+const endlessTinyChunks: CrowdRequest = {
+    count: waveCount,
+    lengthHeader: chunkedHeader,
+    part: Buffer.from("1\r\na\r\n".repeat(4_000)),
+    partCount: 400,
+};
+const pacedTinyChunks: CrowdRequest = {
+    count: waveCount,
+    lengthHeader: chunkedHeader,
+    part: Buffer.from("2\r\naa\r\n".repeat(500)),
+    partCount: 200,
+    pauseMilliseconds: 20,
+};
+/** Whole requests of 60 KB, and then a body that stops short. */
+const pipelinedHead = "POST /read/crowd HTTP/1.1\r\nHost: crowd.example\r\nBasilwing-Request-Id: pipelined\r\n";
+const pipelinedBody = "a".repeat(60_000);
+const pipelined: CrowdRequest = {
+    ...whole,
+    count: waveCount,
+    earlierRequests: Buffer.from(
+        `${pipelinedHead}Content-Length: ${pipelinedBody.length}\r\n\r\n${pipelinedBody}`.repeat(20),
+    ),
+};
+const operatorPipelined: CrowdRequest = {
+    ...pipelined,
+    earlierRequests: Buffer.from(
+        pipelined.earlierRequests!.toString("latin1").replaceAll("POST /read/crowd", "PUT /basilwing/config"),
+    ),
+};
+const manySmallRequests: CrowdRequest = {
+    ...whole,
+    count: waveCount,
+    part: smallPart,
+    earlierRequests: Buffer.from(`${pipelinedHead}Content-Length: 2\r\n\r\n{}`.repeat(400)),
+};
+/** Bodies in chunks, the first of which reserve memory of different sizes. */
+const firstChunksOfManySizes: CrowdRequest[] = Array.from({ length: 156 }, (...[, index]) => {
+    const chunkBytes = 16_385 + 35 * index;
+    const chunk = Buffer.from(`${chunkBytes.toString(16)}\r\n${"a".repeat(chunkBytes)}\r\n`);
+    return {
+        count: 1,
+        lengthHeader: chunkedHeader,
+        firstPart: chunk,
+        part: Buffer.concat(Array.from({ length: 5 }, () => chunk)),
+        partCount: 10,
+        lastPart: Buffer.from("0\r\n\r\n"),
+        pauseMilliseconds: 50,
+    };
+});
+/** Reads of the metrics, sent at once, and then a body that stops short. */
+const metricsRequests: CrowdRequest = {
+    ...whole,
+    count: 60,
+    target: "/metrics",
+    part: smallPart,
+    earlierRequests: Buffer.from("GET /metrics HTTP/1.1\r\nHost: crowd.example\r\n\r\n".repeat(400)),
+};
+const slowBodies: CrowdRequest[] = [
+    ...[0.5, 1, 1.5, 2].map(share => `Content-Length: ${share * crowdBodyBytes}`),
+    chunkedHeader,
+].map(lengthHeader => ({
+    count: waveCount / 5,
+    lengthHeader,
+    part: lengthHeader === chunkedHeader
+        ? Buffer.concat([Buffer.from("4000\r\n"), smallPart, Buffer.from("\r\n")])
+        : smallPart,
+    partCount: 60,
+    pauseMilliseconds: 100,
+}));
+const severalKinds: CrowdRequest[] = [
+    { ...endlessTinyChunks, count: 60 },
+    { ...pacedTinyChunks, count: 60 },
+    { ...pipelined, count: 60 },
+    { ...whole, count: 60 },
+    { ...largeChunks, count: 60 },
+];
+
 /** Heads of nearly the largest size, in many connections. */
 const unfinishedHeads: CrowdRequest = {
     count: 1_300,
@@ -93,26 +175,28 @@
      * @param answeredTarget - What an ordinary client requests afterwards, while the others keep their connections.
      * @param maximumDescriptors - The descriptors of the processes.
      * @param mustClose - Whether the server must close all connections of the crowd.
+     * @param waveCount - How many waves the clients come in.
      */
     async function doTest(
         role: "control" | "entry",
-        crowdRequest: CrowdRequest,
+        crowdRequest: CrowdRequest | CrowdRequest[],
         listener: keyof CrowdProcess["addresses"],
         answeredTarget: string,
         maximumDescriptors = crowdDescriptors,
         mustClose = false,
+        waveCount = 1,
     ): Promise<void> {
         deployment = await startCrowdDeployment(maximumDescriptors);
         const process = deployment[role];
         const address = process.addresses[listener];
         let descriptorCount = 0;
         let peakMegabytes = 0;
-        const crowd = await startCrowd(address, crowdRequest, () => {
+        const crowd = await startCrowd(address, [crowdRequest].flat(), () => {
             if (process.isAlive()) {
                 descriptorCount = Math.max(descriptorCount, process.getDescriptorCount());
                 peakMegabytes = process.getPeakMegabytes();
             }
-        });
+        }, waveCount);
         expect(process.isAlive(), `alive, after ${peakMegabytes} MB`).to.equal(true);
         const status = await getStatus(address, answeredTarget);
         for (const end = performance.now() + answerTimeoutMilliseconds; mustClose && crowd.getOpenCount() > 0;) {
@@ -128,6 +212,8 @@
 
     describe("at the callers' server of an entry process", () => {
         const doEntryTest = (crowdRequest: CrowdRequest) => doTest("entry", crowdRequest, "caller", "/read/ordinary");
+        const doWaveTest = (crowdRequests: CrowdRequest[], waves = 3) =>
+            doTest("entry", crowdRequests, "caller", "/read/ordinary", waveDescriptors, false, waves);
         it("that send whole bodies and stop short", () => doEntryTest(whole));
         it("that send bodies piece by piece and stop short", () => doEntryTest(pieces));
         it("that send large chunks and stop short", () => doEntryTest(largeChunks));
@@ -146,6 +232,18 @@
         it("that send heads with very many headers of legal size, and not their bodies", () =>
             doTest("entry", legalHeaders, "caller", "/read/ordinary", instanceDescriptors));
 
+        it("that send chunks of one byte in waves", () => doWaveTest([endlessTinyChunks]));
+        it("that send chunks of two bytes at a steady pace", () => doWaveTest([pacedTinyChunks]));
+        it("that send many whole requests at once, and then one that stops short", () => doWaveTest([pipelined]));
+        it("that send very many small requests at once", () => doWaveTest([manySmallRequests]));
+        it("that send first chunks of many sizes", () =>
+            doWaveTest(firstChunksOfManySizes, firstChunksOfManySizes.length));
+        it("that send bodies beyond the limit slowly", () => doWaveTest(slowBodies));
+        it("that send several kinds at once", () => doWaveTest(severalKinds));
+        for (const seed of [1, 2, 3]) {
+            it(`that send random bodies, seed ${seed}`, () => doWaveTest(createRandomCrowd(seed, crowdBodyBytes)));
+        }
+
         // A limit on crowds must not reach a client that sends slowly and is alone.
         it("serve a slow client that pauses for seconds in its body", async () => {
             deployment = await startCrowdDeployment(crowdDescriptors);
@@ -167,12 +265,51 @@
             await response.body.dump();
             expect(response.statusCode).to.equal(200);
         });
+
+        /** Guards against a limit that refuses a client which sends small chunks and is alone. */
+        async function doSingleTest(single: Omit<CrowdRequest, "count" | "lengthHeader">): Promise<void> {
+            deployment = await startCrowdDeployment(crowdDescriptors);
+            const client = await startCrowd(
+                deployment.entry.addresses.caller,
+                [{ ...single, count: 1, lengthHeader: chunkedHeader, lastPart: Buffer.from("0\r\n\r\n") }],
+                () => undefined,
+            );
+            const end = performance.now() + answerTimeoutMilliseconds;
+            while (client.getStatuses().length === 0 && performance.now() < end) {
+                await sleep(100);
+            }
+            client.close();
+            expect(client.getStatuses()).to.deep.equal([200]);
+        }
+        it("serve a single body of chunks of one byte", () =>
+            doSingleTest({ part: tinyChunks, partCount: crowdBodyBytes / 16_384 }));
+        it("serve a single body of chunks of one kilobyte", () =>
+            doSingleTest({ part: Buffer.from(`400\r\n${"a".repeat(1_024)}\r\n`), partCount: 2_048 }));
+        it("serve a single body of chunks of 100 bytes that is sent slowly", () =>
+            doSingleTest({
+                part: Buffer.from(`64\r\n${"a".repeat(100)}\r\n`),
+                partCount: 200,
+                pauseMilliseconds: 50,
+            }));
     });
 
     describe("at the other servers of an entry process", () => {
         // These servers would otherwise read bodies of any length, and keep the connections for the rest.
         it("that send bodies to its readiness check", () =>
             doTest("entry", farOverAnnounced, "readiness", "/", crowdDescriptors, true));
+        it("that send chunks of one byte to its readiness check", () =>
+            doTest("entry", endlessTinyChunks, "readiness", "/", crowdDescriptors, true));
+        it("that send chunks of one byte to its metrics", () =>
+            doTest(
+                "entry",
+                { ...endlessTinyChunks, target: "/metrics" },
+                "metrics",
+                "/metrics",
+                crowdDescriptors,
+                true,
+            ));
+        it("that send very many small requests to its metrics", () =>
+            doTest("entry", metricsRequests, "metrics", "/metrics"));
         it("that send bodies to its metrics", () =>
             doTest("entry", { ...farOverSent, target: "/metrics" }, "metrics", "/metrics", crowdDescriptors, true));
         it("that open more connections to its metrics than there are descriptors", () =>
@@ -183,8 +320,22 @@
         const path = "/basilwing/config";
         const doOperatorTest = (crowdRequest: CrowdRequest) =>
             doTest("control", { ...crowdRequest, target: path, method: "PUT" }, "operator", path);
+        const doOperatorWaveTest = (crowdRequests: CrowdRequest[], waves = 3) => {
+            const requests = crowdRequests.map(crowdRequest => ({ ...crowdRequest, target: path, method: "PUT" }));
+            return doTest("control", requests, "operator", path, waveDescriptors, false, waves);
+        };
         it("that send whole bodies and stop short", () => doOperatorTest(whole));
         it("that send chunks of one byte and stop short", () => doOperatorTest(tinyChunkBodies));
+        it("that send chunks of one byte in waves", () => doOperatorWaveTest([endlessTinyChunks]));
+        it("that send chunks of two bytes at a steady pace", () => doOperatorWaveTest([pacedTinyChunks]));
+        it("that send many whole requests at once, and then one that stops short", () =>
+            doOperatorWaveTest([operatorPipelined]));
+        it("that send first chunks of many sizes", () =>
+            doOperatorWaveTest(firstChunksOfManySizes, firstChunksOfManySizes.length));
+        it("that send several kinds at once", () =>
+            doOperatorWaveTest(
+                severalKinds.map(kind => kind.earlierRequests ? { ...operatorPipelined, count: 60 } : kind),
+            ));
         // A value of two bytes occupies many times as much once it is decoded.
         it("that send bodies of very many values", () => doOperatorTest(manyValues));
         it("that send bodies far over the limit", () => doOperatorTest({ ...farOverSent, count: 24, partCount: 400 }));
