Reserve for all that has arrived while a body waits for memory

A body whose first chunk had 16 to 21 KB waited for four times as much, while one read of its connection brought more. As memory became free, all of it was appended to a buffer of the size that was reserved for the first part: a RangeError, thrown in the handler of whichever request had freed the memory, where nothing catches it. Now what the body waits for grows with what has arrived, so that the buffer holds all of it, and the account equals the buffer.

--- a/src/requestMemory/BodyAccount.ts
+++ b/src/requestMemory/BodyAccount.ts
@@ -11,10 +11,12 @@
      */
     reserve(bytes: number): boolean;
     /**
-     * Records bytes that have arrived beyond the reserved ones.
+     * Records bytes that have arrived while the body waits.
+     * @param bytes - Their number.
+     * @param requestedBytes - What the body waits for from now on: at least all that has arrived.
      * @returns Whether there is room for them; if not, the body is refused.
      */
-    addExcess(bytes: number): boolean;
+    addExcess(bytes: number, requestedBytes: number): boolean;
     /** Records that bytes have arrived. */
     recordArrival(bytes: number): void;
     /** Records that all of the body has arrived; it occupies these bytes until the account is closed. */
--- a/src/requestMemory/createRequestMemory.ts
+++ b/src/requestMemory/createRequestMemory.ts
@@ -102,7 +102,7 @@
         }
         return {
             reserve: bytes => reserve(body, bytes),
-            addExcess: bytes => addExcess(body, bytes),
+            addExcess: (bytes, requestedBytes) => addExcess(body, bytes, requestedBytes),
             recordArrival: bytes => recordArrival(body, bytes),
             complete: bytes => complete(body, bytes),
             close: () => close(body),
@@ -162,7 +162,7 @@
         body.excessBytes = excessBytes;
     }
 
-    function addExcess(body: Body, bytes: number): boolean {
+    function addExcess(body: Body, bytes: number, requestedBytes: number): boolean {
         if (!bodies.has(body)) {
             return false;
         }
@@ -171,6 +171,9 @@
             return false;
         }
         setBytes(body, body.reservedBytes, body.excessBytes + bytes);
+        if (body.requestedBytes !== undefined) {
+            body.requestedBytes = requestedBytes;
+        }
         return true;
     }
 
--- a/src/requestMemory/readRequestBody.ts
+++ b/src/requestMemory/readRequestBody.ts
@@ -90,19 +90,27 @@
             else if (!flow.isPaused() && (buffer && newLength <= buffer.length || reserve(newLength))) {
                 append(chunk);
             }
-            else if (account.addExcess(chunk.length)) {
-                excess.add(chunk);
-                flow.pause();
+            else {
+                // One read of the connection brings several chunks, of which the last ones may exceed what the first one waits for.
+                reservedBytes = Math.max(reservedBytes, getReservation(newLength));
+                if (account.addExcess(chunk.length, reservedBytes)) {
+                    excess.add(chunk);
+                    flow.pause();
+                }
             }
         }
 
         /** Reserves memory for more bytes; returns whether it is there. */
         function reserve(newLength: number): boolean {
-            const grownBytes = Math.min(getMaximumBytes(), Math.max(firstBytes, growthFactor * (buffer?.length ?? 0)));
-            reservedBytes = Math.max(newLength, Math.min(declaredBytes ?? grownBytes, getMaximumBytes()));
+            reservedBytes = getReservation(newLength);
             return account.reserve(reservedBytes);
         }
 
+        function getReservation(newLength: number): number {
+            const grownBytes = Math.min(getMaximumBytes(), Math.max(firstBytes, growthFactor * (buffer?.length ?? 0)));
+            return Math.max(newLength, Math.min(declaredBytes ?? grownBytes, getMaximumBytes()));
+        }
+
         function append(chunk: Uint8Array): void {
             if (!buffer && chunk.length === reservedBytes) {
                 buffer = Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length);
--- a/tests/requestMemory/createRequestMemory.tests.ts
+++ b/tests/requestMemory/createRequestMemory.tests.ts
@@ -9,7 +9,8 @@
 
     /** A body's name with what it does, or a wait in milliseconds. */
     type Step =
-        | readonly [name: string, action: "reserve" | "excess" | "arrive" | "complete", bytes: number]
+        | readonly [name: string, action: "reserve" | "arrive" | "complete", bytes: number]
+        | readonly [name: string, action: "excess", bytes: number, requestedBytes: number]
         | readonly [name: string, action: "close"]
         | readonly ["refusedConnections" | "wait", number];
 
@@ -37,7 +38,7 @@
                 }
                 continue;
             }
-            const [name, action, bytes = 0] = step as readonly [string, string, number?];
+            const [name, action, bytes = 0, requestedBytes = 0] = step as readonly [string, string, number?, number?];
             const account = accounts.get(name) ?? memory.open({
                 grant: () => addNotice(`${name} granted`),
                 refuse: reason => addNotice(`${name} ${reason}`),
@@ -48,7 +49,7 @@
                     addNotice(`${name} ${account.reserve(bytes * kilobyte) ? "reserved" : "waits"}`);
                     break;
                 case "excess":
-                    account.addExcess(bytes * kilobyte);
+                    account.addExcess(bytes * kilobyte, requestedBytes * kilobyte);
                     break;
                 case "arrive":
                     account.recordArrival(bytes * kilobyte);
@@ -198,16 +199,26 @@
         ));
     it("reserves nothing for a body whose account has been closed", () =>
         doTest(
-            [["a", "reserve", 100], ["a", "close"], ["a", "reserve", 200], ["a", "excess", 10]],
+            [["a", "reserve", 100], ["a", "close"], ["a", "reserve", 200], ["a", "excess", 10, 200]],
             ["a reserved", "a waits"],
             0,
         ));
+    it("grants a waiting body room for all that has arrived meanwhile", () =>
+        doTest(
+            [["a", "reserve", 768], ["b", "reserve", 80], ["b", "excess", 64, 80], ["b", "excess", 64, 300], [
+                "a",
+                "close",
+            ]],
+            ["a reserved", "b waits", "b granted"],
+            300,
+        ));
     it("refuses at once a waiting body for whose first bytes there is no room", () =>
         doTest(
-            [["a", "reserve", 768], ["b", "reserve", 500], ["b", "excess", 64], ["c", "reserve", 500], [
+            [["a", "reserve", 768], ["b", "reserve", 500], ["b", "excess", 64, 500], ["c", "reserve", 500], [
                 "c",
                 "excess",
                 65,
+                500,
             ]],
             ["a reserved", "b waits", "c waits", "c overloaded"],
             832,
