--- a/src/requestMemory/index.ts
+++ b/src/requestMemory/index.ts
@@ -15,6 +15,7 @@
 export * from "./limitBodilessServer";
 export * from "./limitConnections";
 export * from "./limitHeads";
+export * from "./observeWaitingConnections";
 export * from "./readRequestBody";
 export * from "./RequestMemory";
 export * from "./UnreadBody";
