Read connections in turns, and refuse requests with very small chunks where these come too late

Callers got no answer beside clients that send bodies in chunks of a few bytes, and a control member's operators none from GET /basilwing/config: the process lives, but its thread is gone. One read of a connection brings up to 11,000 chunks, each of which costs about 1.5 microseconds, one poll reads all connections, each up to 32 times, and the memory for bodies limits bytes only.

createReadingTurns decides, without a network, which connections are read in a turn of the event loop: after 256 chunks (or 8 requests) a connection waits for its next turn, after 4,096 by all together so do the expensive ones and those not read yet, and all others are read without a wait. Where turns are later than 500 ms, half of the requests with 4,096 chunks or more of less than 64 bytes on average are refused as not run every 250 ms, those with the smallest chunks first; a client that is alone is never late. Bodies of refused requests are discarded in turns too, also those that the request queue refuses at arrival, which Node.js read without a limit.

--- a/src/entry/admitRequest.ts
+++ b/src/entry/admitRequest.ts
@@ -6,7 +6,7 @@
 import { IncomingMessage, ServerResponse } from "node:http";
 import { EffectiveSettings, Subscriber } from "../control/configuration";
 import { RefusalReason } from "../protocol";
-import { RequestMemory } from "../requestMemory";
+import { BodyLimits } from "../requestMemory";
 import { AdmissionOutcome } from "./AdmissionOutcome";
 import { CallerWork } from "./CallerWork";
 import { createRefusal } from "./createRefusal";
@@ -28,7 +28,7 @@
  * @param exchange - The request, of which only the head has been read, and its response.
  * @param requestId - The request's id.
  * @param subscriber - The subscriber that the caller's key identifies.
- * @param memory - The memory for bodies.
+ * @param limits - What limits the reading of all bodies.
  * @returns The checked request, or the refusal.
  */
 export async function admitRequest(
@@ -36,10 +36,10 @@
     { request, response }: { request: IncomingMessage; response: ServerResponse; },
     requestId: string,
     subscriber: Subscriber,
-    memory: RequestMemory,
+    limits: BodyLimits,
 ): Promise<AdmissionOutcome> {
     const { authority, clock, configuration, settings } = options;
-    const read = await readBody(request, response, settings.maximumBodyBytes, memory);
+    const read = await readBody(request, response, settings.maximumBodyBytes, limits);
     if (read.kind === "refused") {
         return read;
     }
--- a/src/entry/createRequestHandler.ts
+++ b/src/entry/createRequestHandler.ts
@@ -6,7 +6,7 @@
 import { assertNever } from "../errors";
 import { CounterName } from "../metrics";
 import { RefusalReason } from "../protocol";
-import { createRequestMemory } from "../requestMemory";
+import { ConnectionTurns, createRequestMemory } from "../requestMemory";
 import { pollConnections } from "../runtime";
 import { admitRequest } from "./admitRequest";
 import { AdmittedRequest } from "./AdmittedRequest";
@@ -33,11 +33,13 @@
  * @param options - The entry's options.
  * @param refusalSender - Refuses requests that are not dispatched.
  * @param inputLimiter - Limits invalid requests.
+ * @param turns - The turns in which callers' connections are read.
  */
 export function createRequestHandler(
     options: EntryOptions,
     refusalSender: RefusalSender,
     inputLimiter: InvalidInputLimiter,
+    turns: ConnectionTurns,
 ): RequestHandler {
     const { clock, configuration, logger, metrics, settings } = options;
     const dispatcher = createRequestDispatcher(options);
@@ -141,7 +143,10 @@
         requestId: string,
         subscriber: Subscriber,
     ): Promise<void> {
-        const admission = await admitRequest(options, { request, response }, requestId, subscriber, memory);
+        const admission = await admitRequest(options, { request, response }, requestId, subscriber, {
+            memory,
+            turns,
+        });
         if (admission.kind === "refused") {
             refusalSender.send(request, response, requestId, admission.refusal, subscriber.workspace);
             return;
--- a/src/entry/intake/createRefusalSender.ts
+++ b/src/entry/intake/createRefusalSender.ts
@@ -5,6 +5,7 @@
 import { Metrics } from "../../metrics";
 import { getRunState } from "../../outcome";
 import { RefusalReason } from "../../protocol";
+import { ConnectionTurns } from "../../requestMemory";
 import { Clock, endAfterSending } from "../../runtime";
 import { RefusalDetails } from "../RefusalDetails";
 import { sendRefusal } from "../sendRefusal";
@@ -27,8 +28,14 @@
  * @param clock - The source of time.
  * @param metrics - The metrics that refusals are counted in.
  * @param inputLimiter - Counts the refusals of invalid requests.
+ * @param turns - The turns in which callers' connections are read.
  */
-export function createRefusalSender(clock: Clock, metrics: Metrics, inputLimiter: InvalidInputLimiter): RefusalSender {
+export function createRefusalSender(
+    clock: Clock,
+    metrics: Metrics,
+    inputLimiter: InvalidInputLimiter,
+    turns: ConnectionTurns,
+): RefusalSender {
     return { send };
 
     function send(
@@ -66,7 +73,9 @@
         request.resume();
         request.on("error", () => {});
         let discardedBytes = 0;
+        const recordChunk = turns.observeBody(request, () => request.destroy());
         request.on("data", (chunk: Buffer) => {
+            recordChunk(chunk.length);
             discardedBytes += chunk.length;
             if (discardedBytes > maximumDiscardedBytes) {
                 request.pause();
--- a/src/entry/readBody.ts
+++ b/src/entry/readBody.ts
@@ -4,7 +4,7 @@
 import { IncomingMessage, ServerResponse } from "node:http";
 import { assertNever } from "../errors";
 import { RefusalReason } from "../protocol";
-import { readRequestBody, RequestMemory } from "../requestMemory";
+import { BodyLimits, readRequestBody } from "../requestMemory";
 import { createRefusal } from "./createRefusal";
 import { ReadBodyOutcome } from "./ReadBodyOutcome";
 import { Refusal } from "./Refusal";
@@ -16,13 +16,13 @@
  * @param request - The request.
  * @param response - The response, with whose end the memory of the body is freed.
  * @param maximumBytes - The maximum length of the body.
- * @param memory - The memory for bodies.
+ * @param limits - What limits the reading of all bodies.
  */
 export async function readBody(
     request: IncomingMessage,
     response: ServerResponse,
     maximumBytes: number,
-    memory: RequestMemory,
+    limits: BodyLimits,
 ): Promise<ReadBodyOutcome> {
     if (Number(request.headers["content-length"] ?? 0) > maximumBytes) {
         return { kind: "refused", refusal: createTooLargeRefusal(maximumBytes) };
@@ -35,7 +35,7 @@
     const outcome = await readRequestBody({
         request,
         getMaximumBytes: () => maximumBytes,
-        memory,
+        ...limits,
         signal: closed.signal,
         // The connection is closed some time after the refusal.
         endConnection: () => undefined,
--- a/src/entry/startEntry.ts
+++ b/src/entry/startEntry.ts
@@ -11,6 +11,7 @@
 import { CounterName, GaugeName } from "../metrics";
 import { getRunState } from "../outcome";
 import { RefusalReason } from "../protocol";
+import { createReadingTurns, limitReadingTurns } from "../requestMemory";
 import { createRequestQueue } from "../requestQueue";
 import { breakOffResponse } from "../runtime";
 import { createHttpServer } from "../security";
@@ -45,14 +46,15 @@
 export async function startEntry(options: EntryOptions): Promise<Entry> {
     const { clock, listener, logger, metrics, settings } = options;
     const inputLimiter = createInvalidInputLimiter(clock);
-    const refusalSender = createRefusalSender(clock, metrics, inputLimiter);
-    const handler = createRequestHandler(options, refusalSender, inputLimiter);
     const inFlight = new Set<RequestInFlight>();
     const sockets = new Set<Socket>();
     const queue = createRequestQueue({ waitForTurn: setImmediate, clock, logger, metrics });
     let isDraining = false;
     let isClosing = false;
     const server = createServer();
+    const turns = limitReadingTurns(server, createReadingTurns({ waitForTurn: setImmediate, clock, metrics, logger }));
+    const refusalSender = createRefusalSender(clock, metrics, inputLimiter, turns);
+    const handler = createRequestHandler(options, refusalSender, inputLimiter, turns);
     server.listen(listener.port, listener.address);
     await once(server, "listening");
     const { address, port } = server.address() as AddressInfo;
--- a/src/metrics/CounterName.ts
+++ b/src/metrics/CounterName.ts
@@ -14,6 +14,8 @@
     ConnectionsRefused = "basilwing_connections_refused_total",
     /** Bodies of requests that were refused, since there was no memory for them or others needed theirs. */
     BodiesRefusedForMemory = "basilwing_bodies_refused_for_memory_total",
+    /** Requests whose bodies came in very small chunks, and that were refused as others were read too late. */
+    RequestsRefusedForTurns = "basilwing_requests_refused_for_turns_total",
     /** Heads of requests that were refused before their end, since such heads occupied too much memory. */
     HeadsRefusedForMemory = "basilwing_heads_refused_for_memory_total",
     /** Bodies of requests of which nothing arrived for too long. */
--- a/src/metrics/GaugeName.ts
+++ b/src/metrics/GaugeName.ts
@@ -8,6 +8,8 @@
     /** The bytes that the bodies of requests occupy or have reserved. */
     RequestMemory = "basilwing_request_memory_bytes",
     RequestsWaitingForMemory = "basilwing_requests_waiting_for_memory",
+    /** The connections that are not read until others have been read. */
+    ConnectionsWaitingForTurn = "basilwing_connections_waiting_for_turn",
     /** The longest delay since the gauge was last read. */
     EventLoopDelay = "basilwing_event_loop_delay_milliseconds",
     /** The number of entry processes by which an entry process divides what they share. */
--- a/src/requestMemory/index.ts
+++ b/src/requestMemory/index.ts
@@ -3,9 +3,13 @@
  */
 export * from "./bodilessServerOptions";
 export * from "./BodyAccount";
+export * from "./BodyLimits";
 export * from "./BodyOutcome";
 export * from "./BodyReader";
 export * from "./BodyState";
+export * from "./ConnectionTurns";
+export * from "./createBodyDiscard";
+export * from "./createReadingTurns";
 export * from "./createRequestMemory";
 export * from "./dropHead";
 export * from "./getConnectionLimit";
@@ -15,7 +19,11 @@
 export * from "./limitBodilessServer";
 export * from "./limitConnections";
 export * from "./limitHeads";
+export * from "./limitReadingTurns";
 export * from "./observeWaitingConnections";
+export * from "./ReadingTurns";
 export * from "./readRequestBody";
 export * from "./RequestMemory";
+export * from "./TurnAccount";
+export * from "./TurnReader";
 export * from "./UnreadBody";
--- a/src/requestMemory/readRequestBody.ts
+++ b/src/requestMemory/readRequestBody.ts
@@ -3,11 +3,11 @@
  * chunk of one byte occupies a hundred times as much as an object of its own.
  */
 import type { IncomingMessage } from "node:http";
-import { createByteCollector } from "../runtime";
+import { createByteCollector, getReadGate, ReadPause } from "../runtime";
+import { BodyLimits } from "./BodyLimits";
 import { BodyOutcome } from "./BodyOutcome";
-import { controlFlow } from "./controlFlow";
+import { createBodyDiscard } from "./createBodyDiscard";
 import { hasBody } from "./hasBody";
-import { RequestMemory } from "./RequestMemory";
 
 /** What is reserved first for a body of unknown length, in bytes; later four times as much each time. */
 const firstBytes = 16_384;
@@ -17,17 +17,15 @@
  * passed: a change of the routing document may raise the limit meanwhile.
  */
 const farOverFactor = 2;
-/** How much of a body beyond the limit is discarded so that its connection can be kept, in bytes. */
-const maximumDiscardedBytes = 4_194_304;
+/** A body of which more remains is not discarded, in bytes, and its connection is closed. */
+const maximumRestBytes = 4_194_304;
 
 /** The options. */
-interface BodyOptions {
+interface BodyOptions extends BodyLimits {
     /** The request, of which nothing but the head has been read. */
     request: IncomingMessage;
     /** Gets the maximum size of the body, in bytes, which may change while the body arrives. */
     getMaximumBytes(): number;
-    /** The memory that bodies share. */
-    memory: RequestMemory;
     /** Aborted once the response has ended or the connection is closed, and the body's memory can be freed. */
     signal: AbortSignal;
     /** Ends the connection, which is no longer read, as more of a body arrives than is discarded. */
@@ -39,7 +37,7 @@
  * @param options - The request, its limit and the memory.
  */
 export function readRequestBody(options: BodyOptions): Promise<BodyOutcome> {
-    const { request, memory, signal, getMaximumBytes, endConnection } = options;
+    const { request, memory, turns, signal, getMaximumBytes, endConnection } = options;
     const declaredText = request.headers["content-length"];
     const declaredBytes = declaredText === undefined ? undefined : Number(declaredText);
     if (!hasBody(request)) {
@@ -51,13 +49,14 @@
         return Promise.resolve({ kind: "aborted" });
     }
     return new Promise(resolve => {
-        const flow = controlFlow(request);
+        const gate = getReadGate(request.socket);
         const account = memory.open({ grant, refuse: reason => end({ kind: reason }) });
+        const recordChunk = turns.observeBody(request, refuseTurns);
+        const discard = createBodyDiscard(request, endConnection);
         const excess = createByteCollector();
         let buffer: Buffer | undefined;
         let length = 0;
         let reservedBytes = 0;
-        let discardedBytes = 0;
         let hasEnded = false;
         let stopDiscarding: (() => void) | undefined;
         signal.addEventListener("abort", () => {
@@ -73,21 +72,21 @@
         });
         request.on("error", () => end({ kind: "aborted" }));
         if (declaredBytes !== undefined && declaredBytes > farOverFactor * getMaximumBytes()) {
-            refuseTooLarge();
+            refuseTooLarge(0);
         }
 
         function addChunk(chunk: Buffer): void {
+            recordChunk(chunk.length);
             if (hasEnded) {
-                discard(chunk);
+                discard(chunk.length);
                 return;
             }
             account.recordArrival(chunk.length);
             const newLength = length + excess.getLength() + chunk.length;
             if (newLength > getMaximumBytes()) {
-                discardedBytes = newLength;
-                refuseTooLarge();
+                refuseTooLarge(newLength);
             }
-            else if (!flow.isPaused() && (buffer && newLength <= buffer.length || reserve(newLength))) {
+            else if (!gate.isPaused(ReadPause.Memory) && (buffer && newLength <= buffer.length || reserve(newLength))) {
                 append(chunk);
             }
             else {
@@ -95,7 +94,7 @@
                 reservedBytes = Math.max(reservedBytes, getReservation(newLength));
                 if (account.addExcess(chunk.length, reservedBytes)) {
                     excess.add(chunk);
-                    flow.pause();
+                    gate.pause(ReadPause.Memory);
                 }
             }
         }
@@ -128,7 +127,7 @@
 
         function grant(): void {
             excess.takeParts().forEach(append);
-            flow.resume();
+            gate.resume(ReadPause.Memory);
         }
 
         function finish(): void {
@@ -151,16 +150,18 @@
             return body;
         }
 
-        function refuseTooLarge(): void {
-            const restBytes = (declaredBytes ?? 0) - discardedBytes;
-            stopDiscarding = restBytes > maximumDiscardedBytes ? undefined : memory.startDiscarding();
+        function refuseTooLarge(readBytes: number): void {
+            const restBytes = (declaredBytes ?? 0) - readBytes;
+            stopDiscarding = restBytes > maximumRestBytes ? undefined : memory.startDiscarding();
             end({ kind: "tooLarge", mustClose: stopDiscarding === undefined });
         }
 
-        function discard(chunk: Buffer): void {
-            discardedBytes += chunk.length;
-            if (discardedBytes > getMaximumBytes() + maximumDiscardedBytes) {
-                request.pause();
+        /** Refuses the request as it takes too much time to read, or ends the reading of its rest. */
+        function refuseTurns(): void {
+            if (!hasEnded) {
+                end({ kind: "overloaded" });
+            }
+            else if (!request.complete) {
                 endConnection();
             }
         }
@@ -168,18 +169,21 @@
         function end(outcome: BodyOutcome): void {
             if (!hasEnded) {
                 hasEnded = true;
-                flow.release();
+                if (outcome.kind !== "read") {
+                    free();
+                }
                 if (outcome.kind === "read" || outcome.kind === "tooLarge") {
                     // The connection goes on with the next request, or the rest of this one is discarded.
-                    flow.resume();
-                }
-                if (outcome.kind !== "read") {
-                    account.close();
-                    excess.takeParts();
-                    buffer = undefined;
+                    gate.resume(ReadPause.Memory);
                 }
                 resolve(outcome);
             }
         }
+
+        function free(): void {
+            account.close();
+            excess.takeParts();
+            buffer = undefined;
+        }
     });
 }
--- a/src/runtime/endAfterSending.ts
+++ b/src/runtime/endAfterSending.ts
@@ -5,6 +5,7 @@
 import { Socket } from "node:net";
 import { Clock } from "./Clock";
 import { detach } from "./detach";
+import { getReadGate } from "./getReadGate";
 
 /** How many bytes are sent without waiting for the caller, in bytes: the first window of a connection. */
 const firstWindowBytes = 14_000;
@@ -31,6 +32,7 @@
     const closed = new AbortController();
     socket.once("close", () => closed.abort());
     // From now on the parser gets nothing, so that no later request is read.
+    getReadGate(socket).release();
     socket.removeAllListeners("data");
     let discardedBytes = 0;
     socket.on("data", data => {
--- a/tests/entry/readBody.tests.ts
+++ b/tests/entry/readBody.tests.ts
@@ -8,6 +8,7 @@
 import { RefusalReason } from "../../src/protocol";
 import { createRequestMemory } from "../../src/requestMemory";
 import { createSystemClock, pollConnections } from "../../src/runtime";
+import { freeTurns } from "../support/freeTurns";
 
 describe("readBody", () => {
     const maximumBytes = 262_144;
@@ -26,7 +27,7 @@
             logger: createSilentLogger(),
         });
         server = createServer((request, response) =>
-            void readBody(request, response, maximumBytes, memory).then(outcome => {
+            void readBody(request, response, maximumBytes, { memory, turns: freeTurns }).then(outcome => {
                 outcomes.push(outcome.kind === "read" ? outcome.body.length : RefusalReason[outcome.refusal.reason]);
                 response.end();
             })
@@ -76,9 +77,9 @@
             response.once(
                 "close",
                 () =>
-                    void pollConnections().then(() => readBody(request, response, maximumBytes, memory)).then(outcome =>
-                        outcomes.push(outcome.kind)
-                    ),
+                    void pollConnections().then(() =>
+                        readBody(request, response, maximumBytes, { memory, turns: freeTurns })
+                    ).then(outcome => outcomes.push(outcome.kind)),
             );
         });
         closing.listen(0, "127.0.0.1");
--- a/tests/requestMemory/readRequestBody.tests.ts
+++ b/tests/requestMemory/readRequestBody.tests.ts
@@ -1,47 +1,65 @@
 import { expect } from "chai";
 import fc from "fast-check";
 import { once } from "node:events";
-import { createServer } from "node:http";
-import { AddressInfo, createConnection } from "node:net";
+import { createServer, Server } from "node:http";
+import { AddressInfo, createConnection, Socket } from "node:net";
 import { createSilentLogger } from "../../src/logging";
 import { createMetrics } from "../../src/metrics";
-import { createRequestMemory, readRequestBody } from "../../src/requestMemory";
+import { createRequestMemory, readRequestBody, RequestMemory } from "../../src/requestMemory";
 import { createSystemClock, pollConnections } from "../../src/runtime";
+import { freeTurns } from "../support/freeTurns";
 
 describe("readRequestBody", () => {
     const maximumBodyBytes = 1_048_576;
 
-    /** Sends a body in chunks while another one holds all memory, and checks that it is read whole once that one has ended. */
-    async function doTest(chunkSizes: readonly number[]): Promise<void> {
-        const memory = createRequestMemory({
+    let server: Server;
+    let client: Socket;
+    let memory: RequestMemory;
+    beforeEach(createMemory);
+    afterEach(() => {
+        client.destroy();
+        server.close();
+    });
+
+    function createMemory(): void {
+        memory = createRequestMemory({
             getMaximumBytes: () => 4 * maximumBodyBytes,
             pollConnections,
             clock: createSystemClock(),
             metrics: createMetrics(),
             logger: createSilentLogger(),
         });
-        const other = memory.open({ grant: () => undefined, refuse: () => undefined });
-        other.reserve(3 * maximumBodyBytes);
-        const chunks = chunkSizes.map((size, index) => Buffer.alloc(size, index + 1));
-        const server = createServer().listen(0, "127.0.0.1");
+    }
+
+    /** Sends a head and a chunk, and reads the body. */
+    async function startReading(chunk: Buffer, getMaximumBytes: () => number) {
+        server = createServer().listen(0, "127.0.0.1");
         await once(server, "listening");
-        const client = createConnection((server.address() as AddressInfo).port, "127.0.0.1");
+        client = createConnection((server.address() as AddressInfo).port, "127.0.0.1");
         client.write("PUT / HTTP/1.1\r\nHost: test.example\r\nTransfer-Encoding: chunked\r\n\r\n");
-        const [first = Buffer.alloc(0), ...rest] = chunks.map(chunk =>
-            Buffer.concat([Buffer.from(`${chunk.length.toString(16)}\r\n`), chunk, Buffer.from("\r\n")])
-        );
-        client.write(first);
+        client.write(encodeChunk(chunk));
         const [request] = await once(server, "request") as [Parameters<typeof readRequestBody>[0]["request"]];
         const outcome = readRequestBody({
             request,
-            getMaximumBytes: () => maximumBodyBytes,
+            getMaximumBytes,
             memory,
+            turns: freeTurns,
             signal: new AbortController().signal,
             endConnection: () => client.destroy(),
         });
+        return { request, outcome };
+    }
+
+    /** Sends a body in chunks while another one holds all memory, and checks that it is read whole once that one has ended. */
+    async function doTest(chunkSizes: readonly number[]): Promise<void> {
+        createMemory();
+        const other = memory.open({ grant: () => undefined, refuse: () => undefined });
+        other.reserve(3 * maximumBodyBytes);
+        const chunks = chunkSizes.map((size, index) => Buffer.alloc(size, index + 1));
+        const { request, outcome } = await startReading(chunks[0]!, () => maximumBodyBytes);
         // The first chunk is read by itself.
         await waitUntil(() => memory.getBytes() > 3 * maximumBodyBytes);
-        client.write(Buffer.concat([...rest, Buffer.from("0\r\n\r\n")]));
+        client.write(Buffer.concat([...chunks.slice(1).map(encodeChunk), Buffer.from("0\r\n\r\n")]));
         await waitUntil(() => memory.getWaitingCount() > 0 || request.complete);
         await pollConnections();
         other.close();
@@ -70,3 +88,7 @@
         await pollConnections();
     }
 }
+
+function encodeChunk(chunk: Buffer): Buffer {
+    return Buffer.concat([Buffer.from(`${chunk.length.toString(16)}\r\n`), chunk, Buffer.from("\r\n")]);
+}
