--- a/src/requestMemory/readRequestBody.ts
+++ b/src/requestMemory/readRequestBody.ts
@@ -33,7 +33,7 @@
 }
 
 /**
- * Reads a body to its end, until it exceeds the limit, or until it is refused.
+ * Reads a body to its end, until it exceeds the limit, or until it is refused. Rejects where it can't be read because of a failure.
  * @param options - The request, its limit and the memory.
  */
 export function readRequestBody(options: BodyOptions): Promise<BodyOutcome> {
@@ -48,9 +48,9 @@
         // Neither would be announced again.
         return Promise.resolve({ kind: "aborted" });
     }
-    return new Promise(resolve => {
+    return new Promise((resolve, reject) => {
         const gate = getReadGate(request.socket);
-        const account = memory.open({ grant, refuse: reason => end({ kind: reason }) });
+        const account = memory.open({ grant: () => attempt(grant), refuse: reason => end({ kind: reason }) });
         const recordChunk = turns.observeBody(request, refuseTurns);
         const discard = createBodyDiscard(request, endConnection);
         const excess = createByteCollector();
@@ -64,7 +64,7 @@
             stopDiscarding?.();
             end({ kind: "aborted" });
         }, { once: true });
-        request.on("data", addChunk);
+        request.on("data", (chunk: Buffer) => attempt(() => addChunk(chunk)));
         request.on("end", finish);
         request.on("close", () => {
             stopDiscarding?.();
@@ -75,6 +75,19 @@
             refuseTooLarge(0);
         }
 
+        /** Runs a step that may be called by the handler of another request, which must not fail with this one. */
+        function attempt(step: () => void): void {
+            try {
+                step();
+            }
+            catch (thrown) {
+                hasEnded = true;
+                free();
+                gate.resume(ReadPause.Memory);
+                reject(thrown);
+            }
+        }
+
         function addChunk(chunk: Buffer): void {
             recordChunk(chunk.length);
             if (hasEnded) {
--- a/tests/requestMemory/readRequestBody.tests.ts
+++ b/tests/requestMemory/readRequestBody.tests.ts
@@ -70,6 +70,15 @@
         expect(result.kind === "read" && Buffer.concat(chunks).equals(result.body)).to.equal(true);
     }
 
+    // An exception in a handler of the request would end the process.
+    it("rejects where it fails, and keeps no memory", async () => {
+        const { outcome } = await startReading(Buffer.alloc(100), () => {
+            throw new Error("no limits");
+        });
+        const problem = await outcome.then(({ kind }) => kind, (thrown: Error) => thrown.message);
+        expect([problem, memory.getBytes()]).to.deep.equal(["no limits", 0]);
+    });
+
     // The buffer that was granted was once smaller than what one read of the connection had brought.
     it("reads chunks whole that arrive together while the body waits", () =>
         doTest([20_000, 20_000, 20_000, 20_000, 20_000]));
