Keep no body of a request beyond its response

A process that had served large uploads on connections that stay open kept all of their bodies: 200 MB of buffers at 0 bytes in its account, 250 to 346 MB of 160 resident. Now the reader drops the promise and its buffer, and only the queue refers to the body of a whole request.

--- a/src/requestMemory/readRequestBody.ts
+++ b/src/requestMemory/readRequestBody.ts
@@ -49,6 +49,8 @@
         return Promise.resolve({ kind: "aborted" });
     }
     return new Promise((resolve, reject) => {
+        // Node.js keeps a request, with all that its listeners refer to, until the next one on the connection. A promise would keep the body.
+        let settlers: { resolve: typeof resolve; reject: typeof reject; } | undefined = { resolve, reject };
         const gate = getReadGate(request.socket);
         const account = memory.open({ grant: () => attempt(grant), refuse: reason => end({ kind: reason }) });
         const recordChunk = turns.observeBody(request, refuseTurns);
@@ -57,7 +59,6 @@
         let buffer: Buffer | undefined;
         let length = 0;
         let reservedBytes = 0;
-        let hasEnded = false;
         let stopDiscarding: (() => void) | undefined;
         signal.addEventListener("abort", () => {
             account.close();
@@ -81,16 +82,16 @@
                 step();
             }
             catch (thrown) {
-                hasEnded = true;
                 free();
                 gate.resume(ReadPause.Memory);
-                reject(thrown);
+                settlers?.reject(thrown);
+                settlers = undefined;
             }
         }
 
         function addChunk(chunk: Buffer): void {
             recordChunk(chunk.length);
-            if (hasEnded) {
+            if (!settlers) {
                 discard(chunk.length);
                 return;
             }
@@ -147,7 +148,7 @@
             if (!request.complete) {
                 end({ kind: "aborted" });
             }
-            else if (!hasEnded) {
+            else if (settlers) {
                 const body = takeBody();
                 end({ kind: "read", body });
             }
@@ -160,6 +161,7 @@
             const isCopied = parts.length > 0 || read.length < (buffer?.length ?? 0) / 2;
             const body = isCopied ? Buffer.concat([read, ...parts]) : read;
             account.complete(isCopied ? body.length : buffer?.length ?? 0);
+            buffer = undefined;
             return body;
         }
 
@@ -171,7 +173,7 @@
 
         /** Refuses the request as it takes too much time to read, or ends the reading of its rest. */
         function refuseTurns(): void {
-            if (!hasEnded) {
+            if (settlers) {
                 end({ kind: "overloaded" });
             }
             else if (!request.complete) {
@@ -180,8 +182,7 @@
         }
 
         function end(outcome: BodyOutcome): void {
-            if (!hasEnded) {
-                hasEnded = true;
+            if (settlers) {
                 if (outcome.kind !== "read") {
                     free();
                 }
@@ -189,7 +190,8 @@
                     // The connection goes on with the next request, or the rest of this one is discarded.
                     gate.resume(ReadPause.Memory);
                 }
-                resolve(outcome);
+                settlers.resolve(outcome);
+                settlers = undefined;
             }
         }
 
