Let large responses end in turn where all together need too much memory

Beyond the limit all responses above 128 KB were paused at the same time until the sum was within it again, so none ended, while new ones kept the sum beyond it with 128 KB each; only one was given up every 250 ms.

Now large responses go on in the order of their beginnings, as many as need no more than 4 MiB together until their ends (by their Content-Length where they have one); the others are not read meanwhile. One without progress for 250 ms gives way to the next one, and the largest is given up only where none has made progress for 500 ms. The memory held beyond the limit is bounded by these 4 MiB.

--- a/src/runtime/createMemoryBudget.ts
+++ b/src/runtime/createMemoryBudget.ts
@@ -1,6 +1,7 @@
 /*
- * Limits the memory that several holders share. Beyond the limit, holders that hold much are paused until others have freed
- * memory. If none does, the largest are given up one after the other.
+ * Limits the memory that several holders share. Beyond the limit, holders that hold much go on in the order of their beginnings, as
+ * many at a time as fit, and the others are paused, so that each one ends in its turn. Addresses many large responses at once: if all of them were
+ * paused until others have freed memory, none would end.
  */
 import { Clock } from "./Clock";
 import { detach } from "./detach";
@@ -10,14 +11,22 @@
 
 /** The bytes that each holder may hold, also beyond the limit. */
 const smallHolderBytes = 131_072;
-/** How long holders are paused before the largest one is given up, in milliseconds. */
-const pauseMilliseconds = 250;
+/** What a holder needs at most, in bytes; those that go on may need as much beyond the limit. */
+const largestHolderBytes = 4_194_304;
+/** How long a holder may make no progress until another one goes on in its place, in milliseconds. */
+const stallMilliseconds = 250;
+/** After how many such times without progress of any the largest one is given up. */
+const maximumStalls = 2;
 
 /** A holder with its bytes. */
 interface Entry {
     holder: MemoryHolder;
     bytes: number;
+    /** What it will hold at its end. */
+    expectedBytes: number;
     isPaused: boolean;
+    /** Whether it has changed since the last check. */
+    hasProgress: boolean;
 }
 
 /**
@@ -26,16 +35,26 @@
  * @param clock - The clock by which pauses are taken.
  */
 export function createMemoryBudget(maximumBytes: number, clock: Clock): MemoryBudget {
+    /** The holders in the order in which they go on. */
     const entries = new Set<Entry>();
     let totalBytes = 0;
     /** Aborted once the holders are within the limit again; undefined while they are. */
     let shortage: AbortController | undefined;
+    /** Whether any large holder has made progress or ended since the last check. */
+    let hasProgress = false;
     return { open };
 
     function open(holder: MemoryHolder): MemoryAccount {
-        const entry: Entry = { holder, bytes: 0, isPaused: false };
+        const entry: Entry = {
+            holder,
+            bytes: 0,
+            expectedBytes: largestHolderBytes,
+            isPaused: false,
+            hasProgress: false,
+        };
         entries.add(entry);
         return {
+            expect: bytes => void (entry.expectedBytes = Math.min(bytes, largestHolderBytes)),
             add: bytes => change(entry, bytes),
             remove: bytes => change(entry, -bytes),
             close: () => close(entry),
@@ -43,63 +62,74 @@
     }
 
     function change(entry: Entry, bytes: number): void {
-        if (!entries.has(entry)) {
-            return;
-        }
-        entry.bytes += bytes;
-        totalBytes += bytes;
-        if (totalBytes <= maximumBytes) {
-            endShortage();
-        }
-        else if (shortage) {
-            pauseIfLarge(entry);
-        }
-        else {
-            shortage = new AbortController();
-            entries.forEach(pauseIfLarge);
-            detach(giveUpLargest(shortage.signal));
+        if (entries.has(entry)) {
+            entry.bytes += bytes;
+            totalBytes += bytes;
+            entry.hasProgress = true;
+            hasProgress ||= isLarge(entry);
+            pauseOrResume();
         }
     }
 
     function close(entry: Entry): void {
         if (entries.delete(entry)) {
             totalBytes -= entry.bytes;
-            if (totalBytes <= maximumBytes) {
-                endShortage();
-            }
+            hasProgress ||= isLarge(entry);
+            pauseOrResume();
         }
     }
 
-    function pauseIfLarge(entry: Entry): void {
-        if (!entry.isPaused && entry.bytes > smallHolderBytes) {
-            entry.isPaused = true;
-            entry.holder.setPaused(true);
+    /** Pauses large holders beyond the limit, except the first ones, which fit together with what they still need. */
+    function pauseOrResume(): void {
+        if (!shortage && totalBytes <= maximumBytes) {
+            return;
         }
-    }
-
-    function endShortage(): void {
-        shortage?.abort();
-        shortage = undefined;
-        for (const entry of [...entries].filter(({ isPaused }) => isPaused)) {
-            entry.isPaused = false;
-            entry.holder.setPaused(false);
+        let roomBytes = Math.max(0, maximumBytes - totalBytes) + largestHolderBytes;
+        let isAnyPaused = false;
+        for (const entry of [...entries].filter(isLarge)) {
+            const neededBytes = Math.max(0, entry.expectedBytes - entry.bytes);
+            const isPaused = neededBytes > roomBytes;
+            roomBytes -= isPaused ? 0 : neededBytes;
+            isAnyPaused ||= isPaused;
+            if (entry.isPaused !== isPaused) {
+                entry.isPaused = isPaused;
+                entry.holder.setPaused(isPaused);
+            }
+        }
+        if (totalBytes <= maximumBytes && !isAnyPaused) {
+            shortage?.abort();
+            shortage = undefined;
+        }
+        else if (!shortage) {
+            shortage = new AbortController();
+            detach(relieve(shortage.signal));
         }
     }
 
-    /** Gives up the largest holders until the shortage ends. */
-    async function giveUpLargest(signal: AbortSignal): Promise<void> {
-        await clock.sleep(pauseMilliseconds, signal);
+    /** Lets others go on in place of those without progress, and gives the largest up where none makes any. */
+    async function relieve(signal: AbortSignal): Promise<void> {
+        let stallCount = 0;
         while (!signal.aborted) {
-            const largest = [...entries].filter(({ isPaused }) => isPaused)
-                .reduce<Entry | undefined>(
-                    (left, right) => left && left.bytes >= right.bytes ? left : right,
-                    undefined,
-                );
-            if (largest) {
+            hasProgress = false;
+            entries.forEach(entry => entry.hasProgress = false);
+            await clock.sleep(stallMilliseconds, signal);
+            stallCount = hasProgress ? 0 : stallCount + 1;
+            const large = [...entries].filter(isLarge);
+            if (stallCount >= maximumStalls && large.length > 0 && !signal.aborted) {
+                const largest = large.reduce((left, right) => left.bytes >= right.bytes ? left : right);
                 close(largest);
                 largest.holder.giveUp();
+                continue;
+            }
+            for (const entry of large.filter(({ isPaused, hasProgress: isMoving }) => !isPaused && !isMoving)) {
+                entries.delete(entry);
+                entries.add(entry);
             }
-            await clock.sleep(pauseMilliseconds, signal);
+            pauseOrResume();
         }
     }
 }
+
+function isLarge({ bytes }: Entry): boolean {
+    return bytes > smallHolderBytes;
+}
