--- a/tests/platform/callers/startCallerServer.tests.ts
+++ b/tests/platform/callers/startCallerServer.tests.ts
@@ -7,7 +7,7 @@
 import { createSilentLogger } from "../../../src/logging";
 import { createMetrics } from "../../../src/metrics";
 import { RefusalReason } from "../../../src/protocol";
-import { createSystemClock } from "../../../src/runtime";
+import { createSystemClock, getReadGate, ReadPause } from "../../../src/runtime";
 import { createTestFeedState } from "../../feed/createTestFeed";
 
 describe("startCallerServer", () => {
@@ -152,6 +152,22 @@
         started.destroy();
     });
 
+    // A planned stop once closed connections whose first request had arrived, but waited for its turn.
+    it("closes no connection that waits for its turn, and answers its request", async () => {
+        const address = await start((...[, reply]) => reply.send({ status: 200, headers: [] }, Buffer.from("ok")));
+        const [host, port] = address.split(":") as [string, string];
+        const accepted = once(callerServer!.server, "connection") as Promise<[Socket]>;
+        callerServer!.server.on("connection", (socket: Socket) => getReadGate(socket).pause(ReadPause.Turn));
+        const caller = connect(Number(port), host);
+        caller.write("GET / HTTP/1.1\r\nhost: one.example\r\nbasilwing-request-id: 1\r\n\r\n");
+        const [socket] = await accepted;
+        callerServer!.closeUnusedConnections();
+        getReadGate(socket).resume(ReadPause.Turn);
+        const [chunk] = await once(caller, "data") as [Buffer];
+        expect(chunk.toString()).to.include("200 OK");
+        caller.destroy();
+    });
+
     async function waitUntil(isMet: () => boolean): Promise<void> {
         while (!isMet()) {
             await new Promise(resolve => setImmediate(resolve));
