--- a/tests/platform/crowds/crowds.tests.ts
+++ b/tests/platform/crowds/crowds.tests.ts
@@ -281,6 +281,26 @@
             client.close();
             expect(client.getStatuses()).to.deep.equal([200]);
         }
+        // A refusal must say that the request has not run.
+        it("serve or refuse an upload in small chunks beside others that stop short", async () => {
+            deployment = await startCrowdDeployment(waveDescriptors);
+            const address = deployment.entry.addresses.caller;
+            const crowd = await startCrowd(
+                address,
+                [{ ...endlessTinyChunks, count: 60, partCount: 100 }],
+                () => undefined,
+            );
+            const response = await request(`http://${address}/read/upload`, {
+                method: "POST",
+                headers: { "host": "crowd.example", "basilwing-request-id": "upload" },
+                body: Readable.from(Array.from({ length: 1_024 }, () => Buffer.alloc(1_024, "a"))),
+            });
+            await response.body.dump();
+            crowd.close();
+            const { statusCode, headers } = response;
+            expect(statusCode === 200 || statusCode === 503 && headers["retry-after"] !== undefined, String(statusCode))
+                .to.equal(true);
+        });
         it("serve a single body of chunks of one byte", () =>
             doSingleTest({ part: tinyChunks, partCount: crowdBodyBytes / 16_384 }));
         it("serve a single body of chunks of one kilobyte", () =>
