Spend less on each request: await turns only where something costs, and look up connections in place of observing requests

A turn of the event loop was awaited for each request, each connection got a gate, and the check of unfinished heads observed each request. Now turns are awaited from a quarter of the limit on, a gate is created with the first pause, and that check reads what the connections know already.

--- a/src/requestMemory/createReadingTurns.ts
+++ b/src/requestMemory/createReadingTurns.ts
@@ -31,7 +31,7 @@
 /** A connection. */
 interface Connection {
     reader: TurnReader;
-    /** The cost in the current turn. */
+    /** The cost in the current turn, and in earlier ones since costs were last reset. */
     turnCost: number;
     /** The cost in the last turn in which it was read. */
     lastCost: number;
@@ -115,12 +115,13 @@
             .forEach(connections => connections.delete(connection));
     }
 
+    /** Records a cost. Turns are awaited only once there is some, as ordinary requests never need one. */
     function record(connection: Connection, cost: number): void {
         newConnections.delete(connection);
         readConnections.add(connection);
         connection.turnCost += cost;
         turnCost += cost;
-        if (!isRunning) {
+        if (!isRunning && (turnCost > maximumTurnCost / 4 || connection.turnCost > maximumConnectionCost / 2)) {
             isRunning = true;
             detach(runTurns());
         }
--- a/src/requestMemory/index.ts
+++ b/src/requestMemory/index.ts
@@ -20,7 +20,6 @@
 export * from "./limitConnections";
 export * from "./limitHeads";
 export * from "./limitReadingTurns";
-export * from "./observeWaitingConnections";
 export * from "./ReadingTurns";
 export * from "./readRequestBody";
 export * from "./RequestMemory";
--- a/src/requestMemory/limitHeads.ts
+++ b/src/requestMemory/limitHeads.ts
@@ -8,7 +8,6 @@
 import { CounterName, Metrics } from "../metrics";
 import { Clock } from "../runtime";
 import { getHeadBytes } from "./getHeadBytes";
-import { observeWaitingConnections } from "./observeWaitingConnections";
 
 /** The share of the memory of a process that heads may occupy. */
 const memoryShare = 1 / 20;
@@ -85,22 +84,38 @@
     const responses = new WeakMap<Socket, Set<ServerResponse>>();
     let wholeBytes = 0;
     const connections = new Map<Socket, WaitingConnection>();
+    /** The requests in progress on each connection. */
+    const openCounts = new WeakMap<Socket, number>();
     let checkedMilliseconds = -Infinity;
     let loggedMilliseconds = -Infinity;
     let unloggedCount = 0;
-    observeWaitingConnections(server, {
-        onWaiting: socket => connections.set(socket, { formerBytes: socket.bytesRead, sinceMilliseconds: undefined }),
-        onNotWaiting: socket => connections.delete(socket),
-    });
     server.on("connection", socket => {
+        connections.set(socket, { formerBytes: 0, sinceMilliseconds: undefined });
         const socketResponses = new Set<ServerResponse>();
         responses.set(socket, socketResponses);
-        // Node.js closes none of the responses that wait behind another one.
-        socket.on("close", () => socketResponses.forEach(remove));
+        socket.on("close", () => {
+            connections.delete(socket);
+            // Node.js closes none of the responses that wait behind another one.
+            socketResponses.forEach(remove);
+        });
         if (clock.getMonotonicMilliseconds() - checkedMilliseconds >= acceptCheckMilliseconds) {
             check();
         }
     });
+    server.prependListener("request", (request, response) => {
+        const { socket } = request;
+        connections.delete(socket);
+        openCounts.set(socket, (openCounts.get(socket) ?? 0) + 1);
+        response.on("finish", () => {
+            if (request.complete) {
+                endRequest(socket);
+            }
+            else {
+                // The rest of its body is no head.
+                request.once("close", () => endRequest(socket));
+            }
+        });
+    });
     const timer = setInterval(check, checkMilliseconds);
     timer.unref();
     server.on("close", () => clearInterval(timer));
@@ -161,6 +176,14 @@
         }
     }
 
+    function endRequest(socket: Socket): void {
+        const openCount = (openCounts.get(socket) ?? 1) - 1;
+        openCounts.set(socket, openCount);
+        if (openCount === 0 && !socket.destroyed) {
+            connections.set(socket, { formerBytes: socket.bytesRead, sinceMilliseconds: undefined });
+        }
+    }
+
     function check(): void {
         checkedMilliseconds = clock.getMonotonicMilliseconds();
         let totalBytes = wholeBytes;
--- a/src/requestMemory/limitReadingTurns.ts
+++ b/src/requestMemory/limitReadingTurns.ts
@@ -24,9 +24,11 @@
 export function limitReadingTurns(server: Server, turns: ReadingTurns): ConnectionTurns {
     const connections = new WeakMap<Socket, Connection>();
     server.on(server instanceof SecureServer ? "secureConnection" : "connection", (socket: Socket) => {
-        const gate = getReadGate(socket);
         const account = turns.open({
-            setPaused: isPaused => isPaused ? gate.pause(ReadPause.Turn) : gate.resume(ReadPause.Turn),
+            setPaused: isPaused =>
+                isPaused
+                    ? getReadGate(socket).pause(ReadPause.Turn)
+                    : getReadGate(socket).resume(ReadPause.Turn),
             refuse: () => connections.get(socket)?.refuse?.(),
         });
         connections.set(socket, { account });
