--- a/src/entry/startEntry.ts
+++ b/src/entry/startEntry.ts
@@ -52,7 +52,9 @@
     let isDraining = false;
     let isClosing = false;
     const server = createServer();
-    const turns = limitReadingTurns(server, createReadingTurns({ waitForTurn: setImmediate, clock, metrics, logger }));
+    const connectionEvent = options.identity === undefined ? "connection" : "secureConnection";
+    const readingTurns = createReadingTurns({ waitForTurn: setImmediate, clock, metrics, logger });
+    const turns = limitReadingTurns(server, readingTurns, connectionEvent);
     const refusalSender = createRefusalSender(clock, metrics, inputLimiter, turns);
     const handler = createRequestHandler(options, refusalSender, inputLimiter, turns);
     server.listen(listener.port, listener.address);
--- a/src/requestMemory/limitReadingTurns.ts
+++ b/src/requestMemory/limitReadingTurns.ts
@@ -2,7 +2,6 @@
  * Lets the connections of a server be read in turns.
  */
 import type { Server } from "node:http";
-import { Server as SecureServer } from "node:https";
 import type { Socket } from "node:net";
 import { getReadGate, ReadPause } from "../runtime";
 import { ConnectionTurns } from "./ConnectionTurns";
@@ -18,12 +17,17 @@
 
 /**
  * Adds the connections that a server accepts from now on to the turns.
- * @param server - The server, with or without TLS.
+ * @param server - The server.
  * @param turns - The turns.
+ * @param connectionEvent - The event with which the server announces a connection; another one with TLS.
  */
-export function limitReadingTurns(server: Server, turns: ReadingTurns): ConnectionTurns {
+export function limitReadingTurns(
+    server: Server,
+    turns: ReadingTurns,
+    connectionEvent: "connection" | "secureConnection" = "connection",
+): ConnectionTurns {
     const connections = new WeakMap<Socket, Connection>();
-    server.on(server instanceof SecureServer ? "secureConnection" : "connection", (socket: Socket) => {
+    server.on(connectionEvent, (socket: Socket) => {
         const account = turns.open({
             setPaused: isPaused =>
                 isPaused
