Let a group of members with slow disks elect and keep a leader

Cause: where a disk sync took as long as an election timeout, at a majority, the group had no leader for good, however calm it was: a vote waits for two syncs at the candidate and two at the voter, but was collected for 350 ms only; other members won pre-votes meanwhile and ended the election by a higher term; and an acknowledged heartbeat waited behind the entries that the follower's disk was storing, beyond the leader's lease of 318 ms.

Change: while a message waits for a peer's disk, the leader sends heartbeats (a call of its own), which are acknowledged without a write. A member without a stored term stores it first, since it would give no promise after a restart. Votes are collected for three maximum election timeouts, slow voters are asked again, and pre-votes are refused while an election is open. Entries that a peer is storing are sent again alone. A leader whose disk is slow steps down only if it takes twice as long as the disks of the others.

--- a/examples/replicatedLog.ts
+++ b/examples/replicatedLog.ts
@@ -73,6 +73,7 @@
         addConsensusService(router, {
             handleVote: async request => log?.handleVote(request),
             handleAppend: async request => log?.handleAppend(request),
+            handleHeartbeat: async request => log?.handleHeartbeat(request),
             handleSnapshotPart: async part => log?.handleSnapshotPart(part),
             handleJoin: async request => log?.handleJoin(request),
             handleLeadership: async request => log?.handleLeadership(request),
--- a/scripts/logMutations.ts
+++ b/scripts/logMutations.ts
@@ -96,6 +96,30 @@
         originalText: "response.granted && response.memberId === voter.memberId",
         replacement: "response.granted",
     },
+    {
+        rule: "A member without a stored term acknowledges no heartbeat",
+        file: "consensus/createFollower.ts",
+        originalText: "hasStoredTerm ||= await state.persist() && storage.getHardState().term > 0n;",
+        replacement: "hasStoredTerm = true;",
+    },
+    {
+        rule: "A heartbeat keeps its receiver from voting for another member",
+        file: "consensus/createFollower.ts",
+        originalText: "state.followLeader(request.leaderAddress);\n        }\n        hasStoredTerm",
+        replacement: "}\n        hasStoredTerm",
+    },
+    {
+        rule: "Pre-votes are refused while an election is open",
+        file: "consensus/createElection.ts",
+        originalText: "isEligible && !isElectionOpen(request.candidateId)",
+        replacement: "isEligible",
+    },
+    {
+        rule: "Entries that a peer is storing are sent again alone",
+        file: "consensus/sendEntries.ts",
+        originalText: "progress.unansweredIndex = response ? undefined : entries.at(-1)?.index;",
+        replacement: "",
+    },
     {
         rule: "Entries are acknowledged only by the member id that they were addressed to",
         file: "consensus/createFollower.ts",
--- a/scripts/measure/log/measureRecovery.ts
+++ b/scripts/measure/log/measureRecovery.ts
@@ -86,6 +86,7 @@
     return {
         requestVote: async () => undefined,
         appendEntries: async () => undefined,
+        sendHeartbeat: async () => undefined,
         installSnapshot: async () => undefined,
         requestJoin: async () => undefined,
         requestReadIndex: async () => undefined,
--- a/scripts/measure/log/startMeasuredMember.ts
+++ b/scripts/measure/log/startMeasuredMember.ts
@@ -86,6 +86,7 @@
         addConsensusService(router, {
             handleVote: async request => log?.handleVote(request),
             handleAppend: async request => log?.handleAppend(request),
+            handleHeartbeat: async request => log?.handleHeartbeat(request),
             handleSnapshotPart: async part => log?.handleSnapshotPart(part),
             handleJoin: async request => log?.handleJoin(request),
             handleReadIndex: async request => log?.handleReadIndex(request),
--- a/src/control/consensus/ConsensusHandlers.ts
+++ b/src/control/consensus/ConsensusHandlers.ts
@@ -4,6 +4,8 @@
 import {
     AppendRequest,
     AppendResponse,
+    HeartbeatRequest,
+    HeartbeatResponse,
     JoinRequest,
     JoinResponse,
     LeadershipRequest,
@@ -20,8 +22,10 @@
 export interface ConsensusHandlers {
     /** Handles a candidate's request for a vote or a pre-vote. */
     handleVote(request: VoteRequest): Promise<VoteResponse | undefined>;
-    /** Handles a leader's entries or heartbeat. */
+    /** Handles a leader's entries; a message without entries tells the commit index. */
     handleAppend(request: AppendRequest): Promise<AppendResponse | undefined>;
+    /** Handles a leader's heartbeat, which waits for no disk. */
+    handleHeartbeat(request: HeartbeatRequest): Promise<HeartbeatResponse | undefined>;
     /** Handles one part of a snapshot that the leader installs. */
     handleSnapshotPart(part: SnapshotPart): Promise<SnapshotPartResponse | undefined>;
     /** Handles the request of a process to be added to the group. */
--- a/src/control/consensus/ConsensusPeers.ts
+++ b/src/control/consensus/ConsensusPeers.ts
@@ -4,6 +4,8 @@
 import {
     AppendRequest,
     AppendResponse,
+    HeartbeatRequest,
+    HeartbeatResponse,
     JoinRequest,
     JoinResponse,
     LeadershipRequest,
@@ -22,6 +24,8 @@
     requestVote(address: string, request: VoteRequest): Promise<VoteResponse | undefined>;
     /** Sends a member entries or a heartbeat. */
     appendEntries(address: string, request: AppendRequest): Promise<AppendResponse | undefined>;
+    /** Sends a member a heartbeat, which overtakes the entries that the member's disk is storing. */
+    sendHeartbeat(address: string, request: HeartbeatRequest): Promise<HeartbeatResponse | undefined>;
     /** Sends a member one part of a snapshot. */
     installSnapshot(address: string, part: SnapshotPart): Promise<SnapshotPartResponse | undefined>;
     /** Asks a member to add the sender to the group. */
--- a/src/control/consensus/PeerProgress.ts
+++ b/src/control/consensus/PeerProgress.ts
@@ -12,6 +12,8 @@
     nextIndex: bigint;
     /** The index of the last entry known to be on the peer's disk. */
     matchIndex: bigint;
+    /** The last index in a message without a response; the peer may still be storing it. Undefined after a response. */
+    unansweredIndex: bigint | undefined;
     /** The commit index in the last message. */
     lastSentCommitIndex: bigint;
     /** When the newest acknowledged message was sent, in monotonic milliseconds; undefined before the first one. */
--- a/src/control/consensus/addConsensusService.ts
+++ b/src/control/consensus/addConsensusService.ts
@@ -14,6 +14,7 @@
     router.service(ConsensusService, {
         requestVote: async request => getResponseOrThrow(await handlers.handleVote(request)),
         appendEntries: requests => handleAppendStream(requests),
+        heartbeat: async request => getResponseOrThrow(await handlers.handleHeartbeat(request)),
         installSnapshot: async part => getResponseOrThrow(await handlers.handleSnapshotPart(part)),
         join: async request => getResponseOrThrow(await handlers.handleJoin(request)),
         readIndex: async request => getResponseOrThrow(await handlers.handleReadIndex(request)),
--- a/src/control/consensus/collectVotes.ts
+++ b/src/control/consensus/collectVotes.ts
@@ -17,16 +17,19 @@
     clock: Clock;
     /** The maximum time to wait for responses, in milliseconds. */
     timeoutMilliseconds: number;
+    /** How long a request has to be unanswered, in milliseconds, so that the voter counts as slow and is asked again. */
+    slowVoterMilliseconds: number;
 }
 
 /**
- * Requests votes from all voters at once. A vote counts only if the response has the identity listed in the member set,
+ * Requests votes from all voters at once. A voter whose disk is slow is asked again, since its vote may be stored by then;
+ * one that can't be reached is not. A vote counts only if the response has the identity listed in the member set,
  * so that a member whose disk was emptied, and with it its earlier votes, is not counted.
  * @param options - The voters and the way to reach them.
  * @returns Whether a majority granted its vote in time.
  */
 export function collectVotes(options: VoteCollectionOptions): Promise<boolean> {
-    const { voters, ownId, requestVote, onTerm, clock, timeoutMilliseconds } = options;
+    const { voters, ownId, requestVote, onTerm, clock, timeoutMilliseconds, slowVoterMilliseconds } = options;
     const others = voters.filter(voter => voter.memberId !== ownId);
     const majority = Math.floor(voters.length / 2) + 1;
     let grantedCount = voters.length - others.length;
@@ -38,7 +41,13 @@
         finishIfDecided();
 
         async function requestVoteFrom(voter: Member): Promise<void> {
+            const sentMilliseconds = clock.getMonotonicMilliseconds();
             const response = await requestVote(voter.address);
+            const elapsed = clock.getMonotonicMilliseconds() - sentMilliseconds;
+            if (!response && elapsed >= slowVoterMilliseconds && !controller.signal.aborted) {
+                detach(requestVoteFrom(voter));
+                return;
+            }
             outstandingCount -= 1;
             if (response) {
                 onTerm(response.term);
--- a/src/control/consensus/createConnectPeers.ts
+++ b/src/control/consensus/createConnectPeers.ts
@@ -27,6 +27,7 @@
     return {
         requestVote: (address, request) => getResponse(getClient(address).requestVote(request, { timeoutMs })),
         appendEntries: (address, request) => getAppendStream(address).send(request),
+        sendHeartbeat: (address, request) => getResponse(getClient(address).heartbeat(request, { timeoutMs })),
         installSnapshot: (address, part) => {
             return getResponse(getClient(address).installSnapshot(part, { timeoutMs: snapshotTimeoutMilliseconds }));
         },
--- a/src/control/consensus/createElection.ts
+++ b/src/control/consensus/createElection.ts
@@ -13,6 +13,9 @@
 import { Election } from "./Election";
 import { FormerLease } from "./FormerLease";
 
+/** How long votes are collected, as a multiple of the maximum election timeout: each vote waits for two disks in turn. */
+const voteCollectionTimeouts = 3;
+
 /**
  * Creates the elections of a member and starts their task.
  * @param state - The member's state.
@@ -21,6 +24,10 @@
  */
 export function createElection(state: ConsensusState, formerLease: FormerLease, onElected: () => void): Election {
     const { options: { group, storage, clock, random, metrics, peers }, timing } = state;
+    /** The number of votes, the member's own included, that are being stored or collected. */
+    let openVoteCount = 0;
+    /** The candidate that this member voted for, and until when other pre-votes are refused for it. */
+    let supported = { candidateId: "", endMilliseconds: -Infinity };
     state.startTask(runElectionLoop);
     return { handleVote };
 
@@ -69,16 +76,40 @@
         if (!await isElected(state.getTerm() + 1n, true)) {
             return;
         }
-        const term = await state.logQueue.run(startCandidacy);
-        if (term === undefined || !isCandidateInTerm(term) || !await isElected(term, false)) {
-            return;
-        }
-        if (isCandidateInTerm(term)) {
+        if (await runWithOpenVote(isElectedInNewTerm)) {
             metrics.addCount(CounterName.Elections);
             onElected();
         }
     }
 
+    /** Starts a term and collects its votes, and returns whether the member has won the election. */
+    async function isElectedInNewTerm(): Promise<boolean> {
+        const term = await state.logQueue.run(startCandidacy);
+        if (term === undefined || !isCandidateInTerm(term)) {
+            return false;
+        }
+        return await isElected(term, false) && isCandidateInTerm(term);
+    }
+
+    async function runWithOpenVote<T>(operation: () => Promise<T>): Promise<T> {
+        openVoteCount += 1;
+        try {
+            return await operation();
+        }
+        finally {
+            openVoteCount -= 1;
+        }
+    }
+
+    /**
+     * Returns whether the member takes part in an election whose votes are being stored or collected. A second candidate
+     * would end that election by its higher term, over and over where disks are slower than election timeouts.
+     */
+    function isElectionOpen(candidateId: string): boolean {
+        const isSupporting = clock.getMonotonicMilliseconds() < supported.endMilliseconds;
+        return openVoteCount > 0 || (isSupporting && supported.candidateId !== candidateId);
+    }
+
     /** Starts a term with a vote for the member itself, unless a leader's message arrived in the meantime. */
     async function startCandidacy(): Promise<bigint | undefined> {
         if (state.isStopped() || (state.hasRecentContact() && !isOnlyVoter())) {
@@ -110,7 +141,10 @@
             requestVote: address => peers.requestVote(address, request),
             onTerm: observedTerm => state.observeTerm(observedTerm),
             clock,
-            timeoutMilliseconds: timing.minimumElectionTimeoutMilliseconds,
+            timeoutMilliseconds: isPreVote
+                ? timing.maximumElectionTimeoutMilliseconds
+                : voteCollectionTimeouts * timing.maximumElectionTimeoutMilliseconds,
+            slowVoterMilliseconds: timing.minimumElectionTimeoutMilliseconds / 2,
         });
     }
 
@@ -123,7 +157,8 @@
             return getResponse(false);
         }
         if (request.preVote) {
-            return getResponse(request.term > state.getTerm() && isLogComplete(request));
+            const isEligible = request.term > state.getTerm() && isLogComplete(request);
+            return getResponse(isEligible && !isElectionOpen(request.candidateId));
         }
         state.observeTerm(request.term);
         const isFree = state.getVote() === "" || state.getVote() === request.candidateId;
@@ -131,7 +166,11 @@
             return getResponse(false);
         }
         state.setVote(request.candidateId);
-        const isStored = await state.persist();
+        const isStored = await runWithOpenVote(() => state.persist());
+        supported = {
+            candidateId: request.candidateId,
+            endMilliseconds: clock.getMonotonicMilliseconds() + timing.minimumElectionTimeoutMilliseconds,
+        };
         const isStillGranted = state.getTerm() === request.term && state.getVote() === request.candidateId;
         return isStored ? getResponse(isStillGranted) : undefined;
     }
--- a/src/control/consensus/createFollower.ts
+++ b/src/control/consensus/createFollower.ts
@@ -9,6 +9,9 @@
     AppendResponse,
     AppendResponseSchema,
     EntryKind,
+    HeartbeatRequest,
+    HeartbeatResponse,
+    HeartbeatResponseSchema,
     LogEntry,
     MemberSetSchema,
 } from "../../protocol";
@@ -25,7 +28,28 @@
 export function createFollower(state: ConsensusState, applier: Applier): Follower {
     const { options: { group, storage } } = state;
     const { handleSnapshotPart } = createSnapshotReceiver(state, applier);
-    return { handleAppend, handleSnapshotPart };
+    let hasStoredTerm = storage.getHardState().term > 0n;
+    return { handleAppend, handleHeartbeat, handleSnapshotPart };
+
+    /**
+     * Follows the leader without a write. The promise not to vote is kept in memory, and after a restart it is renewed
+     * from the start on, so that a lease may rely on it; only entries and votes rely on the newest term being on disk. A
+     * member without any term on its disk would give no promise after a restart, so that it stores the first one.
+     */
+    async function handleHeartbeat(request: HeartbeatRequest): Promise<HeartbeatResponse | undefined> {
+        if (state.isStopped()) {
+            return undefined;
+        }
+        const isAddressedToMember = request.group === group && request.recipientId === storage.memberId;
+        if (isAddressedToMember && request.term >= state.getTerm() && !state.leads(request.term)) {
+            state.observeTerm(request.term);
+            state.followLeader(request.leaderAddress);
+        }
+        hasStoredTerm ||= await state.persist() && storage.getHardState().term > 0n;
+        return hasStoredTerm
+            ? create(HeartbeatResponseSchema, { term: state.getTerm(), memberId: storage.memberId })
+            : undefined;
+    }
 
     async function handleAppend(request: AppendRequest): Promise<AppendResponse | undefined> {
         if (state.isStopped()) {
--- a/src/control/consensus/createLeadership.ts
+++ b/src/control/consensus/createLeadership.ts
@@ -75,6 +75,7 @@
             address,
             nextIndex: storage.getLastIndex() + 1n,
             matchIndex: 0n,
+            unansweredIndex: undefined,
             lastSentCommitIndex: 0n,
             acknowledgedSendMilliseconds: undefined,
             acknowledgedSendWallMilliseconds: 0,
--- a/src/control/consensus/createProposalQueue.ts
+++ b/src/control/consensus/createProposalQueue.ts
@@ -11,6 +11,9 @@
 import { ProposalQueue } from "./ProposalQueue";
 import { ProposeOutcome } from "./ProposeOutcome";
 
+/** How many times longer than the others' disks the leader's own may take until it counts as stalled. */
+const slowDiskFactor = 2;
+
 interface QueuedProposal {
     /** The kind of the entry. */
     kind: EntryKind;
@@ -136,12 +139,19 @@
 
     /**
      * Steps down if entries are committed by the other members while the leader's own disk has been busy with them for an
-     * election timeout: until that write ends, no further proposal is appended, and another member can append them.
+     * election timeout, and for far longer than theirs: until that write ends, no further proposal is appended, and another
+     * member can append them.
      */
     async function stepDownIfOthersAreFaster(term: bigint, index: bigint, written: AbortSignal): Promise<void> {
+        const startMilliseconds = clock.getMonotonicMilliseconds();
         await clock.sleep(timing.maximumElectionTimeoutMilliseconds, written);
         while (!written.aborted && state.leads(term)) {
             if (state.getCommitIndex() >= index) {
+                const othersMilliseconds = clock.getMonotonicMilliseconds() - startMilliseconds;
+                await clock.sleep((slowDiskFactor - 1) * othersMilliseconds, written);
+                if (written.aborted || !state.leads(term)) {
+                    return;
+                }
                 state.stepDown("its disk stalls, and those of a majority don't");
                 refuseQueued();
                 return;
--- a/src/control/consensus/createReplicatedLog.ts
+++ b/src/control/consensus/createReplicatedLog.ts
@@ -68,6 +68,7 @@
         stop: state.stop,
         handleVote: supervise(election.handleVote),
         handleAppend: supervise(follower.handleAppend),
+        handleHeartbeat: supervise(follower.handleHeartbeat),
         handleSnapshotPart: supervise(follower.handleSnapshotPart),
         handleJoin: supervise(membership.handleJoin),
         handleReadIndex: supervise(barrier.handleReadIndex),
--- a/src/control/consensus/recordResponse.ts
+++ b/src/control/consensus/recordResponse.ts
@@ -34,7 +34,10 @@
     if (response.term < term) {
         return false;
     }
-    progress.acknowledgedSendMilliseconds = sentMilliseconds;
-    progress.acknowledgedSendWallMilliseconds = sentWallMilliseconds;
+    // A heartbeat overtakes an earlier message, whose response arrives later.
+    if (sentMilliseconds >= (progress.acknowledgedSendMilliseconds ?? -Infinity)) {
+        progress.acknowledgedSendMilliseconds = sentMilliseconds;
+        progress.acknowledgedSendWallMilliseconds = sentWallMilliseconds;
+    }
     return true;
 }
--- a/src/control/consensus/sendEntries.ts
+++ b/src/control/consensus/sendEntries.ts
@@ -5,6 +5,7 @@
 import { AppendRequestSchema } from "../../protocol";
 import { PeerTask } from "./PeerTask";
 import { recordResponse } from "./recordResponse";
+import { runWithHeartbeats } from "./runWithHeartbeats";
 
 /**
  * Sends a peer the entries from its next index on; a message without entries is a heartbeat.
@@ -15,7 +16,9 @@
     const { state, term, progress, onResponse } = task;
     const { options: { group, address, storage, clock, peers }, limits } = state;
     const previousIndex = progress.nextIndex - 1n;
-    const entries = storage.getEntries(progress.nextIndex, limits.maximumMessageBytes);
+    // Entries that the peer is storing are sent again alone: with new ones, each repetition would take as long again.
+    const entries = storage.getEntries(progress.nextIndex, limits.maximumMessageBytes)
+        .filter(({ index }) => index <= (progress.unansweredIndex ?? index));
     const commitIndex = state.getCommitIndex();
     const request = create(AppendRequestSchema, {
         group,
@@ -32,7 +35,8 @@
     const sentWallMilliseconds = clock.getWallMilliseconds();
     progress.lastSendMilliseconds = sentMilliseconds;
     progress.lastSentCommitIndex = commitIndex;
-    const response = await peers.appendEntries(progress.address, request);
+    const response = await runWithHeartbeats(task, () => peers.appendEntries(progress.address, request));
+    progress.unansweredIndex = response ? undefined : entries.at(-1)?.index;
     if (!recordResponse(task, response, sentMilliseconds, sentWallMilliseconds)) {
         return false;
     }
--- a/src/control/consensus/sendSnapshot.ts
+++ b/src/control/consensus/sendSnapshot.ts
@@ -7,6 +7,7 @@
 import { isPeerTaskActive } from "./isPeerTaskActive";
 import { PeerTask } from "./PeerTask";
 import { recordResponse } from "./recordResponse";
+import { runWithHeartbeats } from "./runWithHeartbeats";
 
 /**
  * Sends a peer the newest snapshot, and waits until it is installed.
@@ -43,7 +44,7 @@
             checksum: crc32(part),
             recipientId: progress.memberId,
         });
-        const response = await peers.installSnapshot(progress.address, request);
+        const response = await runWithHeartbeats(task, () => peers.installSnapshot(progress.address, request));
         if (!recordResponse(task, response, sentMilliseconds, sentWallMilliseconds) || !isPeerTaskActive(task)) {
             return false;
         }
--- a/src/protocol/getCallerRoles.ts
+++ b/src/protocol/getCallerRoles.ts
@@ -14,6 +14,7 @@
     [ConsensusService.typeName]: {
         requestVote: [Role.Control],
         appendEntries: [Role.Control],
+        heartbeat: [Role.Control],
         installSnapshot: [Role.Control],
         join: [Role.Control],
         readIndex: [Role.Control],
--- a/tests/control/consensus/createNetworkFake.ts
+++ b/tests/control/consensus/createNetworkFake.ts
@@ -10,6 +10,8 @@
     duplicateShare: number;
     /** The maximum delay of a message, in milliseconds. */
     maximumDelayMilliseconds: number;
+    /** How long a sender waits for a response, in milliseconds. */
+    timeoutMilliseconds: number;
     /** Sets the handlers at an address; undefined makes it unreachable. */
     setMember(address: string, handlers: ConsensusHandlers | undefined): void;
     /** Creates the client with which a member reaches the others. */
@@ -26,7 +28,7 @@
     getMessageCount(): number;
 }
 
-const requestTimeoutMilliseconds = 300;
+const defaultTimeoutMilliseconds = 300;
 
 /** Creates a network without faults. */
 export function createNetworkFake(clock: VirtualClock, random: RandomSource): NetworkFake {
@@ -39,6 +41,7 @@
         lossShare: 0,
         duplicateShare: 0,
         maximumDelayMilliseconds: 5,
+        timeoutMilliseconds: defaultTimeoutMilliseconds,
         setMember,
         createPeers,
         cut: (fromAddress, toAddress) => void cuts.add(`${fromAddress}>${toAddress}`),
@@ -80,6 +83,7 @@
         return {
             requestVote: (address, request) => call(address, member => member.handleVote(request)),
             appendEntries: (address, request) => call(address, member => member.handleAppend(request)),
+            sendHeartbeat: (address, request) => call(address, member => member.handleHeartbeat(request)),
             installSnapshot: (address, part) => call(address, member => member.handleSnapshotPart(part)),
             requestJoin: (address, request) => call(address, member => member.handleJoin(request)),
             requestReadIndex: (address, request) => call(address, member => member.handleReadIndex(request)),
@@ -92,7 +96,7 @@
         ): Promise<T | undefined> {
             const controller = new AbortController();
             return new Promise(resolve => {
-                void clock.sleep(requestTimeoutMilliseconds, controller.signal).then(() => finish(undefined));
+                void clock.sleep(network.timeoutMilliseconds, controller.signal).then(() => finish(undefined));
                 void deliverOnce(finish);
                 if (random.getFraction() < network.duplicateShare) {
                     void deliverOnce(() => undefined);
--- a/tests/control/consensus/createReplicatedLog.tests.ts
+++ b/tests/control/consensus/createReplicatedLog.tests.ts
@@ -6,6 +6,7 @@
 import {
     AppendRequestSchema,
     EntryKind,
+    HeartbeatRequestSchema,
     LogEntrySchema,
     SnapshotPartSchema,
     VoteRequestSchema,
@@ -13,6 +14,11 @@
 import { createTestGroup, GroupMember, TestGroup, TestGroupOptions } from "./createTestGroup";
 
 const leaseMilliseconds = 400;
+const shortTiming = {
+    heartbeatIntervalMilliseconds: 75,
+    minimumElectionTimeoutMilliseconds: 350,
+    maximumElectionTimeoutMilliseconds: 700,
+};
 
 describe("createReplicatedLog", () => {
     async function withGroup(
@@ -387,6 +393,53 @@
             }));
     });
 
+    describe("disks whose syncs take as long as an election timeout", () => {
+        function doTest(syncMilliseconds: number): Promise<void> {
+            return withGroup({ options: { timing: shortTiming } }, async (group, leader) => {
+                group.network.timeoutMilliseconds = 1_000;
+                await group.waitFor(group.propose(leader));
+                group.members.forEach(member => {
+                    member.syncMilliseconds = { minimum: syncMilliseconds * 0.8, maximum: syncMilliseconds * 1.2 };
+                });
+                group.members.forEach(group.crash);
+                const starts = Promise.all(group.members.map(member => group.start(member)));
+                await group.advanceUntil(() => group.getLeader() !== undefined, 8_000);
+                await group.advance(3 * syncMilliseconds);
+                const { term } = group.getLeader()!.log!.getStatus();
+                for (let change = 0; change < 5; change += 1) {
+                    expect(await group.waitFor(group.propose(group.getLeader()!), 3_000)).to.equal("committed");
+                }
+                expect(group.getLeader()!.log!.getStatus().term, "the leader is still the same").to.equal(term);
+                await starts;
+                await group.checkRecovery();
+            });
+        }
+
+        [50, 175, 250, 350].forEach(syncMilliseconds =>
+            it(`leave a group with a leader that commits: ${syncMilliseconds} ms`, () => doTest(syncMilliseconds))
+        );
+
+        it("don't let a member promise its vote before it has stored its first term", () =>
+            withGroup({}, async (group, leader) => {
+                const member = group.addMember();
+                member.syncMilliseconds = { minimum: 0, maximum: 0 };
+                await group.start(member);
+                member.syncMilliseconds = { minimum: 500, maximum: 500 };
+                const request = create(HeartbeatRequestSchema, {
+                    group: "test",
+                    term: 1n,
+                    leaderAddress: leader.address,
+                    recipientId: member.storage!.memberId,
+                });
+                let isAnswered = false;
+                void member.log!.handleHeartbeat(request).then(() => {
+                    isAnswered = true;
+                });
+                await group.advance(300);
+                expect(isAnswered).to.equal(false);
+            }));
+    });
+
     describe("members", () => {
         it("that are learners do not count towards a majority", () =>
             withGroup(
--- a/tests/control/consensus/faultActions.ts
+++ b/tests/control/consensus/faultActions.ts
@@ -47,6 +47,14 @@
             1,
             fc.record({ kind: fc.constant("delay" as const), milliseconds: fc.integer({ min: 1, max: 250 }) }),
         ),
+        withWeight(
+            1,
+            fc.record({
+                kind: fc.constant("slowDisk" as const),
+                member,
+                milliseconds: fc.integer({ min: 1, max: 1_500 }),
+            }),
+        ),
         withWeight(
             1,
             fc.record({ kind: fc.constant("diskFailure" as const), member, after: fc.integer({ min: 0, max: 5 }) }),
--- a/tests/control/consensus/startTestMember.ts
+++ b/tests/control/consensus/startTestMember.ts
@@ -49,6 +49,7 @@
         addConsensusService(router, {
             handleVote: async request => handlers?.handleVote(request),
             handleAppend: async request => handlers?.handleAppend(request),
+            handleHeartbeat: async request => handlers?.handleHeartbeat(request),
             handleSnapshotPart: async part => handlers?.handleSnapshotPart(part),
             handleJoin: async request => handlers?.handleJoin(request),
             handleReadIndex: async request => handlers?.handleReadIndex(request),
