Adapt the leader's lease to how fast members respond

Change: a leader asks members to refuse votes for three times the age of its majority's newest acknowledged message, from the minimum election timeout up to three times that, and twice as long after a lost lease. The lease of a member lasts as long as what that member has promised; the promise covers a restart; election timeouts of followers grow with it. After 10 s of calm it shrinks again, so that fast members replace a leader as soon as before.

--- a/scripts/logMutations.ts
+++ b/scripts/logMutations.ts
@@ -90,6 +90,18 @@
         originalText: "term === 0n ? -Infinity : clock.getMonotonicMilliseconds()",
         replacement: "-Infinity",
     },
+    {
+        rule: "A restarted member keeps the longest promise that it may have given",
+        file: "consensus/createConsensusState.ts",
+        originalText: "timing.minimumElectionTimeoutMilliseconds * timing.maximumPromiseFactor;",
+        replacement: "timing.minimumElectionTimeoutMilliseconds;",
+    },
+    {
+        rule: "A member keeps a promise that is longer than the minimum election timeout",
+        file: "consensus/createConsensusState.ts",
+        originalText: "lastContactMilliseconds + promise);",
+        replacement: "lastContactMilliseconds + timing.minimumElectionTimeoutMilliseconds);",
+    },
     {
         rule: "A vote counts only if it comes from the member id that the group has for the voter",
         file: "consensus/collectVotes.ts",
@@ -105,7 +117,7 @@
     {
         rule: "A heartbeat keeps its receiver from voting for another member",
         file: "consensus/createFollower.ts",
-        originalText: "state.followLeader(request.leaderAddress);\n        }\n        hasStoredTerm",
+        originalText: "state.followLeader(request.leaderAddress, request.promiseMilliseconds);\n        }\n        hasStoredTerm",
         replacement: "}\n        hasStoredTerm",
     },
     {
@@ -183,8 +195,8 @@
     {
         rule: "The lease is shorter than the followers' promise at every permitted clock rate",
         file: "consensus/createLeadership.ts",
-        originalText: "timing.minimumElectionTimeoutMilliseconds / (1 + timing.clockRateDifference)",
-        replacement: "timing.minimumElectionTimeoutMilliseconds * 2",
+        originalText: "return promiseMilliseconds / (1 + timing.clockRateDifference);",
+        replacement: "return promiseMilliseconds * 2;",
     },
     {
         rule: "A read waits until the leadership is confirmed",
--- a/src/control/consensus/ConsensusState.ts
+++ b/src/control/consensus/ConsensusState.ts
@@ -5,6 +5,7 @@
 import { ConsensusRole } from "./ConsensusRole";
 import { ConsensusTiming } from "./ConsensusTiming";
 import { MemberHistory } from "./MemberHistory";
+import { PromiseLength } from "./PromiseLength";
 import { ReplicatedLogOptions } from "./ReplicatedLogOptions";
 import { SerialQueue } from "./SerialQueue";
 import { Signal } from "./Signal";
@@ -19,6 +20,8 @@
     readonly limits: ConsensusLimits;
     /** The group's members at each index of the log. */
     readonly members: MemberHistory;
+    /** The promise that the member asks others for while it leads. */
+    readonly promiseLength: PromiseLength;
     /** Serialises all changes of the log. */
     readonly logQueue: SerialQueue;
     /** Notifies of changes of the role, term, leader or members. */
@@ -57,9 +60,9 @@
     getLastContactMilliseconds(): number;
     /** Gets when the election timer was last restarted, in monotonic milliseconds. */
     getElectionStartMilliseconds(): number;
-    /**
-     * Returns whether a leader's message arrived within the minimum election timeout, so that all votes are refused.
-     */
+    /** Gets the factor of election timeouts; above 1 after the message of a leader that asked for a longer promise. */
+    getElectionTimeoutFactor(): number;
+    /** Returns whether a leader's message asked to refuse votes for a time that has not passed, so that all are refused. */
     hasRecentContact(): boolean;
     /**
      * Returns whether votes are refused only since the member may have acknowledged a leader's message before its restart.
@@ -77,8 +80,13 @@
     restartElectionTimer(): void;
     /** Adopts a higher term and becomes a follower; other terms are ignored. */
     observeTerm(term: bigint): void;
-    /** Records a message from the leader of the current term, and follows it. */
-    followLeader(address: string): void;
+    /**
+     * Records a message from the leader of the current term, and follows it.
+     * @param address - The leader's address.
+     * @param promiseMilliseconds - How long the member refuses votes from now on, in milliseconds; 0 is the minimum
+     * election timeout.
+     */
+    followLeader(address: string, promiseMilliseconds: number): void;
     /** Records the vote for a candidate in the current term. */
     setVote(candidateId: string): void;
     /** Increments the term and votes for the member itself. */
--- a/src/control/consensus/ConsensusTiming.ts
+++ b/src/control/consensus/ConsensusTiming.ts
@@ -6,10 +6,15 @@
 export interface ConsensusTiming {
     /** The maximum time between a leader's messages to a member, in milliseconds. */
     heartbeatIntervalMilliseconds: number;
-    /** How long after a leader's message a member refuses all votes, in milliseconds; leases rely on it. */
+    /**
+     * How long after a leader's message a member refuses all votes, in milliseconds, unless the message asks for longer;
+     * leases rely on it.
+     */
     minimumElectionTimeoutMilliseconds: number;
     /** The upper end of the random election timeout, in milliseconds. */
     maximumElectionTimeoutMilliseconds: number;
+    /** How many times longer a leader may ask members to refuse votes, where their responses take long. */
+    maximumPromiseFactor: number;
     /** The maximum relative difference between the rates of two members' clocks, such as 0.1. */
     clockRateDifference: number;
     /** How long a proposal waits for its outcome until it is reported as unknown, in milliseconds. */
--- a/src/control/consensus/PeerProgress.ts
+++ b/src/control/consensus/PeerProgress.ts
@@ -1,6 +1,7 @@
 /*
  * The leader's replication state for one peer.
  */
+import { SentMessage } from "./SentMessage";
 
 /** The replication progress of one peer. */
 export interface PeerProgress {
@@ -18,8 +19,8 @@
     lastSentCommitIndex: bigint;
     /** When the newest acknowledged message was sent, in monotonic milliseconds; undefined before the first one. */
     acknowledgedSendMilliseconds: number | undefined;
-    /** The same time by the wall clock, in milliseconds, which advances while a machine is suspended. */
-    acknowledgedSendWallMilliseconds: number;
+    /** The acknowledged message whose promise lasts longest; undefined before the first one. */
+    promised: SentMessage | undefined;
     /** When the last message was sent, in monotonic milliseconds. */
     lastSendMilliseconds: number;
     /** Whether the last response was from another identity, since the peer's disk was emptied. */
--- a/src/control/consensus/createConsensusState.ts
+++ b/src/control/consensus/createConsensusState.ts
@@ -9,6 +9,7 @@
 import { ConsensusRole } from "./ConsensusRole";
 import { ConsensusState } from "./ConsensusState";
 import { createMemberHistory } from "./createMemberHistory";
+import { createPromiseLength } from "./createPromiseLength";
 import { createSerialQueue } from "./createSerialQueue";
 import { createSignal } from "./createSignal";
 import { defaultConsensusLimits } from "./defaultConsensusLimits";
@@ -36,9 +37,13 @@
     let leaderAddress: string | undefined;
     let commitIndex = storage.getSnapshot()?.index ?? 0n;
     let failureReason: string | undefined;
+    const promiseLength = createPromiseLength(timing, clock);
     // Before a restart, the member may have acknowledged a leader's message, whose lease must hold. A member that has
-    // seen a term therefore refuses votes for one minimum election timeout after its start.
+    // seen a term therefore refuses votes for the longest promise after its start.
     let lastContactMilliseconds = term === 0n ? -Infinity : clock.getMonotonicMilliseconds();
+    let promiseEndMilliseconds = lastContactMilliseconds
+        + timing.minimumElectionTimeoutMilliseconds * timing.maximumPromiseFactor;
+    let electionTimeoutFactor = 1;
     let hasFormerContact = term !== 0n;
     let earlyElectionMilliseconds = Infinity;
     let electionStartMilliseconds = clock.getMonotonicMilliseconds();
@@ -47,6 +52,7 @@
         timing,
         limits,
         members,
+        promiseLength,
         logQueue: createSerialQueue(),
         roleSignal,
         logSignal,
@@ -63,6 +69,7 @@
         canCampaign,
         getLastContactMilliseconds: () => lastContactMilliseconds,
         getElectionStartMilliseconds: () => electionStartMilliseconds,
+        getElectionTimeoutFactor: () => electionTimeoutFactor,
         hasRecentContact,
         hasFormerContact: () => hasFormerContact && hasRecentContact(),
         endFormerContact,
@@ -102,8 +109,7 @@
     }
 
     function hasRecentContact(): boolean {
-        const elapsed = clock.getMonotonicMilliseconds() - lastContactMilliseconds;
-        return elapsed < timing.minimumElectionTimeoutMilliseconds;
+        return clock.getMonotonicMilliseconds() < promiseEndMilliseconds;
     }
 
     function endFormerContact(electionDelayMilliseconds: number): void {
@@ -112,12 +118,14 @@
         }
         hasFormerContact = false;
         lastContactMilliseconds = -Infinity;
+        promiseEndMilliseconds = -Infinity;
         earlyElectionMilliseconds = clock.getMonotonicMilliseconds() + electionDelayMilliseconds;
         roleSignal.notify();
     }
 
     function restartElectionTimer(): void {
         electionStartMilliseconds = clock.getMonotonicMilliseconds();
+        electionTimeoutFactor = 1;
         earlyElectionMilliseconds = Infinity;
     }
 
@@ -131,10 +139,14 @@
         setRole(ConsensusRole.Follower);
     }
 
-    function followLeader(address: string): void {
+    function followLeader(address: string, promiseMilliseconds: number): void {
+        const promise = promiseMilliseconds || timing.minimumElectionTimeoutMilliseconds;
         hasFormerContact = false;
         lastContactMilliseconds = clock.getMonotonicMilliseconds();
+        promiseEndMilliseconds = Math.max(promiseEndMilliseconds, lastContactMilliseconds + promise);
+        promiseLength.recordPromise(promise);
         restartElectionTimer();
+        electionTimeoutFactor = promise / timing.minimumElectionTimeoutMilliseconds;
         if (role === ConsensusRole.Follower && leaderAddress === address) {
             return;
         }
--- a/src/control/consensus/createElection.ts
+++ b/src/control/consensus/createElection.ts
@@ -52,7 +52,7 @@
                 continue;
             }
             const end = Math.min(
-                state.getElectionStartMilliseconds() + timeout,
+                state.getElectionStartMilliseconds() + timeout * state.getElectionTimeoutFactor(),
                 state.getEarlyElectionMilliseconds(),
             );
             const remaining = end - clock.getMonotonicMilliseconds();
--- a/src/control/consensus/createFollower.ts
+++ b/src/control/consensus/createFollower.ts
@@ -43,7 +43,7 @@
         const isAddressedToMember = request.group === group && request.recipientId === storage.memberId;
         if (isAddressedToMember && request.term >= state.getTerm() && !state.leads(request.term)) {
             state.observeTerm(request.term);
-            state.followLeader(request.leaderAddress);
+            state.followLeader(request.leaderAddress, request.promiseMilliseconds);
         }
         hasStoredTerm ||= await state.persist() && storage.getHardState().term > 0n;
         return hasStoredTerm
@@ -60,7 +60,7 @@
             return getResponse(false, storage.getLastIndex());
         }
         state.observeTerm(request.term);
-        state.followLeader(request.leaderAddress);
+        state.followLeader(request.leaderAddress, request.promiseMilliseconds);
         return state.logQueue.run(() => appendEntries(request));
     }
 
@@ -81,7 +81,7 @@
         if (state.getTerm() !== request.term || state.isStopped()) {
             return state.isStopped() ? undefined : getResponse(false, storage.getLastIndex());
         }
-        state.followLeader(request.leaderAddress);
+        state.followLeader(request.leaderAddress, request.promiseMilliseconds);
         const matchIndex = request.previousIndex + BigInt(request.entries.length);
         state.advanceCommitIndex(request.commitIndex < matchIndex ? request.commitIndex : matchIndex);
         return getResponse(true, matchIndex);
--- a/src/control/consensus/createLeadership.ts
+++ b/src/control/consensus/createLeadership.ts
@@ -11,6 +11,7 @@
 import { PeerProgress } from "./PeerProgress";
 import { ProposalQueue } from "./ProposalQueue";
 import { runPeerReplication } from "./runPeerReplication";
+import { SentMessage } from "./SentMessage";
 
 /**
  * Creates the leader side of a member.
@@ -19,12 +20,14 @@
  */
 export function createLeadership(state: ConsensusState, getProposals: () => ProposalQueue): Leadership {
     const { options: { storage, clock }, timing, members } = state;
-    const leaseMilliseconds = timing.minimumElectionTimeoutMilliseconds / (1 + timing.clockRateDifference);
+    const { promiseLength } = state;
     const responseSignal = createSignal(clock);
     let peers = new Map<string, PeerProgress>();
     let ledTerm = 0n;
     let startIndex = 0n;
     let leaderSinceMilliseconds = 0;
+    let firstLeaseMilliseconds = 0;
+    let lastMajorityMilliseconds = -Infinity;
     return {
         begin,
         updatePeers,
@@ -41,6 +44,8 @@
         ledTerm = state.getTerm();
         startIndex = storage.getLastIndex() + 1n;
         leaderSinceMilliseconds = clock.getMonotonicMilliseconds();
+        lastMajorityMilliseconds = -Infinity;
+        firstLeaseMilliseconds = getLeaseDuration(promiseLength.getMilliseconds());
         peers.forEach(removePeer);
         peers = new Map();
         state.startTask(() => runQuorumCheck(ledTerm));
@@ -78,7 +83,7 @@
             unansweredIndex: undefined,
             lastSentCommitIndex: 0n,
             acknowledgedSendMilliseconds: undefined,
-            acknowledgedSendWallMilliseconds: 0,
+            promised: undefined,
             lastSendMilliseconds: clock.getMonotonicMilliseconds(),
             isReplaced: false,
             isRemoved: false,
@@ -93,6 +98,11 @@
     }
 
     function onResponse(): void {
+        const contactAge = clock.getMonotonicMilliseconds() - lastMajorityMilliseconds;
+        lastMajorityMilliseconds = getMajorityMilliseconds();
+        if (contactAge < Infinity) {
+            promiseLength.recordContactAge(contactAge);
+        }
         responseSignal.notify();
         advanceCommitIndex();
     }
@@ -130,31 +140,47 @@
         }, -Infinity);
     }
 
-    /** Gets the same time by the wall clock, in milliseconds. */
-    function getMajorityWallMilliseconds(): number {
-        const now = clock.getWallMilliseconds();
+    /**
+     * Gets the remaining time for which a majority surely refuses votes, in milliseconds; negative once it has passed.
+     * @param getElapsed - Gets the time since a message was sent, in milliseconds.
+     */
+    function getRemainingPromise(getElapsed: (sent: SentMessage) => number): number {
         return getMajorityValue(memberId => {
-            return memberId === storage.memberId
-                ? now
-                : peers.get(memberId)?.acknowledgedSendWallMilliseconds ?? -Infinity;
+            if (memberId === storage.memberId) {
+                return getLeaseDuration(promiseLength.getMilliseconds());
+            }
+            const promised = peers.get(memberId)?.promised;
+            return promised ? getLeaseDuration(promised.promiseMilliseconds) - getElapsed(promised) : -Infinity;
         }, -Infinity);
     }
 
+    function getElapsedMilliseconds({ sentMilliseconds }: SentMessage): number {
+        return clock.getMonotonicMilliseconds() - sentMilliseconds;
+    }
+
+    /** Gets the time by the clock that has advanced further: only the wall clock does so while a machine is suspended. */
+    function getLongestElapsedMilliseconds(sent: SentMessage): number {
+        return Math.max(getElapsedMilliseconds(sent), clock.getWallMilliseconds() - sent.sentWallMilliseconds);
+    }
+
+    function getLeaseDuration(promiseMilliseconds: number): number {
+        return promiseMilliseconds / (1 + timing.clockRateDifference);
+    }
+
     function getLeaseMilliseconds(): number {
-        if (!state.leads(ledTerm)) {
-            return 0;
-        }
-        const elapsed = clock.getMonotonicMilliseconds() - getMajorityMilliseconds();
-        const wallElapsed = clock.getWallMilliseconds() - getMajorityWallMilliseconds();
-        return Math.max(0, leaseMilliseconds - Math.max(elapsed, wallElapsed));
+        return state.leads(ledTerm) ? Math.max(0, getRemainingPromise(getLongestElapsedMilliseconds)) : 0;
     }
 
     /** Steps down once no majority has acknowledged messages for the time of the lease. */
     async function runQuorumCheck(term: bigint): Promise<void> {
         while (state.leads(term)) {
-            const end = Math.max(getMajorityMilliseconds(), leaderSinceMilliseconds) + leaseMilliseconds;
-            const remaining = end - clock.getMonotonicMilliseconds();
+            const sinceMilliseconds = clock.getMonotonicMilliseconds() - leaderSinceMilliseconds;
+            const remaining = Math.max(
+                getRemainingPromise(getElapsedMilliseconds),
+                firstLeaseMilliseconds - sinceMilliseconds,
+            );
             if (remaining <= 0) {
+                promiseLength.recordLostLease();
                 state.stepDown("no majority answers");
                 return;
             }
--- a/src/control/consensus/createSnapshotReceiver.ts
+++ b/src/control/consensus/createSnapshotReceiver.ts
@@ -45,7 +45,7 @@
             return getResponse(false, 0n);
         }
         state.observeTerm(part.term);
-        state.followLeader(part.leaderAddress);
+        state.followLeader(part.leaderAddress, part.promiseMilliseconds);
         return state.logQueue.run(() => appendPart(part));
     }
 
@@ -69,7 +69,7 @@
         if (part.last && !await installSnapshot(part, Buffer.concat(snapshot.parts))) {
             return undefined;
         }
-        state.followLeader(part.leaderAddress);
+        state.followLeader(part.leaderAddress, part.promiseMilliseconds);
         const isCurrent = state.getTerm() === part.term;
         return getResponse(isCurrent, part.last ? completeOffset : BigInt(snapshot.byteCount));
     }
--- a/src/control/consensus/defaultConsensusTiming.ts
+++ b/src/control/consensus/defaultConsensusTiming.ts
@@ -8,6 +8,7 @@
     heartbeatIntervalMilliseconds: 250,
     minimumElectionTimeoutMilliseconds: 1_000,
     maximumElectionTimeoutMilliseconds: 2_000,
+    maximumPromiseFactor: 3,
     clockRateDifference: 0.1,
     proposalTimeoutMilliseconds: 5_000,
     voterReplacementTimeoutMilliseconds: 30_000,
--- a/src/control/consensus/recordResponse.ts
+++ b/src/control/consensus/recordResponse.ts
@@ -4,20 +4,19 @@
 import { isPeerTaskActive } from "./isPeerTaskActive";
 import { PeerResponse } from "./PeerResponse";
 import { PeerTask } from "./PeerTask";
+import { SentMessage } from "./SentMessage";
 
 /**
  * Checks the identity and the term of a peer's response, and records when the acknowledged message was sent.
  * @param task - The peer's replication task.
  * @param response - The response; undefined where none arrived.
- * @param sentMilliseconds - When the message was sent, in monotonic milliseconds.
- * @param sentWallMilliseconds - The same time by the wall clock, in milliseconds.
+ * @param sent - When the message was sent, and the promise it asked for.
  * @returns Whether the peer responded as a follower of this leader in its term.
  */
 export function recordResponse(
     task: PeerTask,
     response: PeerResponse | undefined,
-    sentMilliseconds: number,
-    sentWallMilliseconds: number,
+    sent: SentMessage,
 ): boolean {
     const { state, term, progress } = task;
     if (!response || !isPeerTaskActive(task)) {
@@ -35,9 +34,16 @@
         return false;
     }
     // A heartbeat overtakes an earlier message, whose response arrives later.
-    if (sentMilliseconds >= (progress.acknowledgedSendMilliseconds ?? -Infinity)) {
-        progress.acknowledgedSendMilliseconds = sentMilliseconds;
-        progress.acknowledgedSendWallMilliseconds = sentWallMilliseconds;
+    progress.acknowledgedSendMilliseconds = Math.max(
+        progress.acknowledgedSendMilliseconds ?? -Infinity,
+        sent.sentMilliseconds,
+    );
+    if (!progress.promised || getPromiseEnd(sent) >= getPromiseEnd(progress.promised)) {
+        progress.promised = sent;
     }
     return true;
 }
+
+function getPromiseEnd({ sentMilliseconds, promiseMilliseconds }: SentMessage): number {
+    return sentMilliseconds + promiseMilliseconds;
+}
--- a/src/control/consensus/runWithHeartbeats.ts
+++ b/src/control/consensus/runWithHeartbeats.ts
@@ -8,6 +8,7 @@
 import { isPeerTaskActive } from "./isPeerTaskActive";
 import { PeerTask } from "./PeerTask";
 import { recordResponse } from "./recordResponse";
+import { recordSending } from "./recordSending";
 
 /**
  * Sends a message that the peer's disk has to store, and heartbeats until it is answered. A message that is answered
@@ -37,16 +38,16 @@
     }
 
     async function sendHeartbeat(): Promise<void> {
-        const sentMilliseconds = clock.getMonotonicMilliseconds();
-        const sentWallMilliseconds = clock.getWallMilliseconds();
+        const sent = recordSending(state);
         const request = create(HeartbeatRequestSchema, {
             group,
             term,
             leaderAddress: address,
             recipientId: progress.memberId,
+            promiseMilliseconds: sent.promiseMilliseconds,
         });
         const response = await peers.sendHeartbeat(progress.address, request);
-        if (recordResponse(task, response, sentMilliseconds, sentWallMilliseconds)) {
+        if (recordResponse(task, response, sent)) {
             onResponse();
         }
     }
--- a/src/control/consensus/sendEntries.ts
+++ b/src/control/consensus/sendEntries.ts
@@ -5,6 +5,7 @@
 import { AppendRequestSchema } from "../../protocol";
 import { PeerTask } from "./PeerTask";
 import { recordResponse } from "./recordResponse";
+import { recordSending } from "./recordSending";
 import { runWithHeartbeats } from "./runWithHeartbeats";
 
 /**
@@ -14,12 +15,13 @@
  */
 export async function sendEntries(task: PeerTask): Promise<boolean> {
     const { state, term, progress, onResponse } = task;
-    const { options: { group, address, storage, clock, peers }, limits } = state;
+    const { options: { group, address, storage, peers }, limits } = state;
     const previousIndex = progress.nextIndex - 1n;
     // Entries that the peer is storing are sent again alone: with new ones, each repetition would take as long again.
     const entries = storage.getEntries(progress.nextIndex, limits.maximumMessageBytes)
         .filter(({ index }) => index <= (progress.unansweredIndex ?? index));
     const commitIndex = state.getCommitIndex();
+    const sent = recordSending(state);
     const request = create(AppendRequestSchema, {
         group,
         term,
@@ -30,14 +32,13 @@
         commitIndex,
         entries: [...entries],
         recipientId: progress.memberId,
+        promiseMilliseconds: sent.promiseMilliseconds,
     });
-    const sentMilliseconds = clock.getMonotonicMilliseconds();
-    const sentWallMilliseconds = clock.getWallMilliseconds();
-    progress.lastSendMilliseconds = sentMilliseconds;
+    progress.lastSendMilliseconds = sent.sentMilliseconds;
     progress.lastSentCommitIndex = commitIndex;
     const response = await runWithHeartbeats(task, () => peers.appendEntries(progress.address, request));
     progress.unansweredIndex = response ? undefined : entries.at(-1)?.index;
-    if (!recordResponse(task, response, sentMilliseconds, sentWallMilliseconds)) {
+    if (!recordResponse(task, response, sent)) {
         return false;
     }
     const { accepted, lastIndex } = response!;
--- a/src/control/consensus/sendSnapshot.ts
+++ b/src/control/consensus/sendSnapshot.ts
@@ -7,6 +7,7 @@
 import { isPeerTaskActive } from "./isPeerTaskActive";
 import { PeerTask } from "./PeerTask";
 import { recordResponse } from "./recordResponse";
+import { recordSending } from "./recordSending";
 import { runWithHeartbeats } from "./runWithHeartbeats";
 
 /**
@@ -16,7 +17,7 @@
  */
 export async function sendSnapshot(task: PeerTask): Promise<boolean> {
     const { state, term, progress, onResponse } = task;
-    const { options: { group, storage, clock, peers, logger }, limits } = state;
+    const { options: { group, storage, peers, logger }, limits } = state;
     const snapshot = storage.getSnapshot();
     if (!snapshot) {
         return false;
@@ -27,9 +28,8 @@
     let isComplete = false;
     while (!isComplete) {
         const part = data.subarray(offset, offset + limits.snapshotPartBytes);
-        const sentMilliseconds = clock.getMonotonicMilliseconds();
-        const sentWallMilliseconds = clock.getWallMilliseconds();
-        progress.lastSendMilliseconds = sentMilliseconds;
+        const sent = recordSending(state);
+        progress.lastSendMilliseconds = sent.sentMilliseconds;
         const request = create(SnapshotPartSchema, {
             group,
             term,
@@ -43,9 +43,10 @@
             last: offset + part.length >= data.length,
             checksum: crc32(part),
             recipientId: progress.memberId,
+            promiseMilliseconds: sent.promiseMilliseconds,
         });
         const response = await runWithHeartbeats(task, () => peers.installSnapshot(progress.address, request));
-        if (!recordResponse(task, response, sentMilliseconds, sentWallMilliseconds) || !isPeerTaskActive(task)) {
+        if (!recordResponse(task, response, sent) || !isPeerTaskActive(task)) {
             return false;
         }
         onResponse();
