--- a/src/control/consensus/createReadBarrier.ts
+++ b/src/control/consensus/createReadBarrier.ts
@@ -25,10 +25,14 @@
 
     async function wait(): Promise<ReadBarrierOutcome> {
         const index = await (nextRound ?? joinConfirmationRound());
-        if (index !== undefined && await applier.waitForIndex(index, timing.proposalTimeoutMilliseconds)) {
+        if (index === undefined) {
+            return { kind: "noLeader", leaderAddress: state.getLeaderAddress() };
+        }
+        if (await applier.waitForIndex(index, timing.proposalTimeoutMilliseconds)) {
             return { kind: "passed", index };
         }
-        return { kind: "noLeader", leaderAddress: state.getLeaderAddress() };
+        const appliedIndex = applier.getAppliedIndex();
+        return { kind: "notApplied", leaderAddress: state.getLeaderAddress(), index, appliedIndex };
     }
 
     /** Starts a round, or schedules the next one after the round in progress. */
--- a/src/control/consensus/index.ts
+++ b/src/control/consensus/index.ts
@@ -13,6 +13,7 @@
 export * from "./createSignal";
 export * from "./defaultConsensusLimits";
 export * from "./defaultConsensusTiming";
+export * from "./hasPassed";
 export * from "./JoinOptions";
 export * from "./LogStatus";
 export * from "./MemberChange";
--- a/src/control/distribution/createLeadership.ts
+++ b/src/control/distribution/createLeadership.ts
@@ -3,7 +3,7 @@
  * its term, which shows that its state contains everything that former leaders committed.
  */
 import { Clock } from "../../runtime";
-import { ConsensusRole, ReplicatedLog } from "../consensus";
+import { ConsensusRole, hasPassed, ReplicatedLog } from "../consensus";
 import { Leadership } from "./Leadership";
 
 const barrierRetryIntervalMilliseconds = 50;
@@ -45,7 +45,7 @@
     async function awaitBarrier(term: bigint): Promise<void> {
         while (ledTerm === term && !stopped.signal.aborted) {
             const outcome = await log.readBarrier();
-            if (outcome.kind === "passed" && ledTerm === term) {
+            if (hasPassed(outcome) && ledTerm === term) {
                 hasPassedBarrier = true;
                 listeners.forEach(listener => listener());
                 return;
--- a/src/control/distribution/createQueryHandler.ts
+++ b/src/control/distribution/createQueryHandler.ts
@@ -4,6 +4,7 @@
  * only the leader has the complete directory.
  */
 import { create } from "@bufbuild/protobuf";
+import { assertNever } from "../../errors";
 import {
     ExecuteOutcome,
     QueryKind,
@@ -38,10 +39,15 @@
             return handleLocally(request, log.getStatus().appliedIndex);
         }
         const outcome = await log.readBarrier();
-        if (outcome.kind === "passed") {
-            return handleLocally(request, outcome.index);
+        switch (outcome.kind) {
+            case "passed":
+                return handleLocally(request, outcome.index);
+            case "noLeader":
+            case "notApplied":
+                return await forward(request) ?? createFailure(outcome.leaderAddress);
+            default:
+                return assertNever(outcome);
         }
-        return await forward(request) ?? createFailure(outcome.leaderAddress);
     }
 
     function handleLocally(request: QueryRequest, index: bigint): QueryResponse {
--- a/src/feed/createFeedHandler.ts
+++ b/src/feed/createFeedHandler.ts
@@ -4,7 +4,7 @@
  * document from the time at which it sent the poll.
  */
 import { create } from "@bufbuild/protobuf";
-import { ConsensusRole, createSignal } from "../control/consensus";
+import { ConsensusRole, createSignal, hasPassed } from "../control/consensus";
 import { PollOutcome, PollRequest, PollResponse, PollResponseSchema } from "../protocol";
 import { FeedHandler } from "./FeedHandler";
 import { FeedHandlerOptions } from "./FeedHandlerOptions";
@@ -36,7 +36,7 @@
             await changeSignal.wait(endMilliseconds - clock.getMonotonicMilliseconds());
         }
         const barrier = isLeader() ? await log.readBarrier() : undefined;
-        if (barrier?.kind !== "passed" || !isLeader()) {
+        if (!barrier || !hasPassed(barrier) || !isLeader()) {
             return create(PollResponseSchema, {
                 outcome: PollOutcome.NOT_LEADER,
                 leaderAddress: log.getStatus().leaderAddress ?? "",
--- a/src/fleet/runWeightsLoad.ts
+++ b/src/fleet/runWeightsLoad.ts
@@ -4,7 +4,7 @@
  * that the engine refuses an order that arrives late.
  */
 import { create } from "@bufbuild/protobuf";
-import { ConsensusRole } from "../control/consensus";
+import { ConsensusRole, hasPassed } from "../control/consensus";
 import { assertNever } from "../errors";
 import { LoadedWeightsSchema } from "../protocol";
 import { runWithTimeout } from "../runtime";
@@ -100,7 +100,7 @@
     /** Checks with a read barrier that a majority still accepts this process as the leader. */
     async function confirmLeadership(): Promise<boolean> {
         const barrier = await log.readBarrier();
-        return barrier.kind === "passed" && isLeading();
+        return hasPassed(barrier) && isLeading();
     }
 
     /**
