Tell how the group fares: what it bears, its repairs, and why nobody leads

When a group stops answering, its log could not tell whether elections failed or a leader could not hold, which voters were silent or lost, whether a repair was begun, or how many further losses the group bore.

The status and nine gauges have the role, whether a leader is known, voters, responsive voters and further losses borne by the leader's view, learners and their lag, and the size of the log. A task at the leader logs what the group bears at each change and the begin, steps and end of each repair, by comparing committed member sets; it decides nothing. Failed elections name who granted, refused and did not answer, refused votes and joins their reason, and a leader without a majority the delays of its voters. Refused repairs are bounded too. Each line comes at most once a second for a cause.

--- a/src/control/consensus/ConsensusState.ts
+++ b/src/control/consensus/ConsensusState.ts
@@ -88,8 +88,9 @@
     /**
      * Ends the member's leadership or candidacy.
      * @param reason - The reason that is logged.
+     * @param details - Further fields of the log line.
      */
-    stepDown(reason: string): void;
+    stepDown(reason: string, details?: object): void;
     /** Raises the commit index; a lower index is ignored. */
     advanceCommitIndex(index: bigint): void;
     /** Notifies listeners and waiting tasks that the role, term, leader or members changed. */
--- a/src/control/consensus/LogStatus.ts
+++ b/src/control/consensus/LogStatus.ts
@@ -2,6 +2,7 @@
  * The status of a member and its view of the group.
  */
 import { ConsensusRole } from "./ConsensusRole";
+import { GroupTolerance } from "./GroupTolerance";
 
 /** The status of one member of a replicated log. */
 export interface LogStatus {
@@ -19,6 +20,12 @@
     appliedIndex: bigint;
     /** The index of the last entry in the log. */
     lastIndex: bigint;
+    /** The size of the stored entries, in bytes; those that the snapshot covers and that are retained are included. */
+    entryBytes: number;
+    /** The number of entries after the snapshot. */
+    entriesSinceSnapshot: number;
+    /** What the group bears; undefined where the member is not the leader. */
+    tolerance: GroupTolerance | undefined;
     /** The group's members; `matchIndex` is the last entry known to be on a peer's disk, where the member leads. */
     members: readonly { memberId: string; address: string; isVoter: boolean; matchIndex: bigint | undefined; }[];
 }
--- a/src/control/consensus/collectVotes.ts
+++ b/src/control/consensus/collectVotes.ts
@@ -3,6 +3,7 @@
  */
 import { Member, VoteResponse } from "../../protocol";
 import { Clock, detach, runAfter } from "../../runtime";
+import { VoteResult } from "./VoteResult";
 
 interface VoteCollectionOptions {
     /** The members whose votes count. */
@@ -23,14 +24,15 @@
  * Requests votes from all voters at once. A vote counts only if the response has the identity listed in the member set,
  * so that a member whose disk was emptied, and with it its earlier votes, is not counted.
  * @param options - The voters and the way to reach them.
- * @returns Whether a majority granted its vote in time.
+ * @returns Whether a majority granted its vote in time, and what each voter answered until then.
  */
-export function collectVotes(options: VoteCollectionOptions): Promise<boolean> {
+export function collectVotes(options: VoteCollectionOptions): Promise<VoteResult> {
     const { voters, ownId, requestVote, onTerm, clock, timeoutMilliseconds } = options;
     const others = voters.filter(voter => voter.memberId !== ownId);
     const majority = Math.floor(voters.length / 2) + 1;
     let grantedCount = voters.length - others.length;
     let outstandingCount = others.length;
+    const answers = new Map<string, VoteResponse>();
     const controller = new AbortController();
     return new Promise(resolve => {
         runAfter(clock, timeoutMilliseconds, () => finish(false), controller.signal);
@@ -41,6 +43,7 @@
             const response = await requestVote(voter.address);
             outstandingCount -= 1;
             if (response) {
+                answers.set(voter.memberId, response);
                 onTerm(response.term);
                 grantedCount += response.granted && response.memberId === voter.memberId ? 1 : 0;
             }
@@ -57,8 +60,27 @@
         }
 
         function finish(isElected: boolean): void {
-            resolve(isElected);
+            resolve(getResult(isElected));
             controller.abort();
         }
     });
+
+    function getResult(isElected: boolean): VoteResult {
+        const unanswered = others.filter(voter => !answers.has(voter.memberId));
+        const replaced = others.filter(({ memberId }) => (answers.get(memberId)?.memberId ?? memberId) !== memberId);
+        const answered = others.filter(voter => !unanswered.includes(voter) && !replaced.includes(voter));
+        return {
+            isElected,
+            granted: getAddresses(answered.filter(({ memberId }) => answers.get(memberId)!.granted)),
+            refused: answered
+                .filter(({ memberId }) => !answers.get(memberId)!.granted)
+                .map(({ memberId, address }) => ({ address, term: String(answers.get(memberId)!.term) })),
+            replaced: getAddresses(replaced),
+            unanswered: getAddresses(unanswered),
+        };
+    }
+}
+
+function getAddresses(members: readonly Member[]): readonly string[] {
+    return members.map(({ address }) => address);
 }
--- a/src/control/consensus/createConsensusState.ts
+++ b/src/control/consensus/createConsensusState.ts
@@ -125,6 +125,12 @@
         if (newTerm <= term || isStopped()) {
             return;
         }
+        if (role === ConsensusRole.Leader) {
+            logger.info(
+                { term: String(term), newTerm: String(newTerm), reason: "a higher term began" },
+                "stepped down",
+            );
+        }
         term = newTerm;
         votedFor = "";
         leaderAddress = undefined;
@@ -159,11 +165,11 @@
         setRole(ConsensusRole.Leader);
     }
 
-    function stepDown(reason: string): void {
+    function stepDown(reason: string, details: object = {}): void {
         if (role !== ConsensusRole.Leader && role !== ConsensusRole.Candidate) {
             return;
         }
-        logger.info({ term: String(term), reason }, "stepped down");
+        logger.info({ term: String(term), reason, ...details }, "stepped down");
         leaderAddress = undefined;
         restartElectionTimer();
         setRole(ConsensusRole.Follower);
--- a/src/control/consensus/createElection.ts
+++ b/src/control/consensus/createElection.ts
@@ -5,6 +5,7 @@
  * no lease to wait for, and the member with the most complete log campaigns at once.
  */
 import { create } from "@bufbuild/protobuf";
+import { createLogLimiter } from "../../logging";
 import { CounterName } from "../../metrics";
 import { VoteRequest, VoteRequestSchema, VoteResponse, VoteResponseSchema } from "../../protocol";
 import { collectVotes } from "./collectVotes";
@@ -12,6 +13,7 @@
 import { ConsensusState } from "./ConsensusState";
 import { Election } from "./Election";
 import { FormerLease } from "./FormerLease";
+import { VoteResult } from "./VoteResult";
 
 /**
  * Creates the elections of a member and starts their task.
@@ -20,7 +22,8 @@
  * @param onElected - Called when the member wins an election.
  */
 export function createElection(state: ConsensusState, formerLease: FormerLease, onElected: () => void): Election {
-    const { options: { group, storage, clock, random, metrics, peers }, timing } = state;
+    const { options: { group, storage, clock, random, metrics, peers, logger }, timing } = state;
+    const limiter = createLogLimiter(clock);
     state.startTask(runElectionLoop);
     return { handleVote };
 
@@ -94,7 +97,7 @@
     }
 
     /** Requests votes or pre-votes from all voters, and returns whether a majority granted them. */
-    function isElected(term: bigint, isPreVote: boolean): Promise<boolean> {
+    async function isElected(term: bigint, isPreVote: boolean): Promise<boolean> {
         const lastIndex = storage.getLastIndex();
         const request = create(VoteRequestSchema, {
             group,
@@ -104,7 +107,7 @@
             lastTerm: storage.getTerm(lastIndex) ?? 0n,
             preVote: isPreVote,
         });
-        return collectVotes({
+        const result = await collectVotes({
             voters: state.members.getVoters(),
             ownId: storage.memberId,
             requestVote: address => peers.requestVote(address, request),
@@ -112,6 +115,20 @@
             clock,
             timeoutMilliseconds: timing.minimumElectionTimeoutMilliseconds,
         });
+        if (!result.isElected) {
+            logFailure(request, result);
+        }
+        return result.isElected;
+    }
+
+    function logFailure({ term, preVote, lastIndex, lastTerm }: VoteRequest, result: VoteResult): void {
+        const { granted, refused, replaced, unanswered } = result;
+        const log = { lastIndex: String(lastIndex), lastTerm: String(lastTerm) };
+        const fields = { term: String(term), isPreVote: preVote, ...log, granted, refused, replaced, unanswered };
+        limiter.limit(
+            `election ${preVote}`,
+            suppressedCount => logger.info({ ...fields, suppressedCount }, "was not elected"),
+        );
     }
 
     async function handleVote(request: VoteRequest): Promise<VoteResponse | undefined> {
@@ -120,15 +137,16 @@
             return undefined;
         }
         if (request.group !== group || state.getRole() === ConsensusRole.Leader || state.hasRecentContact()) {
-            return getResponse(false);
+            return refuse(request, request.group !== group ? "another group" : "a leader is or may be in office");
         }
         if (request.preVote) {
-            return getResponse(request.term > state.getTerm() && isLogComplete(request));
+            const isGranted = request.term > state.getTerm() && isLogComplete(request);
+            return isGranted ? getResponse(true) : refuse(request, getVoteRefusalReason(request));
         }
         state.observeTerm(request.term);
         const isFree = state.getVote() === "" || state.getVote() === request.candidateId;
         if (request.term < state.getTerm() || !isFree || !isLogComplete(request)) {
-            return getResponse(false);
+            return refuse(request, getVoteRefusalReason(request));
         }
         state.setVote(request.candidateId);
         const isStored = await state.persist();
@@ -136,6 +154,28 @@
         return isStored ? getResponse(isStillGranted) : undefined;
     }
 
+    /** Gets why a vote is refused though no leader is in office; for the log line only. */
+    function getVoteRefusalReason(request: VoteRequest): string {
+        return !isLogComplete(request)
+            ? "the candidate's log is less complete"
+            : request.term < state.getTerm() || request.preVote
+            ? "the candidate's term is not higher"
+            : "voted for another candidate";
+    }
+
+    /** Refuses a vote, and logs the reason at most once a second. */
+    function refuse({ term, candidateId, preVote }: VoteRequest, reason: string): VoteResponse {
+        const fields = {
+            term: String(term),
+            ownTerm: String(state.getTerm()),
+            candidateId,
+            isPreVote: preVote,
+            reason,
+        };
+        limiter.limit(reason, suppressedCount => logger.info({ ...fields, suppressedCount }, "refused a vote"));
+        return getResponse(false);
+    }
+
     /** Returns whether a candidate's log is at least as up to date as this member's, by Raft's comparison. */
     function isLogComplete(request: VoteRequest): boolean {
         const lastIndex = storage.getLastIndex();
--- a/src/control/consensus/createLeadership.ts
+++ b/src/control/consensus/createLeadership.ts
@@ -154,13 +154,22 @@
             const end = Math.max(getMajorityMilliseconds(), leaderSinceMilliseconds) + leaseMilliseconds;
             const remaining = end - clock.getMonotonicMilliseconds();
             if (remaining <= 0) {
-                state.stepDown("no majority answers");
+                state.stepDown("no majority answers", { voters: getVoterDelays() });
                 return;
             }
             await state.roleSignal.wait(remaining);
         }
     }
 
+    /** Gets the time since each voter's newest acknowledged message, by address, in milliseconds. */
+    function getVoterDelays(): Record<string, number> {
+        return Object.fromEntries(
+            members.getVoters().map(({ memberId, address }) => {
+                return [address, Math.round(getUnresponsiveMilliseconds(memberId))];
+            }),
+        );
+    }
+
     async function confirmLeadership(): Promise<bigint | undefined> {
         const term = ledTerm;
         while (state.leads(term) && !hasCommittedInTerm()) {
--- a/src/control/consensus/createMembership.ts
+++ b/src/control/consensus/createMembership.ts
@@ -4,20 +4,14 @@
  * only once it holds all committed entries.
  */
 import { create } from "@bufbuild/protobuf";
-import {
-    JoinOutcome,
-    JoinRequest,
-    JoinResponse,
-    JoinResponseSchema,
-    Member,
-    MemberRole,
-    MemberSet,
-} from "../../protocol";
+import { createLogLimiter } from "../../logging";
+import { JoinOutcome, JoinRequest, JoinResponse, JoinResponseSchema, MemberRole, MemberSet } from "../../protocol";
 import { applyMemberChange } from "./applyMemberChange";
 import { ConsensusRole } from "./ConsensusRole";
 import { ConsensusState } from "./ConsensusState";
 import { createSerialQueue } from "./createSerialQueue";
 import { hasEmptyLog } from "./hasEmptyLog";
+import { isMemberResponsive } from "./isMemberResponsive";
 import { Leadership } from "./Leadership";
 import { MemberChange } from "./MemberChange";
 import { Membership } from "./Membership";
@@ -35,7 +29,8 @@
     leadership: Leadership,
     proposals: ProposalQueue,
 ): Membership {
-    const { options: { group, storage, join }, limits, timing, members } = state;
+    const { options: { group, storage, join, clock, logger }, limits, members } = state;
+    const limiter = createLogLimiter(clock);
     const changeQueue = createSerialQueue();
     return { changeMembers: change => changeQueue.run(() => makeChange(change)), handleJoin };
 
@@ -80,13 +75,8 @@
     /** Returns whether a majority of the new voters is responsive, so that the change itself can be committed. */
     function hasResponsiveMajority(changed: MemberSet): boolean {
         const voters = changed.members.filter(member => member.role === MemberRole.VOTER);
-        return voters.filter(isResponsive).length > voters.length / 2;
-    }
-
-    function isResponsive({ memberId }: Member): boolean {
-        const isReplaced = leadership.getProgress(memberId)?.isReplaced ?? false;
-        const unresponsiveMilliseconds = leadership.getUnresponsiveMilliseconds(memberId);
-        return !isReplaced && unresponsiveMilliseconds < timing.minimumElectionTimeoutMilliseconds;
+        const responsive = voters.filter(({ memberId }) => isMemberResponsive(state, leadership, memberId));
+        return responsive.length > voters.length / 2;
     }
 
     async function handleJoin(request: JoinRequest): Promise<JoinResponse | undefined> {
@@ -107,9 +97,20 @@
         const outcome = await changeQueue.run(() =>
             makeChange({ kind: existing ? "setAddress" : "addLearner", memberId, address })
         );
+        if (outcome.kind !== "committed") {
+            logRefusedJoin(request, outcome);
+        }
         return getResponse(outcome.kind === "committed" ? JoinOutcome.ACCEPTED : JoinOutcome.REFUSED);
     }
 
+    function logRefusedJoin({ memberId, address }: JoinRequest, outcome: ProposeOutcome): void {
+        const reason = outcome.kind === "refused" ? outcome.reason : outcome.kind;
+        limiter.limit(
+            reason,
+            suppressedCount => logger.info({ memberId, address, reason, suppressedCount }, "refused to add a member"),
+        );
+    }
+
     function getResponse(outcome: JoinOutcome): JoinResponse {
         return create(JoinResponseSchema, {
             outcome,
--- a/src/control/consensus/createReplicatedLog.ts
+++ b/src/control/consensus/createReplicatedLog.ts
@@ -3,9 +3,10 @@
  * task for each peer, the applier, and the maintenance of the group's members.
  */
 import { create, fromBinary } from "@bufbuild/protobuf";
-import { GaugeName, TaskName } from "../../metrics";
+import { TaskName } from "../../metrics";
 import { EntryKind, MemberRole, MemberSet, MemberSetSchema } from "../../protocol";
 import { superviseTask } from "../../supervision";
+import { addLogGauges } from "./addLogGauges";
 import { ConsensusHandlers } from "./ConsensusHandlers";
 import { ConsensusState } from "./ConsensusState";
 import { createApplier } from "./createApplier";
@@ -17,10 +18,12 @@
 import { createMembership } from "./createMembership";
 import { createProposalQueue } from "./createProposalQueue";
 import { createReadBarrier } from "./createReadBarrier";
+import { getGroupTolerance } from "./getGroupTolerance";
 import { hasEmptyLog } from "./hasEmptyLog";
 import { LogStatus } from "./LogStatus";
 import { ReplicatedLog } from "./ReplicatedLog";
 import { ReplicatedLogOptions } from "./ReplicatedLogOptions";
+import { runGroupWatch } from "./runGroupWatch";
 import { runJoinLoop } from "./runJoinLoop";
 import { runMembershipMaintenance } from "./runMembershipMaintenance";
 
@@ -56,8 +59,8 @@
         state.startTask(() => runJoinLoop(state, join, startGroup));
     }
     state.startTask(() => runMembershipMaintenance(state, leadership, membership));
-    metrics.addGauge(GaugeName.LogTerm, () => Number(state.getTerm()));
-    metrics.addGauge(GaugeName.LogCommitIndex, () => Number(state.getCommitIndex()));
+    state.startTask(() => runGroupWatch(state, leadership));
+    addLogGauges(metrics, getStatus);
     return {
         propose: proposals.propose,
         readBarrier: barrier.wait,
@@ -114,6 +117,9 @@
             commitIndex: state.getCommitIndex(),
             appliedIndex: applier.getAppliedIndex(),
             lastIndex: storage.getLastIndex(),
+            entryBytes: storage.getEntryBytes(),
+            entriesSinceSnapshot: Number(storage.getLastIndex() - (storage.getSnapshot()?.index ?? 0n)),
+            tolerance: getGroupTolerance(state, leadership),
             members: members.map(({ memberId, address, role }) => ({
                 memberId,
                 address,
--- a/src/control/consensus/runJoinLoop.ts
+++ b/src/control/consensus/runJoinLoop.ts
@@ -4,6 +4,7 @@
  * responses.
  */
 import { create } from "@bufbuild/protobuf";
+import { createLogLimiter } from "../../logging";
 import {
     JoinOutcome,
     JoinRequestSchema,
@@ -40,6 +41,7 @@
     startGroup: (members: MemberSet) => Promise<void>,
 ): Promise<void> {
     const { options: { group, address: ownAddress, storage, clock, peers, logger }, timing, members } = state;
+    const limiter = createLogLimiter(clock);
     const request = create(JoinRequestSchema, { group, memberId: storage.memberId, address: ownAddress });
     while (!state.isStopped()) {
         if (needsJoin()) {
@@ -68,9 +70,13 @@
         if (results.some(result => result.response?.outcome === JoinOutcome.ACCEPTED)) {
             return;
         }
+        logUnaccepted(results);
         const leaderAddress = results.map(result => result.response?.leaderAddress ?? "").find(isOtherLeader);
         if (leaderAddress !== undefined) {
-            await peers.requestJoin(leaderAddress, request);
+            const result = await requestJoin(leaderAddress);
+            if (result.response?.outcome !== JoinOutcome.ACCEPTED) {
+                logUnaccepted([result]);
+            }
             return;
         }
         if (hasEmptyLog(state) && shouldBootstrap(results)) {
@@ -84,6 +90,19 @@
         }
     }
 
+    /** Logs at most once a second what each address answered to a request that none accepted. */
+    function logUnaccepted(results: readonly JoinResult[]): void {
+        const answers = Object.fromEntries(results.map(({ address, response }) => {
+            return [address, response ? JoinOutcome[response.outcome] : "unanswered"];
+        }));
+        const isListed = members.getMember(storage.memberId)?.address === ownAddress;
+        const cause = isListed ? "finds no leader" : "is not in the group";
+        limiter.limit(
+            cause,
+            suppressedCount => logger.info({ cause, answers, suppressedCount }, "asked to join in vain"),
+        );
+    }
+
     async function requestJoin(address: string): Promise<JoinResult> {
         return { address, response: await peers.requestJoin(address, request) };
     }
--- a/src/control/consensus/runMembershipMaintenance.ts
+++ b/src/control/consensus/runMembershipMaintenance.ts
@@ -3,6 +3,7 @@
  * is missing or unavailable, and the unavailable voter is removed afterwards. The promotion comes first, so that a
  * failure in between does not meet a smaller group than before.
  */
+import { createLogLimiter } from "../../logging";
 import { Member, MemberRole } from "../../protocol";
 import { ConsensusRole } from "./ConsensusRole";
 import { ConsensusState } from "./ConsensusState";
@@ -21,7 +22,8 @@
     leadership: Leadership,
     membership: Membership,
 ): Promise<void> {
-    const { timing, limits, members, options: { logger, storage } } = state;
+    const { timing, limits, members, options: { logger, storage, clock } } = state;
+    const limiter = createLogLimiter(clock);
     while (!state.isStopped()) {
         const change = state.getRole() === ConsensusRole.Leader ? getNextChange() : undefined;
         if (!change || !await makeChange(change)) {
@@ -32,8 +34,17 @@
     /** Makes a change, and returns whether it is committed; the next one then follows without delay. */
     async function makeChange(change: MemberChange): Promise<boolean> {
         const outcome = await membership.changeMembers(change);
-        logger.info({ change, outcome: outcome.kind }, "repairs the group");
-        return outcome.kind === "committed";
+        if (outcome.kind === "committed") {
+            logger.info({ change, outcome: outcome.kind }, "repairs the group");
+            return true;
+        }
+        const reason = outcome.kind === "refused" ? { reason: outcome.reason } : {};
+        limiter.limit(
+            `${change.kind} ${outcome.kind}`,
+            suppressedCount =>
+                logger.info({ change, outcome: outcome.kind, ...reason, suppressedCount }, "repairs the group"),
+        );
+        return false;
     }
 
     /** Gets the next change that the group needs. */
--- a/src/metrics/GaugeName.ts
+++ b/src/metrics/GaugeName.ts
@@ -31,6 +31,18 @@
     LeaseRemaining = "basilwing_lease_remaining_milliseconds",
     LogTerm = "basilwing_log_term",
     LogCommitIndex = "basilwing_log_commit_index",
+    /** 0 where the member has stopped, 1 as a learner, 2 as a follower, 3 as a candidate, 4 as the leader. */
+    LogRole = "basilwing_log_role",
+    /** 1 where the member knows a leader. */
+    LogLeaderKnown = "basilwing_log_leader_known",
+    LogVoters = "basilwing_log_voters",
+    LogLearners = "basilwing_log_learners",
+    /** The next three are the leader's view, and -1 at other members. */
+    LogResponsiveVoters = "basilwing_log_responsive_voters",
+    LogFurtherLosses = "basilwing_log_further_losses_borne",
+    LogLearnerLag = "basilwing_log_learner_lag_entries",
+    LogEntryBytes = "basilwing_log_entry_bytes",
+    LogEntriesSinceSnapshot = "basilwing_log_entries_since_snapshot",
     OpenClaims = "basilwing_open_claims",
     Sessions = "basilwing_sessions",
     DirectorySize = "basilwing_directory_size",
--- a/tests/control/distribution/createFakeGroup.ts
+++ b/tests/control/distribution/createFakeGroup.ts
@@ -80,6 +80,9 @@
             commitIndex: BigInt(member.logLength),
             appliedIndex: BigInt(member.appliedCount),
             lastIndex: BigInt(member.logLength),
+            entryBytes: 0,
+            entriesSinceSnapshot: member.logLength,
+            tolerance: undefined,
             members: addresses.map(memberId => ({
                 memberId,
                 address: memberId,
