--- a/scripts/logMutations.ts
+++ b/scripts/logMutations.ts
@@ -81,8 +81,8 @@
     {
         rule: "A member with recent contact to a leader votes for no other member",
         file: "consensus/createElection.ts",
-        originalText: "|| state.hasRecentContact()) {\n            return getResponse(false);",
-        replacement: ") {\n            return getResponse(false);",
+        originalText: "|| state.hasRecentContact()) {\n            return refuse(",
+        replacement: ") {\n            return refuse(",
     },
     {
         rule: "A member keeps its promise to the leader across a restart",
@@ -117,14 +117,15 @@
     {
         rule: "A heartbeat keeps its receiver from voting for another member",
         file: "consensus/createFollower.ts",
-        originalText: "state.followLeader(request.leaderAddress, request.promiseMilliseconds);\n        }\n        hasStoredTerm",
+        originalText:
+            "state.followLeader(request.leaderAddress, request.promiseMilliseconds);\n        }\n        hasStoredTerm",
         replacement: "}\n        hasStoredTerm",
     },
     {
         rule: "Pre-votes are refused while an election is open",
         file: "consensus/createElection.ts",
-        originalText: "isEligible && !isElectionOpen(request.candidateId)",
-        replacement: "isEligible",
+        originalText: "isElectionOpen(request.candidateId) ?",
+        replacement: "state.isStopped() ?",
     },
     {
         rule: "Entries that a peer is storing are sent again alone",
--- a/src/control/consensus/createElection.ts
+++ b/src/control/consensus/createElection.ts
@@ -5,6 +5,7 @@
  * no lease to wait for, and the member with the most complete log campaigns at once.
  */
 import { create } from "@bufbuild/protobuf";
+import { createLogLimiter } from "../../logging";
 import { CounterName } from "../../metrics";
 import { VoteRequest, VoteRequestSchema, VoteResponse, VoteResponseSchema } from "../../protocol";
 import { collectVotes } from "./collectVotes";
@@ -12,6 +13,7 @@
 import { ConsensusState } from "./ConsensusState";
 import { Election } from "./Election";
 import { FormerLease } from "./FormerLease";
+import { VoteResult } from "./VoteResult";
 
 /** How long votes are collected, as a multiple of the maximum election timeout: each vote waits for two disks in turn. */
 const voteCollectionTimeouts = 3;
@@ -23,7 +25,8 @@
  * @param onElected - Called when the member wins an election.
  */
 export function createElection(state: ConsensusState, formerLease: FormerLease, onElected: () => void): Election {
-    const { options: { group, storage, clock, random, metrics, peers }, timing } = state;
+    const { options: { group, storage, clock, random, metrics, peers, logger }, timing } = state;
+    const limiter = createLogLimiter(clock);
     /** The number of votes, the member's own included, that are being stored or collected. */
     let openVoteCount = 0;
     /** The candidate that this member voted for, and until when other pre-votes are refused for it. */
@@ -125,7 +128,7 @@
     }
 
     /** Requests votes or pre-votes from all voters, and returns whether a majority granted them. */
-    function isElected(term: bigint, isPreVote: boolean): Promise<boolean> {
+    async function isElected(term: bigint, isPreVote: boolean): Promise<boolean> {
         const lastIndex = storage.getLastIndex();
         const request = create(VoteRequestSchema, {
             group,
@@ -135,7 +138,7 @@
             lastTerm: storage.getTerm(lastIndex) ?? 0n,
             preVote: isPreVote,
         });
-        return collectVotes({
+        const result = await collectVotes({
             voters: state.members.getVoters(),
             ownId: storage.memberId,
             requestVote: address => peers.requestVote(address, request),
@@ -146,6 +149,20 @@
                 : voteCollectionTimeouts * timing.maximumElectionTimeoutMilliseconds,
             slowVoterMilliseconds: timing.minimumElectionTimeoutMilliseconds / 2,
         });
+        if (!result.isElected) {
+            logFailure(request, result);
+        }
+        return result.isElected;
+    }
+
+    function logFailure({ term, preVote, lastIndex, lastTerm }: VoteRequest, result: VoteResult): void {
+        const { granted, refused, replaced, unanswered } = result;
+        const log = { lastIndex: String(lastIndex), lastTerm: String(lastTerm) };
+        const fields = { term: String(term), isPreVote: preVote, ...log, granted, refused, replaced, unanswered };
+        limiter.limit(
+            `election ${preVote}`,
+            suppressedCount => logger.info({ ...fields, suppressedCount }, "was not elected"),
+        );
     }
 
     async function handleVote(request: VoteRequest): Promise<VoteResponse | undefined> {
@@ -154,16 +171,19 @@
             return undefined;
         }
         if (request.group !== group || state.getRole() === ConsensusRole.Leader || state.hasRecentContact()) {
-            return getResponse(false);
+            return refuse(request, request.group !== group ? "another group" : "a leader is or may be in office");
         }
         if (request.preVote) {
             const isEligible = request.term > state.getTerm() && isLogComplete(request);
-            return getResponse(isEligible && !isElectionOpen(request.candidateId));
+            if (!isEligible) {
+                return refuse(request, getVoteRefusalReason(request));
+            }
+            return isElectionOpen(request.candidateId) ? refuse(request, "an election is open") : getResponse(true);
         }
         state.observeTerm(request.term);
         const isFree = state.getVote() === "" || state.getVote() === request.candidateId;
         if (request.term < state.getTerm() || !isFree || !isLogComplete(request)) {
-            return getResponse(false);
+            return refuse(request, getVoteRefusalReason(request));
         }
         state.setVote(request.candidateId);
         const isStored = await runWithOpenVote(() => state.persist());
@@ -175,6 +195,28 @@
         return isStored ? getResponse(isStillGranted) : undefined;
     }
 
+    /** Gets why a vote is refused though no leader is in office; for the log line only. */
+    function getVoteRefusalReason(request: VoteRequest): string {
+        return !isLogComplete(request)
+            ? "the candidate's log is less complete"
+            : request.term < state.getTerm() || request.preVote
+            ? "the candidate's term is not higher"
+            : "voted for another candidate";
+    }
+
+    /** Refuses a vote, and logs the reason at most once a second. */
+    function refuse({ term, candidateId, preVote }: VoteRequest, reason: string): VoteResponse {
+        const fields = {
+            term: String(term),
+            ownTerm: String(state.getTerm()),
+            candidateId,
+            isPreVote: preVote,
+            reason,
+        };
+        limiter.limit(reason, suppressedCount => logger.info({ ...fields, suppressedCount }, "refused a vote"));
+        return getResponse(false);
+    }
+
     /** Returns whether a candidate's log is at least as up to date as this member's, by Raft's comparison. */
     function isLogComplete(request: VoteRequest): boolean {
         const lastIndex = storage.getLastIndex();
--- a/src/control/consensus/createLeadership.ts
+++ b/src/control/consensus/createLeadership.ts
@@ -181,13 +181,22 @@
             );
             if (remaining <= 0) {
                 promiseLength.recordLostLease();
-                state.stepDown("no majority answers");
+                state.stepDown("no majority answers", { voters: getVoterDelays() });
                 return;
             }
             await state.roleSignal.wait(remaining);
         }
     }
 
+    /** Gets the time since each voter's newest acknowledged message, by address, in milliseconds. */
+    function getVoterDelays(): Record<string, number> {
+        return Object.fromEntries(
+            members.getVoters().map(({ memberId, address }) => {
+                return [address, Math.round(getUnresponsiveMilliseconds(memberId))];
+            }),
+        );
+    }
+
     async function confirmLeadership(): Promise<bigint | undefined> {
         const term = ledTerm;
         while (state.leads(term) && !hasCommittedInTerm()) {
