Keep the log's folder usable after any power failures and kills

Callers saw a member end for good at its start, or a member that had forgotten a vote or an acknowledged entry: a process that was killed leaves frames, names and renames that are in memory only, and the next process relied on them without syncing them; a power failure then undid them, or left the next frame after a hole ("is damaged, with intact records after it"). Removals of covered segments that a power failure undid in part were taken for a lost segment ("is missing between two other segments"). The folder's own name was never synced in its parent, so a member could come back with another identity, which counts as lost.

The disk fake loses each unsynced write and name independently, also the folder's, and stops the process or the machine at any operation.

--- a/scripts/checkLogMutations.ts
+++ b/scripts/checkLogMutations.ts
@@ -13,6 +13,7 @@
     testFolders: ["tests/control"],
     testFiles: [
         "tests/control/storage/openLogStorage.tests.ts",
+        "tests/control/storage/powerFailures.tests.ts",
         "tests/control/consensus/createReplicatedLog.tests.ts",
         "tests/control/consensus/createReplicatedLog.properties.tests.ts",
     ],
--- a/scripts/logMutations.ts
+++ b/scripts/logMutations.ts
@@ -17,6 +17,36 @@
         originalText: "if (isNew) {\n            await fileSystem.syncFolder(folder);\n        }",
         replacement: "",
     },
+    {
+        rule: "Records that a killed process left unsynced are synced before they are relied on",
+        file: "storage/createSegmentWriter.ts",
+        originalText: "            await segment.file.sync();\n            return segment;",
+        replacement: "            return segment;",
+    },
+    {
+        rule: "Names that a killed process left unsynced are synced before they are relied on",
+        file: "storage/openLogStorage.ts",
+        originalText: "await fileSystem.syncFolder(folder);",
+        replacement: "",
+    },
+    {
+        rule: "The folder's own name is synced before its identity is used",
+        file: "storage/openLogStorage.ts",
+        originalText: "await fileSystem.syncFolder(dirname(resolve(folder)));",
+        replacement: "",
+    },
+    {
+        rule: "Covered segments whose removal a crash undid in part are no damage",
+        file: "storage/readLogFolder.ts",
+        originalText: "if (followsGap && !coversSegmentsBefore(segment.records, storedSnapshot)) {",
+        replacement: "if (followsGap) {",
+    },
+    {
+        rule: "A truncation may reach back into a removed segment",
+        file: "storage/createEntryList.ts",
+        originalText: "if (firstIndex !== undefined && index < firstIndex) {",
+        replacement: "if (firstIndex === -1n) {",
+    },
     {
         rule: "The contents of a replaced file are synced before the file is renamed",
         file: "storage/writeFileAtomically.ts",
--- a/src/control/storage/LogFolderContent.ts
+++ b/src/control/storage/LogFolderContent.ts
@@ -18,6 +18,8 @@
     entries: EntryList;
     /** The segments, in ascending order of their numbers. */
     segments: readonly SegmentSummary[];
+    /** The segments that the snapshot covers, and whose removal a crash has undone in part. */
+    obsoleteSegmentNumbers: readonly number[];
     /** Whether the snapshot must replace all entries, because they end before it or diverge from it. */
     needsReset: boolean;
 }
--- a/src/control/storage/createEntryList.ts
+++ b/src/control/storage/createEntryList.ts
@@ -83,6 +83,10 @@
         const retainedCount = index <= getFirstIndex() ? 0 : Number(index - getFirstIndex());
         const removed = entries.splice(retainedCount);
         entryBytes -= sumEncodedBytes(removed);
+        if (firstIndex !== undefined && index < firstIndex) {
+            // The entries in between were in a segment that a snapshot covers and that has been removed.
+            firstIndex = index;
+        }
     }
 
     function discardBefore(index: bigint): void {
--- a/src/control/storage/createSegmentWriter.ts
+++ b/src/control/storage/createSegmentWriter.ts
@@ -87,7 +87,10 @@
         return currentSegment;
     }
 
-    /** Opens the last segment, and truncates the torn write at its end. */
+    /**
+     * Opens the last segment, and truncates the torn write at its end. The rest is synced: a process that was killed may
+     * have left a frame that is not durable, and this one acknowledges it and writes the next one after it.
+     */
     async function reopenLastSegment(): Promise<OpenSegment | undefined> {
         const last = closedSegments.pop();
         if (!last) {
@@ -97,9 +100,9 @@
         try {
             if (segment.tornBytes > 0) {
                 await segment.file.truncate(segment.validBytes);
-                await segment.file.sync();
                 segment.tornBytes = 0;
             }
+            await segment.file.sync();
             return segment;
         }
         catch (thrown) {
--- a/src/control/storage/openLogStorage.ts
+++ b/src/control/storage/openLogStorage.ts
@@ -3,8 +3,8 @@
  * Damage that a crash can't have caused is reported as corruption.
  */
 import { randomUUID } from "node:crypto";
-import { join } from "node:path";
-import { getErrorMessage } from "../../errors";
+import { dirname, join, resolve } from "node:path";
+import { getErrorMessage, hasErrorCode } from "../../errors";
 import { createLogStorage } from "./createLogStorage";
 import { createNodeFileSystem } from "./createNodeFileSystem";
 import { createProcessTable } from "./createProcessTable";
@@ -86,7 +86,12 @@
     const { folder, logger, metrics } = options;
     const { snapshot, entries } = content;
     await removeTemporaryFiles(folder, fileSystem);
+    for (const segmentNumber of content.obsoleteSegmentNumbers) {
+        await fileSystem.remove(join(folder, segmentFileNames.getFileName(segmentNumber)));
+    }
     logTornWrite(options, content);
+    // A process that was killed may have left names that are not durable yet, and this one relies on what they show.
+    await fileSystem.syncFolder(folder);
     const memberId = content.memberId ?? await createMemberIdentity(options, fileSystem);
     const hardState = content.hardState ?? await writeInitialHardState(options, fileSystem);
     const segmentWriter = await createSegmentWriter({
@@ -143,8 +148,26 @@
     return hardState;
 }
 
+/**
+ * Makes the folder's own name durable before it holds anything that other members rely on. A folder whose parent belongs
+ * to someone else was not created by this program.
+ */
+async function syncParentFolder(options: OpenStorageOptions, fileSystem: StorageFileSystem): Promise<void> {
+    const { folder, logger } = options;
+    try {
+        await fileSystem.syncFolder(dirname(resolve(folder)));
+    }
+    catch (thrown) {
+        if (!hasErrorCode(thrown, "EACCES", "EPERM", "ENOENT", "EINVAL", "ENOSYS", "ENOTSUP", "EROFS")) {
+            throw thrown;
+        }
+        logger.warn({ folder, problem: getErrorMessage(thrown) }, "the parent of the data folder can't be synced");
+    }
+}
+
 /** Creates and stores the member identity of an empty folder. */
 async function createMemberIdentity(options: OpenStorageOptions, fileSystem: StorageFileSystem): Promise<string> {
+    await syncParentFolder(options, fileSystem);
     const memberId = (options.createMemberId ?? randomUUID)();
     const content = encodeChecksummedFile(FileKind.Identity, Buffer.from(memberId));
     await writeFileAtomically(fileSystem, join(options.folder, StorageFileName.Identity), [content]);
--- a/src/control/storage/readLogFolder.ts
+++ b/src/control/storage/readLogFolder.ts
@@ -13,6 +13,7 @@
 import { getSegmentSalt } from "./getSegmentSalt";
 import { HardState } from "./HardState";
 import { LogFolderContent } from "./LogFolderContent";
+import { LogRecord } from "./LogRecord";
 import { segmentFileNames } from "./segmentFileNames";
 import { SegmentSummary } from "./SegmentSummary";
 import { snapshotFileNames } from "./snapshotFileNames";
@@ -33,6 +34,7 @@
     const names = await fileSystem.listFolder(folder);
     const segmentNumbers = segmentFileNames.getFileNumbers(names);
     const snapshotNumber = snapshotFileNames.getFileNumbers(names).at(-1);
+    const currentSegmentNumbers = getLastRun(segmentNumbers);
     const hasLogFiles = segmentNumbers.length > 0 || snapshotNumber !== undefined;
     const memberId = await readMemberId();
     if (memberId.kind === "corrupt") {
@@ -47,7 +49,7 @@
         return snapshot;
     }
     const entries = createEntryList();
-    const segments = await readSegments(memberId.value ?? "", entries);
+    const segments = await readSegments(memberId.value ?? "", entries, snapshot.value);
     if (segments.kind === "corrupt") {
         return segments;
     }
@@ -63,6 +65,7 @@
             snapshot: snapshot.value,
             entries,
             segments: segments.value,
+            obsoleteSegmentNumbers: segmentNumbers.filter(candidate => !currentSegmentNumbers.includes(candidate)),
             needsReset: resetCheck.value,
         },
     };
@@ -115,17 +118,11 @@
     async function readSegments(
         identity: string,
         entryList: EntryList,
+        storedSnapshot: StoredSnapshot | undefined,
     ): Promise<DecodeOutcome<readonly SegmentSummary[]>> {
         const summaries: SegmentSummary[] = [];
-        for (const segmentNumber of segmentNumbers) {
+        for (const segmentNumber of currentSegmentNumbers) {
             const name = segmentFileNames.getFileName(segmentNumber);
-            const previousNumber = summaries.at(-1)?.segmentNumber;
-            if (previousNumber !== undefined && previousNumber + 1 !== segmentNumber) {
-                return createCorruptOutcome(
-                    segmentFileNames.getFileName(previousNumber + 1),
-                    "is missing between two other segments",
-                );
-            }
             const content = await fileSystem.readFile(join(folder, name)) ?? new Uint8Array();
             const segment = decodeSegment(content, getSegmentSalt(identity, segmentNumber));
             const isLast = segmentNumber === segmentNumbers.at(-1);
@@ -138,6 +135,13 @@
                     `is damaged at byte ${segment.validBytes}, although another segment follows`,
                 );
             }
+            const followsGap = summaries.length === 0 && segmentNumber !== segmentNumbers[0];
+            if (followsGap && !coversSegmentsBefore(segment.records, storedSnapshot)) {
+                return createCorruptOutcome(
+                    segmentFileNames.getFileName(segmentNumber - 1),
+                    "is missing between two other segments",
+                );
+            }
             const problem = segment.records.map(record => entryList.applyRecord(record)).find(found =>
                 found !== undefined
             );
@@ -155,6 +159,22 @@
     }
 }
 
+/**
+ * Gets the last numbers that follow each other without a gap. A crash during the removal of covered segments may undo
+ * any of the removals, so that older segments remain before a gap.
+ */
+function getLastRun(segmentNumbers: readonly number[]): readonly number[] {
+    const start = segmentNumbers.findLastIndex((segmentNumber, position) =>
+        segmentNumber !== (segmentNumbers[position - 1] ?? NaN) + 1
+    );
+    return segmentNumbers.slice(Math.max(start, 0));
+}
+
+/** Returns whether a snapshot covers all entries before a segment's records, so that earlier segments are obsolete. */
+function coversSegmentsBefore(records: readonly LogRecord[], snapshot: StoredSnapshot | undefined): boolean {
+    return snapshot !== undefined && getHighestIndex(records.slice(0, 1)) <= snapshot.index + 1n;
+}
+
 /** Checks that the entries and the snapshot leave no gap; the value is whether the snapshot must replace all entries. */
 function checkAgainstSnapshot(entries: EntryList, snapshot: StoredSnapshot | undefined): DecodeOutcome<boolean> {
     const firstIndex = entries.getFirstIndex();
--- a/tests/control/storage/createDiskFake.ts
+++ b/tests/control/storage/createDiskFake.ts
@@ -1,16 +1,23 @@
-import { basename } from "node:path";
+import { basename, dirname } from "node:path";
 import { StorageFile, StorageFileSystem } from "../../../src/control/storage";
 import { RandomSource } from "../../../src/runtime";
+import { loseUnsyncedWrites } from "./loseUnsyncedWrites";
+import { UnsyncedWrite } from "./UnsyncedWrite";
 
-/** A fake disk with one folder, which loses unsynced data when its machine crashes. */
+/**
+ * A fake disk with one folder, which loses unsynced data when its machine crashes. A sync of a file covers its bytes
+ * only; its name, and that of the folder in its parent, survive a crash for certain once the folder above is synced.
+ */
 export interface DiskFake {
     /** The file system for the current process; it fails once that process has crashed. */
     readonly fileSystem: StorageFileSystem;
     /**
-     * Crashes the machine and loses unsynced data at random: unsynced bytes may survive in part or be overwritten with
-     * zeros, and unsynced creations, renames and removals of files may survive or not.
+     * Crashes the machine and loses unsynced data at random: each unsynced write may survive, be missing, torn or
+     * overwritten with zeros, and each unsynced creation, rename and removal of a file or the folder may survive or not.
      */
     crash(): void;
+    /** Crashes the machine, or ends only its process, after a number of operations of any kind. */
+    stopAfter(operationCount: number, stop: "crash" | "endProcess"): void;
     /** Makes a write, sync or rename fail with a system error code, after a number of successful ones. */
     failAfter(operationCount: number, code: "ENOSPC" | "EIO"): void;
     /** Limits the bytes that can still be appended; a write beyond them stores what fits and fails with ENOSPC. */
@@ -35,6 +42,8 @@
     content: Buffer;
     /** The content as of the last sync. */
     synced: Buffer;
+    /** The writes since then, in order. */
+    unsyncedWrites: readonly UnsyncedWrite[];
 }
 
 /** The options of a fake disk. */
@@ -54,11 +63,15 @@
     let freeBytes = Infinity;
     let openFileCount = 0;
     let generation = 0;
+    let operationsToStop = Infinity;
+    let stopProcess = endProcess;
+    let folder = { path: "", exists: false, isSynced: false };
     return {
         get fileSystem() {
             return createFileSystem();
         },
         crash,
+        stopAfter,
         failAfter,
         setFreeBytes: byteCount => {
             freeBytes = byteCount;
@@ -75,7 +88,7 @@
     function createFileSystem(): StorageFileSystem {
         const ownGeneration = generation;
         return {
-            createFolder: async () => checkProcess(),
+            createFolder: async path => runIfAlive(() => createFolder(path)),
             listFolder: async () => runIfAlive(() => [...names.keys()].sort()),
             syncFolder,
             readFile: async path => runIfAlive(() => names.get(basename(path))?.content),
@@ -90,24 +103,51 @@
             return operation();
         }
 
+        /** Counts an operation, and fails if the process has ended or ends with it. */
         function checkProcess(): void {
+            if (ownGeneration === generation) {
+                countOperation();
+            }
             if (ownGeneration !== generation) {
                 throw Object.assign(new Error("The process has crashed"), { code: "EBADF" });
             }
         }
 
-        async function syncFolder(): Promise<void> {
+        async function syncFolder(path: string): Promise<void> {
             checkProcess();
             checkFailure();
             await waitForSync?.();
             checkProcess();
-            syncedNames = new Map(names);
+            if (path === dirname(folder.path)) {
+                folder.isSynced = true;
+            }
+            else {
+                syncedNames = new Map(names);
+            }
+        }
+    }
+
+    function createFolder(path: string): void {
+        if (!folder.exists) {
+            folder = { path, exists: true, isSynced: false };
         }
     }
 
+    function countOperation(): void {
+        operationsToStop -= 1;
+        if (operationsToStop < 0) {
+            stopProcess();
+        }
+    }
+
+    function stopAfter(operationCount: number, stop: "crash" | "endProcess"): void {
+        operationsToStop = operationCount;
+        stopProcess = stop === "crash" ? crash : endProcess;
+    }
+
     function openFile(path: string, checkProcess: () => void): StorageFile {
         const name = basename(path);
-        const file = names.get(name) ?? { content: Buffer.alloc(0), synced: Buffer.alloc(0) };
+        const file = names.get(name) ?? createFile();
         names.set(name, file);
         openFileCount += 1;
         const ownGeneration = generation;
@@ -120,28 +160,36 @@
         async function append(data: Uint8Array): Promise<void> {
             checkProcess();
             if (data.length > freeBytes) {
-                file.content = Buffer.concat([file.content, data.subarray(0, freeBytes)]);
+                addBytes(data.subarray(0, freeBytes));
                 freeBytes = 0;
                 throw Object.assign(new Error("ENOSPC: the disk fake is full"), { code: "ENOSPC" });
             }
             freeBytes -= data.length;
             const isFull = isFailing() && failureCode === "ENOSPC";
             const written = isFull ? data.subarray(0, random.getInteger(data.length)) : data;
-            file.content = Buffer.concat([file.content, written]);
+            addBytes(written);
             checkFailure();
         }
 
+        function addBytes(data: Uint8Array): void {
+            const write = { kind: "append" as const, offset: file.content.length, data };
+            file.unsyncedWrites = [...file.unsyncedWrites, write];
+            file.content = Buffer.concat([file.content, data]);
+        }
+
         async function sync(): Promise<void> {
             checkProcess();
             checkFailure();
-            const { content } = file;
+            const { content, unsyncedWrites } = file;
             await waitForSync?.();
             checkProcess();
             file.synced = content;
+            file.unsyncedWrites = file.unsyncedWrites.filter(write => !unsyncedWrites.includes(write));
         }
 
         async function truncate(byteCount: number): Promise<void> {
             checkProcess();
+            file.unsyncedWrites = [...file.unsyncedWrites, { kind: "truncate", byteCount }];
             file.content = file.content.subarray(0, byteCount);
         }
     }
@@ -181,6 +229,7 @@
     function endProcess(): void {
         generation += 1;
         openFileCount = 0;
+        operationsToStop = Infinity;
     }
 
     function crash(): void {
@@ -197,41 +246,39 @@
                 survivingNames.delete(name);
             }
         }
+        if (folder.exists && !folder.isSynced && random.getFraction() < 0.5) {
+            folder.exists = false;
+            survivingNames.clear();
+        }
+        folder.isSynced = true;
         const files = new Set([...survivingNames.values()]);
-        files.forEach(dropUnsyncedData);
+        files.forEach(file => setContent(file, loseUnsyncedWrites(file.synced, file.unsyncedWrites, random)));
         names = survivingNames;
         syncedNames = new Map(names);
     }
 
-    /** Loses a random part of a file's content that was written after its last sync. */
-    function dropUnsyncedData(file: FakeFile): void {
-        const { content, synced } = file;
-        const isGrown = content.length > synced.length && content.subarray(0, synced.length).equals(synced);
-        if (isGrown) {
-            const tail = Buffer.from(content.subarray(synced.length));
-            const retained = tail.subarray(0, random.getInteger(tail.length + 1));
-            if (retained.length > 0 && random.getFraction() < 0.5) {
-                retained.fill(0, random.getInteger(retained.length));
-            }
-            file.content = Buffer.concat([synced, retained]);
-        }
-        else {
-            file.content = random.getFraction() < 0.5 ? synced : content;
-        }
-        file.synced = file.content;
-    }
-
     function clear(): void {
         endProcess();
         names = new Map();
         syncedNames = new Map();
     }
 
+    function createFile(): FakeFile {
+        return { content: Buffer.alloc(0), synced: Buffer.alloc(0), unsyncedWrites: [] };
+    }
+
+    /** Sets a file's content durably. */
+    function setContent(file: FakeFile, content: Buffer): void {
+        file.content = content;
+        file.synced = content;
+        file.unsyncedWrites = [];
+    }
+
     function corruptByte(name: string, offset: number): void {
         const file = names.get(name)!;
-        file.content = Buffer.from(file.content);
-        file.content[offset] = file.content[offset]! ^ 0xff;
-        file.synced = file.content;
+        const content = Buffer.from(file.content);
+        content[offset] = content[offset]! ^ 0xff;
+        setContent(file, content);
     }
 
     function getSize(name: string): number {
--- a/tests/control/storage/openLogStorage.tests.ts
+++ b/tests/control/storage/openLogStorage.tests.ts
@@ -174,6 +174,21 @@
         expect(reopened.getLastIndex()).to.equal(40n);
     });
 
+    it("opens after a truncation that reaches back into a segment that a snapshot has removed", async () => {
+        const harness = createHarness(13, 150);
+        const storage = await harness.openOrThrow();
+        await storage.addEntries(createEntries(1n, 4, 1n));
+        await storage.addEntries(createEntries(5n, 1, 1n));
+        await storage.removeEntriesFrom(4n);
+        await storage.addEntries(createEntries(4n, 2, 2n));
+        await storage.setSnapshot(createSnapshot(5n, 2n), 1);
+        await storage.addEntries(createEntries(6n, 1, 2n));
+        await storage.stop();
+        const reopened = await harness.openOrThrow();
+        expect(harness.disk.getNames()).not.to.include("segment-0000000000000001");
+        expect(getEntryTexts(reopened)).to.deep.equal(["4:2:command 4", "5:2:command 5", "6:2:command 6"]);
+    });
+
     it("creates another member identity on an emptied disk", async () => {
         const harness = createHarness(4);
         const storage = await harness.openOrThrow();
