Remove learners that are gone from a group that is nearly full

A machine that joined as a learner and was lost for good stayed in the group. In a simulated group of three, learners lost one after the other at addresses of their own filled the group to its nine members; a voter that then lost its disk was refused as a learner and never replaced, so that the group had two voters for good. (Twenty lost disks and replaced machines in turn, each waited for, did not fill it: three members were left.)

The leader now removes learners that have been unresponsive for 30 s once fewer places are free than the group has voters, and for a voter's time in a full group, counted from when they were added at the earliest.

--- a/scripts/checkLogMutations.ts
+++ b/scripts/checkLogMutations.ts
@@ -14,6 +14,7 @@
     testFiles: [
         "tests/control/storage/openLogStorage.tests.ts",
         "tests/control/storage/powerFailures.tests.ts",
+        "tests/control/consensus/lostMembers.tests.ts",
         "tests/control/consensus/createReplicatedLog.tests.ts",
         "tests/control/consensus/createReplicatedLog.properties.tests.ts",
     ],
--- a/scripts/logMutations.ts
+++ b/scripts/logMutations.ts
@@ -223,4 +223,16 @@
         originalText: "proposal.term === entry.term",
         replacement: "proposal.term !== 0n",
     },
+    {
+        rule: "A learner that is gone makes room for others",
+        file: "consensus/findLostLearner.ts",
+        originalText: "if (freePlaces >= voterCount) {",
+        replacement: "if (freePlaces >= 0) {",
+    },
+    {
+        rule: "A learner that has just been added is not taken for one that is gone",
+        file: "consensus/runMembershipMaintenance.ts",
+        originalText: "?.addedMilliseconds ?? now;",
+        replacement: "?.addedMilliseconds ? 0 : 0;",
+    },
 ];
--- a/src/control/consensus/ConsensusTiming.ts
+++ b/src/control/consensus/ConsensusTiming.ts
@@ -16,6 +16,11 @@
     proposalTimeoutMilliseconds: number;
     /** How long a voter may be unresponsive until a learner replaces it, in milliseconds. */
     voterReplacementTimeoutMilliseconds: number;
+    /**
+     * How long a learner may be unresponsive until it is removed from a group that has few places left, in milliseconds.
+     * A group with no place left removes it after the timeout of a voter.
+     */
+    learnerRemovalTimeoutMilliseconds: number;
     /**
      * How often the leader checks for needed member changes, and a member outside its group asks to join, in
      * milliseconds.
--- a/src/control/consensus/PeerProgress.ts
+++ b/src/control/consensus/PeerProgress.ts
@@ -8,6 +8,8 @@
     readonly memberId: string;
     /** The peer's address. */
     readonly address: string;
+    /** When the leader began to replicate to the peer, in monotonic milliseconds. */
+    readonly addedMilliseconds: number;
     /** The index of the next entry to send. */
     nextIndex: bigint;
     /** The index of the last entry known to be on the peer's disk. */
--- a/src/control/consensus/createLeadership.ts
+++ b/src/control/consensus/createLeadership.ts
@@ -73,6 +73,7 @@
         const progress: PeerProgress = {
             memberId,
             address,
+            addedMilliseconds: clock.getMonotonicMilliseconds(),
             nextIndex: storage.getLastIndex() + 1n,
             matchIndex: 0n,
             lastSentCommitIndex: 0n,
--- a/src/control/consensus/defaultConsensusTiming.ts
+++ b/src/control/consensus/defaultConsensusTiming.ts
@@ -11,5 +11,6 @@
     clockRateDifference: 0.1,
     proposalTimeoutMilliseconds: 5_000,
     voterReplacementTimeoutMilliseconds: 30_000,
+    learnerRemovalTimeoutMilliseconds: 30_000,
     maintenanceIntervalMilliseconds: 1_000,
 };
--- a/src/control/consensus/runMembershipMaintenance.ts
+++ b/src/control/consensus/runMembershipMaintenance.ts
@@ -6,6 +6,7 @@
 import { Member, MemberRole } from "../../protocol";
 import { ConsensusRole } from "./ConsensusRole";
 import { ConsensusState } from "./ConsensusState";
+import { findLostLearner } from "./findLostLearner";
 import { Leadership } from "./Leadership";
 import { MemberChange } from "./MemberChange";
 import { Membership } from "./Membership";
@@ -21,7 +22,7 @@
     leadership: Leadership,
     membership: Membership,
 ): Promise<void> {
-    const { timing, limits, members, options: { logger, storage } } = state;
+    const { timing, limits, members, options: { logger, storage, clock } } = state;
     while (!state.isStopped()) {
         const change = state.getRole() === ConsensusRole.Leader ? getNextChange() : undefined;
         if (!change || !await makeChange(change)) {
@@ -50,8 +51,8 @@
         if (promotableLearner && (unavailableVoter || voters.length < limits.voterCount)) {
             return { kind: "promote", memberId: promotableLearner.memberId };
         }
-        const replacedLearner = members.getCurrent().members.find(isReplacedLearner);
-        return replacedLearner ? { kind: "remove", memberId: replacedLearner.memberId } : undefined;
+        const lostLearner = members.getCurrent().members.find(isReplacedLearner) ?? findUnresponsiveLearner();
+        return lostLearner ? { kind: "remove", memberId: lostLearner.memberId } : undefined;
     }
 
     /** Returns whether a member is unresponsive, or its address responds with another identity. */
@@ -72,6 +73,24 @@
         return member.role === MemberRole.LEARNER && isReplaced(member);
     }
 
+    function findUnresponsiveLearner(): Member | undefined {
+        return findLostLearner({
+            members: members.getCurrent().members,
+            maximumMembers: limits.maximumMembers,
+            voterCount: limits.voterCount,
+            learnerRemovalTimeoutMilliseconds: timing.learnerRemovalTimeoutMilliseconds,
+            fullGroupTimeoutMilliseconds: timing.voterReplacementTimeoutMilliseconds,
+            getUnresponsiveMilliseconds,
+        });
+    }
+
+    /** Gets how long a member has been unresponsive since it was added, in milliseconds. */
+    function getUnresponsiveMilliseconds(memberId: string): number {
+        const now = clock.getMonotonicMilliseconds();
+        const addedMilliseconds = leadership.getProgress(memberId)?.addedMilliseconds ?? now;
+        return Math.min(leadership.getUnresponsiveMilliseconds(memberId), now - addedMilliseconds);
+    }
+
     /** Returns whether a member is a responsive learner that holds all committed entries. */
     function isPromotable(member: Member): boolean {
         const progress = leadership.getProgress(member.memberId);
