--- a/scripts/logMutations.ts
+++ b/scripts/logMutations.ts
@@ -17,6 +17,36 @@
         originalText: "if (isNew) {\n            await fileSystem.syncFolder(folder);\n        }",
         replacement: "",
     },
+    {
+        rule: "Records that a killed process left unsynced are synced before they are relied on",
+        file: "storage/createSegmentWriter.ts",
+        originalText: "            await segment.file.sync();\n            return segment;",
+        replacement: "            return segment;",
+    },
+    {
+        rule: "Names that a killed process left unsynced are synced before they are relied on",
+        file: "storage/openLogStorage.ts",
+        originalText: "await fileSystem.syncFolder(folder);",
+        replacement: "",
+    },
+    {
+        rule: "The folder's own name is synced before its identity is used",
+        file: "storage/openLogStorage.ts",
+        originalText: "await fileSystem.syncFolder(dirname(resolve(folder)));",
+        replacement: "",
+    },
+    {
+        rule: "Covered segments whose removal a crash undid in part are no damage",
+        file: "storage/readLogFolder.ts",
+        originalText: "if (followsGap && !coversSegmentsBefore(segment.records, storedSnapshot)) {",
+        replacement: "if (followsGap) {",
+    },
+    {
+        rule: "A truncation may reach back into a removed segment",
+        file: "storage/createEntryList.ts",
+        originalText: "if (firstIndex !== undefined && index < firstIndex) {",
+        replacement: "if (firstIndex === -1n) {",
+    },
     {
         rule: "The contents of a replaced file are synced before the file is renamed",
         file: "storage/writeFileAtomically.ts",
@@ -57,7 +87,7 @@
     {
         rule: "A vote is persisted before it is granted",
         file: "consensus/createElection.ts",
-        originalText: "const isStored = await state.persist();",
+        originalText: "const isStored = await runWithOpenVote(() => state.persist());",
         replacement: "const isStored = true;",
     },
     {
@@ -215,8 +245,8 @@
     {
         rule: "A read waits until the state machine has applied the committed entries",
         file: "consensus/createReadBarrier.ts",
-        originalText: "index !== undefined && await applier.waitForIndex(index, timing.proposalTimeoutMilliseconds)",
-        replacement: "index !== undefined && timing.proposalTimeoutMilliseconds > 0",
+        originalText: "await applier.waitForIndex(index, timing.proposalTimeoutMilliseconds)",
+        replacement: "timing.proposalTimeoutMilliseconds > 0",
     },
     {
         rule: "A part of a snapshot is accepted only if its checksum matches",
@@ -230,4 +260,16 @@
         originalText: "proposal.term === entry.term",
         replacement: "proposal.term !== 0n",
     },
+    {
+        rule: "A learner that is gone makes room for others",
+        file: "consensus/findLostLearner.ts",
+        originalText: "if (freePlaces >= voterCount) {",
+        replacement: "if (freePlaces >= 0) {",
+    },
+    {
+        rule: "A learner that has just been added is not taken for one that is gone",
+        file: "consensus/runMembershipMaintenance.ts",
+        originalText: "?.addedMilliseconds ?? now;",
+        replacement: "?.addedMilliseconds ? 0 : 0;",
+    },
 ];
--- a/src/control/consensus/createLeadership.ts
+++ b/src/control/consensus/createLeadership.ts
@@ -78,6 +78,7 @@
         const progress: PeerProgress = {
             memberId,
             address,
+            addedMilliseconds: clock.getMonotonicMilliseconds(),
             nextIndex: storage.getLastIndex() + 1n,
             matchIndex: 0n,
             unansweredIndex: undefined,
