Ask each address on its own to join a group

A member whose disk was lost waited up to 5 s for the answers of all addresses before it asked again. Where one member was dark and no leader existed at the first question, the next one came 5 s later, after the time by which the next disk may be lost.

Each address is now asked on its own: again one heartbeat interval after an answer, or a maximum election timeout after an unanswered question, and a leader named in an answer at once. A new group is started only on answers to questions of one round. A second question that arrives while the first one is being committed is answered as accepted.

--- a/scripts/checkLogMutations.ts
+++ b/scripts/checkLogMutations.ts
@@ -14,6 +14,7 @@
     testFiles: [
         "tests/control/storage/openLogStorage.tests.ts",
         "tests/control/consensus/createReplicatedLog.tests.ts",
+        "tests/control/consensus/runJoinLoop.tests.ts",
         "tests/control/consensus/createReplicatedLog.properties.tests.ts",
     ],
     parallelRuns: 3,
--- a/scripts/logMutations.ts
+++ b/scripts/logMutations.ts
@@ -181,6 +181,18 @@
         originalText: "index !== undefined && await applier.waitForIndex(index, timing.proposalTimeoutMilliseconds)",
         replacement: "index !== undefined && timing.proposalTimeoutMilliseconds > 0",
     },
+    {
+        rule: "A new group rests on responses of one round",
+        file: "consensus/createJoinRound.ts",
+        originalText: "entry.answeredMilliseconds < startMilliseconds",
+        replacement: "entry.answeredMilliseconds === startMilliseconds + 1",
+    },
+    {
+        rule: "A new group is started only once all addresses have responded that they belong to none",
+        file: "consensus/runJoinLoop.ts",
+        originalText: "entries.every(([, { outcome }]) => outcome === JoinOutcome.NO_GROUP)",
+        replacement: "entries.length >= 0",
+    },
     {
         rule: "A part of a snapshot is accepted only if its checksum matches",
         file: "consensus/createSnapshotReceiver.ts",
--- a/src/control/consensus/createMembership.ts
+++ b/src/control/consensus/createMembership.ts
@@ -99,14 +99,15 @@
         if (state.getRole() !== ConsensusRole.Leader) {
             return getResponse(hasEmptyLog(state) ? JoinOutcome.NO_GROUP : JoinOutcome.NOT_LEADER);
         }
-        const existing = members.getMember(request.memberId);
-        if (existing?.address === request.address) {
+        return changeQueue.run(() => addMember(request));
+    }
+
+    async function addMember({ memberId, address }: JoinRequest): Promise<JoinResponse> {
+        const existing = members.getMember(memberId);
+        if (existing?.address === address) {
             return getResponse(JoinOutcome.ACCEPTED);
         }
-        const { memberId, address } = request;
-        const outcome = await changeQueue.run(() =>
-            makeChange({ kind: existing ? "setAddress" : "addLearner", memberId, address })
-        );
+        const outcome = await makeChange({ kind: existing ? "setAddress" : "addLearner", memberId, address });
         return getResponse(outcome.kind === "committed" ? JoinOutcome.ACCEPTED : JoinOutcome.REFUSED);
     }
 
--- a/src/control/consensus/runJoinLoop.ts
+++ b/src/control/consensus/runJoinLoop.ts
@@ -1,7 +1,7 @@
 /*
- * The task that makes a member join its group: it asks the other addresses to add it as a learner. Where none of them
- * belongs to a group, the one with the lowest address that may start a group does so, with the identities in the
- * responses.
+ * The task that makes a member join its group: it asks each of the other addresses on its own to add it as a learner, so
+ * that one which does not answer delays none of the others. Where none of them belongs to a group, the one with the
+ * lowest address that may start a group does so, with the identities in the responses of one round.
  */
 import { create } from "@bufbuild/protobuf";
 import {
@@ -15,19 +15,13 @@
 } from "../../protocol";
 import { ConsensusRole } from "./ConsensusRole";
 import { ConsensusState } from "./ConsensusState";
+import { createJoinRound } from "./createJoinRound";
 import { hasEmptyLog } from "./hasEmptyLog";
 import { JoinOptions } from "./JoinOptions";
 
 /** The number of maximum election timeouts without a leader after which a member asks to join again. */
 const rejoinElectionTimeouts = 3;
 
-interface JoinResult {
-    /** The address that was asked. */
-    address: string;
-    /** The response; undefined where none arrived. */
-    response: JoinResponse | undefined;
-}
-
 /**
  * Asks to join whenever the member may be missing from its group, until the member stops.
  * @param state - The member's state.
@@ -41,11 +35,23 @@
 ): Promise<void> {
     const { options: { group, address: ownAddress, storage, clock, peers, logger }, timing, members } = state;
     const request = create(JoinRequestSchema, { group, memberId: storage.memberId, address: ownAddress });
+    const round = createJoinRound({
+        clock,
+        intervalMilliseconds: timing.heartbeatIntervalMilliseconds,
+        timeoutMilliseconds: timing.maximumElectionTimeoutMilliseconds,
+        roundMilliseconds: rejoinElectionTimeouts * timing.maximumElectionTimeoutMilliseconds,
+    });
+    let isStartingGroup = false;
     while (!state.isStopped()) {
         if (needsJoin()) {
-            await requestJoinFromAll();
+            round.renew();
+            getOtherAddresses().forEach(askIfDue);
+            await startGroupIfComplete();
+            await state.roleSignal.wait(timing.heartbeatIntervalMilliseconds);
+        }
+        else {
+            await state.roleSignal.wait(timing.maintenanceIntervalMilliseconds);
         }
-        await state.roleSignal.wait(timing.maintenanceIntervalMilliseconds);
     }
 
     /**
@@ -53,7 +59,7 @@
      * arrives.
      */
     function needsJoin(): boolean {
-        if (state.getRole() === ConsensusRole.Leader || state.hasRecentContact()) {
+        if (state.isStopped() || state.getRole() === ConsensusRole.Leader || state.hasRecentContact()) {
             return false;
         }
         const elapsed = clock.getMonotonicMilliseconds() - state.getLastContactMilliseconds();
@@ -61,42 +67,55 @@
         return !isListed || elapsed > rejoinElectionTimeouts * timing.maximumElectionTimeoutMilliseconds;
     }
 
-    async function requestJoinFromAll(): Promise<void> {
+    function getOtherAddresses(): readonly string[] {
         const addresses = typeof join.addresses === "function" ? join.addresses() : join.addresses;
-        const otherAddresses = addresses.filter(address => address !== ownAddress);
-        const results = await Promise.all(otherAddresses.map(requestJoin));
-        if (results.some(result => result.response?.outcome === JoinOutcome.ACCEPTED)) {
-            return;
+        return addresses.filter(address => address !== ownAddress);
+    }
+
+    function askIfDue(address: string): void {
+        const question = round.beginQuestion(address);
+        if (question) {
+            state.startTask(async () => {
+                const response = await peers.requestJoin(address, request);
+                question.finish(response);
+                await handleResponse(response);
+            });
         }
-        const leaderAddress = results.map(result => result.response?.leaderAddress ?? "").find(isOtherLeader);
-        if (leaderAddress !== undefined) {
-            await peers.requestJoin(leaderAddress, request);
+    }
+
+    async function handleResponse(response: JoinResponse | undefined): Promise<void> {
+        if (!response || !needsJoin()) {
             return;
         }
-        if (hasEmptyLog(state) && shouldBootstrap(results)) {
-            const initialMembers = getInitialMembers(results);
-            logger.info({ members: initialMembers.members.length }, "starts a new group");
-            await startGroup(initialMembers);
-        }
-
-        function isOtherLeader(address: string): boolean {
-            return address !== "" && address !== ownAddress && !otherAddresses.includes(address);
+        const { leaderAddress } = response;
+        if (response.outcome === JoinOutcome.NOT_LEADER && leaderAddress !== "" && leaderAddress !== ownAddress) {
+            askIfDue(leaderAddress);
         }
+        await startGroupIfComplete();
     }
 
-    async function requestJoin(address: string): Promise<JoinResult> {
-        return { address, response: await peers.requestJoin(address, request) };
+    /** Starts the group once all addresses have responded in this round that they belong to none. */
+    async function startGroupIfComplete(): Promise<void> {
+        const responses = round.getResponses(getOtherAddresses());
+        if (!isStartingGroup && hasEmptyLog(state) && responses && shouldBootstrap(responses)) {
+            isStartingGroup = true;
+            const initialMembers = getInitialMembers(responses);
+            logger.info({ members: initialMembers.members.length }, "starts a new group");
+            await startGroup(initialMembers);
+            isStartingGroup = false;
+        }
     }
 
     /** Returns whether the member starts the group: no address belongs to one, and no lower address may start one. */
-    function shouldBootstrap(results: readonly JoinResult[]): boolean {
-        const areAllEmpty = results.every(result => result.response?.outcome === JoinOutcome.NO_GROUP);
-        const hasLowerAddress = results.some(result => result.response?.startsGroup && result.address < ownAddress);
+    function shouldBootstrap(responses: ReadonlyMap<string, JoinResponse>): boolean {
+        const entries = [...responses];
+        const areAllEmpty = entries.every(([, { outcome }]) => outcome === JoinOutcome.NO_GROUP);
+        const hasLowerAddress = entries.some(([address, { startsGroup }]) => startsGroup && address < ownAddress);
         return join.startsGroup && areAllEmpty && !hasLowerAddress;
     }
 
-    function getInitialMembers(results: readonly JoinResult[]): MemberSet {
-        const others = results.map(({ address, response }) => ({ address, memberId: response!.memberId }));
+    function getInitialMembers(responses: ReadonlyMap<string, JoinResponse>): MemberSet {
+        const others = [...responses].map(([address, { memberId }]) => ({ address, memberId }));
         const all = [{ address: ownAddress, memberId: storage.memberId }, ...others];
         return create(MemberSetSchema, {
             members: all.map((identity, position) => {
