Follow each step of a repair by the next at once

A learner was promoted and the lost voter removed at a maintenance interval, so that a repair waited up to three times for one. While a learner may have to replace a voter, the leader now checks after each response of a peer, and an answer of another identity at a voter's address wakes it as well.

With an interval of 60 s a lost disk is replaced within 1 s of simulated time (runMembershipMaintenance.tests.ts); the code before does not replace it in that time.

--- a/src/control/consensus/Leadership.ts
+++ b/src/control/consensus/Leadership.ts
@@ -2,9 +2,12 @@
  * The leader side of replication.
  */
 import { PeerProgress } from "./PeerProgress";
+import { Signal } from "./Signal";
 
 /** Runs one replication task for each peer, and a quorum check that steps down without a responsive majority. */
 export interface Leadership {
+    /** Notifies of recorded responses of peers, and of changes of the role, term, leader or members. */
+    readonly responseSignal: Signal;
     /** Becomes the leader of the current term. */
     begin(): void;
     /** Starts and ends replication tasks to match the newest member set. */
--- a/src/control/consensus/createLeadership.ts
+++ b/src/control/consensus/createLeadership.ts
@@ -25,7 +25,9 @@
     let ledTerm = 0n;
     let startIndex = 0n;
     let leaderSinceMilliseconds = 0;
+    state.addListener(responseSignal.notify);
     return {
+        responseSignal,
         begin,
         updatePeers,
         advanceCommitIndex,
--- a/src/control/consensus/recordResponse.ts
+++ b/src/control/consensus/recordResponse.ts
@@ -19,12 +19,13 @@
     sentMilliseconds: number,
     sentWallMilliseconds: number,
 ): boolean {
-    const { state, term, progress } = task;
+    const { state, term, progress, onResponse } = task;
     if (!response || !isPeerTaskActive(task)) {
         return false;
     }
     progress.isReplaced = response.memberId !== progress.memberId;
     if (progress.isReplaced) {
+        onResponse();
         return false;
     }
     if (response.term > term) {
--- a/src/control/consensus/runMembershipMaintenance.ts
+++ b/src/control/consensus/runMembershipMaintenance.ts
@@ -1,7 +1,8 @@
 /*
  * The leader's maintenance of the group's members. A learner that holds all committed entries is promoted where a voter
  * is missing or unavailable, and the unavailable voter is removed afterwards. The promotion comes first, so that a
- * failure in between does not meet a smaller group than before.
+ * failure in between does not meet a smaller group than before. While a learner may have to replace a voter, each
+ * response of a peer is followed by a check, so that no step of the repair waits for the next interval.
  */
 import { Member, MemberRole } from "../../protocol";
 import { ConsensusRole } from "./ConsensusRole";
@@ -25,10 +26,23 @@
     while (!state.isStopped()) {
         const change = state.getRole() === ConsensusRole.Leader ? getNextChange() : undefined;
         if (!change || !await makeChange(change)) {
-            await state.roleSignal.wait(timing.maintenanceIntervalMilliseconds);
+            const signal = isRepairing() ? leadership.responseSignal : state.roleSignal;
+            await signal.wait(timing.maintenanceIntervalMilliseconds);
         }
     }
 
+    /** Returns whether a response of a peer may make a change necessary or possible. */
+    function isRepairing(): boolean {
+        if (state.getRole() !== ConsensusRole.Leader) {
+            return false;
+        }
+        const voters = members.getVoters();
+        const learners = members.getCurrent().members.filter(member => member.role === MemberRole.LEARNER);
+        const hasSuccessor = learners.some(({ address }) => voters.some(voter => voter.address === address));
+        const isVoterMissing = voters.length < limits.voterCount || voters.some(isUnavailable);
+        return hasSuccessor || (isVoterMissing && (learners.length > 0 || voters.length > limits.voterCount));
+    }
+
     /** Makes a change, and returns whether it is committed; the next one then follows without delay. */
     async function makeChange(change: MemberChange): Promise<boolean> {
         const outcome = await membership.changeMembers(change);
