--- a/scripts/checkLogMutations.ts
+++ b/scripts/checkLogMutations.ts
@@ -16,6 +16,7 @@
         "tests/control/storage/powerFailures.tests.ts",
         "tests/control/consensus/lostMembers.tests.ts",
         "tests/control/consensus/createReplicatedLog.tests.ts",
+        "tests/control/consensus/runJoinLoop.tests.ts",
         "tests/control/consensus/createReplicatedLog.properties.tests.ts",
     ],
     parallelRuns: 3,
--- a/scripts/logMutations.ts
+++ b/scripts/logMutations.ts
@@ -93,7 +93,7 @@
     {
         rule: "A candidate wins a pre-vote before it increments the term",
         file: "consensus/createElection.ts",
-        originalText: "!await isElected(state.getTerm() + 1n, true)",
+        originalText: "!await winsPreVote()",
         replacement: "state.isStopped()",
     },
     {
@@ -248,6 +248,18 @@
         originalText: "await applier.waitForIndex(index, timing.proposalTimeoutMilliseconds)",
         replacement: "timing.proposalTimeoutMilliseconds > 0",
     },
+    {
+        rule: "A new group rests on responses of one round",
+        file: "consensus/createJoinRound.ts",
+        originalText: "entry.answeredMilliseconds < startMilliseconds",
+        replacement: "entry.answeredMilliseconds === startMilliseconds + 1",
+    },
+    {
+        rule: "A new group is started only once all addresses have responded that they belong to none",
+        file: "consensus/runJoinLoop.ts",
+        originalText: "entries.every(([, { outcome }]) => outcome === JoinOutcome.NO_GROUP)",
+        replacement: "entries.length >= 0",
+    },
     {
         rule: "A part of a snapshot is accepted only if its checksum matches",
         file: "consensus/createSnapshotReceiver.ts",
--- a/src/control/consensus/ConsensusState.ts
+++ b/src/control/consensus/ConsensusState.ts
@@ -76,6 +76,8 @@
     endFormerContact(electionDelayMilliseconds: number): void;
     /** Gets when the member campaigns without waiting for an election timeout; Infinity where it does not. */
     getEarlyElectionMilliseconds(): number;
+    /** Lets the member campaign after a delay, in milliseconds, unless its election timer is restarted before. */
+    scheduleEarlyElection(delayMilliseconds: number): void;
     /** Restarts the election timer. */
     restartElectionTimer(): void;
     /** Adopts a higher term and becomes a follower; other terms are ignored. */
--- a/src/control/consensus/createConsensusState.ts
+++ b/src/control/consensus/createConsensusState.ts
@@ -74,6 +74,7 @@
         hasFormerContact: () => hasFormerContact && hasRecentContact(),
         endFormerContact,
         getEarlyElectionMilliseconds: () => earlyElectionMilliseconds,
+        scheduleEarlyElection,
         restartElectionTimer,
         observeTerm,
         followLeader,
@@ -119,7 +120,11 @@
         hasFormerContact = false;
         lastContactMilliseconds = -Infinity;
         promiseEndMilliseconds = -Infinity;
-        earlyElectionMilliseconds = clock.getMonotonicMilliseconds() + electionDelayMilliseconds;
+        scheduleEarlyElection(electionDelayMilliseconds);
+    }
+
+    function scheduleEarlyElection(delayMilliseconds: number): void {
+        earlyElectionMilliseconds = clock.getMonotonicMilliseconds() + delayMilliseconds;
         roleSignal.notify();
     }
 
--- a/src/control/consensus/createElection.ts
+++ b/src/control/consensus/createElection.ts
@@ -31,6 +31,9 @@
     let openVoteCount = 0;
     /** The candidate that this member voted for, and until when other pre-votes are refused for it. */
     let supported = { candidateId: "", endMilliseconds: -Infinity };
+    /** Until when an early pre-vote is repeated: the others may not know yet that no member leads since the restart. */
+    const earlyEndMilliseconds = clock.getMonotonicMilliseconds()
+        + 2 * timing.minimumElectionTimeoutMilliseconds * timing.maximumPromiseFactor;
     state.startTask(runElectionLoop);
     return { handleVote };
 
@@ -38,8 +41,12 @@
         while (!state.isStopped()) {
             await waitForElectionTimeout();
             if (!state.isStopped() && state.getRole() !== ConsensusRole.Leader && state.canCampaign()) {
-                await campaign();
+                const isEarly = clock.getMonotonicMilliseconds() >= state.getEarlyElectionMilliseconds();
+                const hasWonPreVote = await campaign();
                 state.restartElectionTimer();
+                if (isEarly && !hasWonPreVote && clock.getMonotonicMilliseconds() < earlyEndMilliseconds) {
+                    state.scheduleEarlyElection(timing.heartbeatIntervalMilliseconds);
+                }
             }
         }
     }
@@ -75,14 +82,23 @@
         return isCommitted && state.isVoter() && state.members.getVoters().length === 1;
     }
 
-    async function campaign(): Promise<void> {
-        if (!await isElected(state.getTerm() + 1n, true)) {
-            return;
+    /** Campaigns, and returns whether the member has won the pre-vote. */
+    async function campaign(): Promise<boolean> {
+        if (!await winsPreVote()) {
+            return false;
         }
         if (await runWithOpenVote(isElectedInNewTerm)) {
             metrics.addCount(CounterName.Elections);
             onElected();
         }
+        return true;
+    }
+
+    /** Asks for pre-votes, and once more where a voter was in a higher term and refused for that alone. */
+    async function winsPreVote(): Promise<boolean> {
+        const term = state.getTerm();
+        return await isElected(term + 1n, true)
+            || (state.getTerm() > term && await isElected(state.getTerm() + 1n, true));
     }
 
     /** Starts a term and collects its votes, and returns whether the member has won the election. */
--- a/src/control/consensus/createLeadership.ts
+++ b/src/control/consensus/createLeadership.ts
@@ -28,7 +28,9 @@
     let leaderSinceMilliseconds = 0;
     let firstLeaseMilliseconds = 0;
     let lastMajorityMilliseconds = -Infinity;
+    state.addListener(responseSignal.notify);
     return {
+        responseSignal,
         begin,
         updatePeers,
         advanceCommitIndex,
--- a/src/control/consensus/createMembership.ts
+++ b/src/control/consensus/createMembership.ts
@@ -89,21 +89,25 @@
         if (state.getRole() !== ConsensusRole.Leader) {
             return getResponse(hasEmptyLog(state) ? JoinOutcome.NO_GROUP : JoinOutcome.NOT_LEADER);
         }
-        const existing = members.getMember(request.memberId);
-        if (existing?.address === request.address) {
+        return changeQueue.run(() => addMember(request));
+    }
+
+    async function addMember({ memberId, address }: JoinRequest): Promise<JoinResponse> {
+        const existing = members.getMember(memberId);
+        if (existing?.address === address) {
             return getResponse(JoinOutcome.ACCEPTED);
         }
-        const { memberId, address } = request;
-        const outcome = await changeQueue.run(() =>
-            makeChange({ kind: existing ? "setAddress" : "addLearner", memberId, address })
-        );
+        const outcome = await makeChange({ kind: existing ? "setAddress" : "addLearner", memberId, address });
         if (outcome.kind !== "committed") {
-            logRefusedJoin(request, outcome);
+            logRefusedJoin({ memberId, address }, outcome);
         }
         return getResponse(outcome.kind === "committed" ? JoinOutcome.ACCEPTED : JoinOutcome.REFUSED);
     }
 
-    function logRefusedJoin({ memberId, address }: JoinRequest, outcome: ProposeOutcome): void {
+    function logRefusedJoin(
+        { memberId, address }: Pick<JoinRequest, "memberId" | "address">,
+        outcome: ProposeOutcome,
+    ): void {
         const reason = outcome.kind === "refused" ? outcome.reason : outcome.kind;
         limiter.limit(
             reason,
--- a/src/control/consensus/recordResponse.ts
+++ b/src/control/consensus/recordResponse.ts
@@ -18,12 +18,13 @@
     response: PeerResponse | undefined,
     sent: SentMessage,
 ): boolean {
-    const { state, term, progress } = task;
+    const { state, term, progress, onResponse } = task;
     if (!response || !isPeerTaskActive(task)) {
         return false;
     }
     progress.isReplaced = response.memberId !== progress.memberId;
     if (progress.isReplaced) {
+        onResponse();
         return false;
     }
     if (response.term > term) {
