Replace connections between processes that have fallen silent

Callers saw: a call that got no answer in time ended its stream, but the HTTP/2 connection stayed until the regular ping failed (every 5 s, 3 s to answer), and all later calls went over it.

A call without a response at half of its timeout has its connection checked: a ping, and 50 ms later, where nothing at all has arrived meanwhile, another connection beside it. The first on which something arrives serves later calls, and the other one is closed once it is idle. A connection on which calls are answered sends no more pings than before.

--- a/src/protocol/PeerConnection.ts
+++ b/src/protocol/PeerConnection.ts
@@ -10,4 +10,10 @@
     readonly manager: Pick<Http2SessionManager, "authority" | "request" | "notifyResponseByteRead">;
     /** Tells whether the connection is open or being opened, so that calls may be in flight on it. */
     isInUse(): boolean;
+    /**
+     * Checks the connection, on which a call waits for its response. If nothing arrives on it, not even the response to a
+     * ping, another one is opened beside it, and the first on which something arrives serves later calls.
+     * @returns Whether the connection was replaced; calls in flight on the former one may never end.
+     */
+    check(): Promise<boolean>;
 }
--- a/src/protocol/PeerTransports.ts
+++ b/src/protocol/PeerTransports.ts
@@ -11,4 +11,10 @@
      * @param address - The process's internal address, as `ip:port`.
      */
     getTransport(address: string): Transport;
+    /**
+     * Checks the connections to a process that has not responded for long, and replaces those that are silent.
+     * @param address - The process's internal address, as `ip:port`.
+     * @returns Whether a connection was replaced; calls in flight on the former one may never end.
+     */
+    checkConnection(address: string): Promise<boolean>;
 }
--- a/src/protocol/createPeerConnection.ts
+++ b/src/protocol/createPeerConnection.ts
@@ -1,14 +1,24 @@
 /*
- * Manages the HTTP/2 connection to one other process, with pings that detect a lost connection.
+ * Manages the connection to one other process. An open connection may fall silent for good while new ones work, and the
+ * regular pings take seconds to show it. So a call that waits for long has the connection checked at once, and a second
+ * connection, on which something arrives first, takes its place. Calls on the former one may still end there.
  */
-import { Http2SessionManager } from "@connectrpc/connect-node";
+import type { ClientHttp2Stream } from "node:http2";
 import type { Socket } from "node:net";
-import { handleSessionErrors } from "./handleSessionErrors";
+import { setTimeout as sleep } from "node:timers/promises";
+import { detach } from "../runtime";
+import { createPeerSession } from "./createPeerSession";
 import { PeerConnection } from "./PeerConnection";
+import { PeerSession } from "./PeerSession";
 
-const pingIntervalMilliseconds = 5_000;
-const pingTimeoutMilliseconds = 3_000;
-const idleTimeoutMilliseconds = 300_000;
+/** How long the response to a ping may take before another connection is opened, in milliseconds. */
+const pingGraceMilliseconds = 50;
+/** How long nothing may arrive on the other connection until it is given up, in milliseconds. */
+const replacementMilliseconds = 1_000;
+/** The interval at which both connections are looked at, in milliseconds. */
+const lookMilliseconds = 10;
+/** How often a former connection is looked at, to close it once it is idle, in milliseconds. */
+const retirementMilliseconds = 250;
 
 /**
  * Creates the connection to a process; it is opened on first use.
@@ -16,19 +26,82 @@
  * @param openSocket - Opens a socket to the process; a socket without TLS is opened if absent.
  */
 export function createPeerConnection(baseUrl: string, openSocket?: () => Socket): PeerConnection {
-    const sessionOptions = {
-        pingIntervalMs: pingIntervalMilliseconds,
-        pingTimeoutMs: pingTimeoutMilliseconds,
-        idleConnectionTimeoutMs: idleTimeoutMilliseconds,
-    };
-    const sessionManager = new Http2SessionManager(
-        baseUrl,
-        sessionOptions,
-        openSocket && { createConnection: openSocket },
-    );
+    let current = createPeerSession(baseUrl, openSocket);
+    const formerSessions = new Set<PeerSession>();
+    let runningCheck: Promise<boolean> | undefined;
+    let isStopped = false;
     return {
-        manager: handleSessionErrors(sessionManager),
-        isInUse: () => sessionManager.state() === "open" || sessionManager.state() === "connecting",
-        stop: async () => sessionManager.abort(),
+        manager: {
+            authority: current.manager.authority,
+            request: (...parameters) => current.manager.request(...parameters),
+            notifyResponseByteRead,
+        },
+        isInUse: () => current.isInUse() || formerSessions.size > 0,
+        check,
+        stop,
     };
+
+    function notifyResponseByteRead(stream: ClientHttp2Stream): void {
+        current.manager.notifyResponseByteRead(stream);
+        formerSessions.forEach(({ manager }) => manager.notifyResponseByteRead(stream));
+    }
+
+    function check(): Promise<boolean> {
+        runningCheck ??= runCheck().finally(() => runningCheck = undefined);
+        return runningCheck;
+    }
+
+    async function runCheck(): Promise<boolean> {
+        const checked = current;
+        if (isStopped || !checked.isOpen()) {
+            return false;
+        }
+        const receivedBytes = checked.getReceivedBytes();
+        checked.ping();
+        await waitForEvents(pingGraceMilliseconds);
+        if (!isSilent()) {
+            return false;
+        }
+        const other = createPeerSession(baseUrl, openSocket);
+        other.open();
+        const end = performance.now() + replacementMilliseconds;
+        while (isSilent() && other.getReceivedBytes() === 0 && performance.now() < end) {
+            await waitForEvents(lookMilliseconds);
+        }
+        // A process that was stopped responds on both connections, one shortly after the other.
+        await waitForEvents(lookMilliseconds);
+        if (!isSilent() || other.getReceivedBytes() === 0) {
+            other.abort();
+            return false;
+        }
+        current = other;
+        formerSessions.add(checked);
+        detach(closeOnceIdle(checked));
+        return true;
+
+        function isSilent(): boolean {
+            return !isStopped && checked.isOpen() && checked.getReceivedBytes() === receivedBytes;
+        }
+    }
+
+    async function closeOnceIdle(session: PeerSession): Promise<void> {
+        do {
+            await sleep(retirementMilliseconds, undefined, { ref: false });
+        }
+        while (session.isInUse() && !isStopped);
+        session.abort();
+        formerSessions.delete(session);
+    }
+
+    function stop(): Promise<void> {
+        isStopped = true;
+        [current, ...formerSessions].forEach(session => session.abort());
+        return Promise.resolve();
+    }
+}
+
+/** Waits, and lets the events that arrived meanwhile run first, in a process that was late. */
+async function waitForEvents(milliseconds: number): Promise<void> {
+    await sleep(milliseconds, undefined, { ref: false });
+    await new Promise(resolve => setImmediate(resolve));
 }
--- a/src/protocol/createPeerTransports.ts
+++ b/src/protocol/createPeerTransports.ts
@@ -34,7 +34,7 @@
     const transports = new Map<string, Transport>();
     const retiredConnections = new Set<PeerConnection>();
     const removeChangeListener = identity?.addChangeListener(replaceConnections);
-    return { getTransport, stop };
+    return { getTransport, checkConnection, stop };
 
     function getTransport(address: string): Transport {
         const transport = transports.get(address) ?? createTransport(address);
@@ -42,6 +42,12 @@
         return transport;
     }
 
+    async function checkConnection(address: string): Promise<boolean> {
+        const checked = [...peers].filter(([key]) => key === address || key.endsWith(` ${address}`));
+        const outcomes = await Promise.all(checked.map(([, { connection }]) => connection.check()));
+        return outcomes.includes(true);
+    }
+
     function createTransport(address: string): Transport {
         if (identity !== undefined && identity.getMaterial().authorities === undefined) {
             return createRefusingTransport("TLS between processes needs an authority file");
@@ -76,7 +82,7 @@
             httpVersion: "2",
             sessionManager: connection.manager,
         });
-        const transport = { unary: createUnaryCaller(connection.manager), stream };
+        const transport = { unary: createUnaryCaller(connection.manager, () => detach(connection.check())), stream };
         const peer: Peer = { transport, connection };
         peers.set(key, peer);
         return peer;
--- a/src/protocol/createUnaryCaller.ts
+++ b/src/protocol/createUnaryCaller.ts
@@ -21,6 +21,9 @@
 const okStatus = 200;
 const maximumMessageBytes = 0xff_ff_ff_ff;
 
+/** The part of a call's timeout after which a call without a response has the connection checked. */
+const checkShare = 0.5;
+
 /** The response to a call, as it came. */
 interface RawResponse {
     headers: IncomingHttpHeaders;
@@ -40,8 +43,12 @@
  * Creates the part of a transport that sends unary calls. Calls fail with the error codes of the library's transport, but see
  * `getResetError`.
  * @param manager - Opens the streams of the connection.
+ * @param checkConnection - Called when half of a call's timeout has passed without a response.
  */
-export function createUnaryCaller(manager: PeerConnection["manager"]): Transport["unary"] {
+export function createUnaryCaller(
+    manager: PeerConnection["manager"],
+    checkConnection: () => void = () => undefined,
+): Transport["unary"] {
     return async (method, signal, timeoutMs, header, input) => {
         const timeoutMilliseconds = timeoutMs !== undefined && timeoutMs > 0 ? timeoutMs : undefined;
         const response = await send({
@@ -76,12 +83,9 @@
             let stream: ClientHttp2Stream | undefined;
             let responseHeaders: IncomingHttpHeaders | undefined;
             const chunks: Buffer[] = [];
-            const timer = timeoutMilliseconds === undefined
+            let timer = timeoutMilliseconds === undefined
                 ? undefined
-                : setTimeout(
-                    () => fail(new ConnectError("the operation timed out", Code.DeadlineExceeded)),
-                    timeoutMilliseconds,
-                );
+                : setTimeout(checkLateCall, checkShare * timeoutMilliseconds, (1 - checkShare) * timeoutMilliseconds);
             if (signal?.aborted) {
                 abort();
                 return;
@@ -89,6 +93,14 @@
             signal?.addEventListener("abort", abort);
             manager.request("POST", path, headers, {}).then(start, fail);
 
+            function checkLateCall(remainingMilliseconds: number): void {
+                timer = setTimeout(
+                    () => fail(new ConnectError("the operation timed out", Code.DeadlineExceeded)),
+                    remainingMilliseconds,
+                );
+                checkConnection();
+            }
+
             function start(opened: ClientHttp2Stream): void {
                 stream = opened;
                 stream.on("error", fail);
--- a/tests/control/distribution/createTestSystem.ts
+++ b/tests/control/distribution/createTestSystem.ts
@@ -118,7 +118,11 @@
             },
             members: memberIds,
             getPeerAddresses: async () => sidecarIds,
-            transports: { getTransport: () => undefined as never, stop: async () => {} },
+            transports: {
+                getTransport: () => undefined as never,
+                checkConnection: async () => false,
+                stop: async () => {},
+            },
             openSession: (address, updates, signal) => {
                 const incoming = network.deliverInOrder(instanceId, address, updates);
                 const events = members.get(address)!.distribution.serveSession(incoming, signal);
--- a/tests/entry/createLinkFake.ts
+++ b/tests/entry/createLinkFake.ts
@@ -30,7 +30,11 @@
     let mode: LinkMode = "ok";
     let breakCount = 0;
     const endpointTransports = new WeakMap<SidecarEndpoint, Transport>();
-    const transports: PeerTransports = { getTransport, stop: () => Promise.resolve() };
+    const transports: PeerTransports = {
+        getTransport,
+        checkConnection: () => Promise.resolve(false),
+        stop: () => Promise.resolve(),
+    };
     return {
         transports,
         setMode: (newMode: LinkMode) => {
