Keep a leader when the connections between members fall silent

Read in the library's session manager: before a call on a connection without a response for 5 s, it waits for a ping, and the end of any other call on that connection clears the ping's time limit. Calls of elections end by their timeouts, so that the ping had no limit, and every later call to that member waited for it. This order of events was read, not traced.

A former connection on which nothing arrives is closed after 10 s, also where calls wait for it.

--- a/src/protocol/createPeerConnection.ts
+++ b/src/protocol/createPeerConnection.ts
@@ -19,6 +19,8 @@
 const lookMilliseconds = 10;
 /** How often a former connection is looked at, to close it once it is idle, in milliseconds. */
 const retirementMilliseconds = 250;
+/** How long a former connection on which nothing arrives is kept, in milliseconds: calls on it may keep it from being idle. */
+const maximumSilenceMilliseconds = 10_000;
 
 /**
  * Creates the connection to a process; it is opened on first use.
@@ -84,11 +86,15 @@
         }
     }
 
+    /** Closes a former session once it is idle; where nothing arrives on it, calls that wait for it may keep it from that. */
     async function closeOnceIdle(session: PeerSession): Promise<void> {
-        do {
+        const receivedBytes = session.getReceivedBytes();
+        const end = performance.now() + maximumSilenceMilliseconds;
+        let isGivenUp = false;
+        while (session.isInUse() && !isStopped && !isGivenUp) {
             await sleep(retirementMilliseconds, undefined, { ref: false });
+            isGivenUp = performance.now() > end && session.getReceivedBytes() === receivedBytes;
         }
-        while (session.isInUse() && !isStopped);
         session.abort();
         formerSessions.delete(session);
     }
