--- a/scripts/measure/log/measureRecovery.ts
+++ b/scripts/measure/log/measureRecovery.ts
@@ -1,10 +1,10 @@
 /*
  * Measures the size of a member's data folder and the time a member takes to start after 10,000 changes, with and
- * without snapshots.
+ * without snapshots, and after a history of 2,300 changes of a document with the default limits.
  */
 import { readdir, rm, stat } from "node:fs/promises";
 import { join } from "node:path";
-import { createReplicatedLog } from "../../../src/control/consensus";
+import { ConsensusLimits, createReplicatedLog } from "../../../src/control/consensus";
 import { openLogStorage } from "../../../src/control/storage";
 import { createSilentLogger } from "../../../src/logging";
 import { createMetrics } from "../../../src/metrics";
@@ -12,24 +12,56 @@
 import { Figure } from "./Figure";
 import { createMeasuredStateMachine, startMeasuredMember } from "./startMeasuredMember";
 
-const changeCount = 10_000;
-const changeBytes = 300;
 const changesPerBatch = 100;
 const pollMilliseconds = 1;
 
-/** Measures recovery with snapshots and without. */
+interface RecoveryVariant {
+    /** The name of the variant in the figures. */
+    name: string;
+    /** The number of changes. */
+    changeCount: number;
+    /** The size of a change, in bytes. */
+    changeBytes: number;
+    /** The number of values that the changes replace in turn. */
+    valueCount: number;
+    /** The limits that differ from the defaults. */
+    limits: Partial<ConsensusLimits>;
+}
+
+/** Measures recovery with snapshots and without, and after a history. */
 export async function measureRecovery(): Promise<Figure[]> {
     // The first run only warms up the JIT compiler.
-    await measureVariant("warmUp", 1_000);
-    const withSnapshots = await measureVariant("snapshots", 1_000);
-    const without = await measureVariant("noSnapshots", Number.MAX_SAFE_INTEGER);
-    return [...withSnapshots, ...without];
+    await measureVariant(createVariant("warmUp", 1_000));
+    const withSnapshots = await measureVariant(createVariant("snapshots", 1_000));
+    const without = await measureVariant(createVariant("noSnapshots", Number.MAX_SAFE_INTEGER));
+    const history = await measureVariant({
+        name: "history",
+        changeCount: 2_300,
+        changeBytes: 5_000,
+        valueCount: 1,
+        limits: {},
+    });
+    return [...withSnapshots, ...without, ...history];
 }
 
-async function measureVariant(name: string, snapshotThresholdEntries: number): Promise<Figure[]> {
-    const limits = { snapshotThresholdEntries, snapshotThresholdBytes: Number.MAX_SAFE_INTEGER, retainedEntries: 100 };
+function createVariant(name: string, snapshotThresholdEntries: number): RecoveryVariant {
+    const limits = {
+        snapshotThresholdEntries,
+        snapshotThresholdBytes: Number.MAX_SAFE_INTEGER,
+        snapshotMinimumLogBytes: Number.MAX_SAFE_INTEGER,
+        retainedEntries: 100,
+    };
+    return { name, changeCount: 10_000, changeBytes: 300, valueCount: 500, limits };
+}
+
+async function measureVariant(variant: RecoveryVariant): Promise<Figure[]> {
+    const { name, changeCount, changeBytes, valueCount, limits } = variant;
     const member = await startMeasuredMember();
-    member.start({ limits, join: { addresses: [member.address], startsGroup: true } });
+    member.start({
+        limits,
+        stateMachine: createMeasuredStateMachine(valueCount),
+        join: { addresses: [member.address], startsGroup: true },
+    });
     const command = Buffer.alloc(changeBytes, "x");
     let committed = 0;
     while (committed < changeCount) {
@@ -41,7 +73,7 @@
     await member.stop(true);
     const bytes = await getFolderBytes(member.folder);
     const start = performance.now();
-    const openMilliseconds = await recover(member.folder, member.address);
+    const openMilliseconds = await recover(member.folder, member.address, variant);
     const recoverMilliseconds = performance.now() - start;
     await rm(member.folder, { recursive: true });
     return [
@@ -52,7 +84,7 @@
 }
 
 /** Opens a folder and waits until all entries are applied; returns the milliseconds that opening the storage took. */
-async function recover(folder: string, address: string): Promise<number> {
+async function recover(folder: string, address: string, variant: RecoveryVariant): Promise<number> {
     const start = performance.now();
     const outcome = await openLogStorage({ folder, logger: createSilentLogger(), metrics: createMetrics() });
     if (outcome.kind !== "opened") {
@@ -65,15 +97,21 @@
         address,
         storage,
         peers: createNoPeers(),
-        stateMachine: createMeasuredStateMachine(),
+        stateMachine: createMeasuredStateMachine(variant.valueCount),
         clock: createSystemClock(),
         random: createRandomSource(1),
         logger: createSilentLogger(),
         metrics: createMetrics(),
-        limits: { snapshotThresholdEntries: Number.MAX_SAFE_INTEGER, snapshotThresholdBytes: Number.MAX_SAFE_INTEGER },
+        limits: {
+            snapshotThresholdEntries: Number.MAX_SAFE_INTEGER,
+            snapshotThresholdBytes: Number.MAX_SAFE_INTEGER,
+            snapshotMinimumLogBytes: Number.MAX_SAFE_INTEGER,
+        },
         timing: { minimumElectionTimeoutMilliseconds: 1, maximumElectionTimeoutMilliseconds: 2 },
     });
-    while (log.getStatus().appliedIndex < storage.getLastIndex() || log.getStatus().appliedIndex < changeCount) {
+    while (
+        log.getStatus().appliedIndex < storage.getLastIndex() || log.getStatus().appliedIndex < variant.changeCount
+    ) {
         await new Promise(resolve => setTimeout(resolve, pollMilliseconds));
     }
     await log.stop();
--- a/src/control/consensus/ConsensusLimits.ts
+++ b/src/control/consensus/ConsensusLimits.ts
@@ -20,7 +20,17 @@
     snapshotThresholdEntries: number;
     /** The size of the stored entries at which a snapshot is taken, in bytes. */
     snapshotThresholdBytes: number;
-    /** The number of entries covered by the snapshot that are retained for followers that are slightly behind. */
+    /**
+     * The size of the entries applied since the last snapshot, as a multiple of that snapshot's size, at which the next
+     * one is taken: what a member reads and applies after a restart stays proportional to the state.
+     */
+    snapshotStateMultiple: number;
+    /** The minimum size of the entries applied since the last snapshot for that, in bytes. */
+    snapshotMinimumLogBytes: number;
+    /**
+     * The maximum number of entries covered by the snapshot that are retained for followers that are slightly behind. They
+     * have at most the size of the snapshot, or `snapshotMinimumLogBytes` where that is larger.
+     */
     retainedEntries: number;
     /** The target number of voters; further members stay learners until a voter has to be replaced. */
     voterCount: number;
--- a/src/control/consensus/createApplier.ts
+++ b/src/control/consensus/createApplier.ts
@@ -25,6 +25,8 @@
     const applyQueue = createSerialQueue();
     const appliedSignal = createSignal(clock);
     let appliedIndex = 0n;
+    /** The size of the commands applied since the newest snapshot, in bytes. */
+    let appliedBytes = 0;
     let isStoringSnapshot = false;
     restoreStoredSnapshot();
     state.startTask(runApplyLoop);
@@ -74,6 +76,7 @@
             }
             const result = applyEntry(entry);
             appliedIndex = entry.index;
+            appliedBytes += entry.data.length;
             finishProposal(entry, result);
         }
         appliedSignal.notify();
@@ -104,11 +107,14 @@
 
     /** Starts to take a snapshot once the log exceeds a threshold; further entries are applied while it is stored. */
     function startSnapshotIfDue(): void {
-        const snapshotIndex = storage.getSnapshot()?.index ?? 0n;
+        const { index: snapshotIndex, data } = storage.getSnapshot() ?? { index: 0n, data: emptyResult };
         const isEntryThresholdReached = appliedIndex - snapshotIndex >= BigInt(limits.snapshotThresholdEntries);
         const isByteThresholdReached = storage.getEntryBytes() >= limits.snapshotThresholdBytes
             && appliedIndex > snapshotIndex;
-        if (isStoringSnapshot || !(isEntryThresholdReached || isByteThresholdReached)) {
+        const isStateThresholdReached =
+            appliedBytes >= Math.max(limits.snapshotMinimumLogBytes, limits.snapshotStateMultiple * data.length);
+        const isDue = isEntryThresholdReached || isByteThresholdReached || isStateThresholdReached;
+        if (isStoringSnapshot || !isDue) {
             return;
         }
         isStoringSnapshot = true;
@@ -123,8 +129,9 @@
             members: members.getAt(index),
             data: stateMachine.takeSnapshot(),
         };
-        const retainedEntries = storage.getEntryBytes() >= limits.snapshotThresholdBytes ? 0 : limits.retainedEntries;
-        const outcome = await storage.setSnapshot(snapshot, retainedEntries);
+        appliedBytes = 0;
+        const isLogTooLarge = storage.getEntryBytes() >= limits.snapshotThresholdBytes;
+        const outcome = await storage.setSnapshot(snapshot, isLogTooLarge ? 0 : getRetainedEntryCount(snapshot));
         isStoringSnapshot = false;
         if (outcome.kind === "failed") {
             state.fail(outcome.reason);
@@ -134,6 +141,21 @@
         logger.debug({ index: String(index), bytes: snapshot.data.length }, "stored a snapshot");
     }
 
+    /** Gets the number of entries covered by a snapshot that are retained. */
+    function getRetainedEntryCount({ index, data }: StoredSnapshot): number {
+        const maximumBytes = Math.max(limits.snapshotMinimumLogBytes, data.length);
+        const earliestIndex = index - BigInt(limits.retainedEntries) + 1n;
+        const firstIndex = earliestIndex > storage.getFirstIndex() ? earliestIndex : storage.getFirstIndex();
+        const covered = storage.getEntries(firstIndex, Number.MAX_SAFE_INTEGER)
+            .slice(0, Number(index - firstIndex + 1n));
+        let bytes = 0;
+        const dropped = covered.findLastIndex(entry => {
+            bytes += entry.data.length;
+            return bytes > maximumBytes;
+        });
+        return covered.length - 1 - dropped;
+    }
+
     function restore(snapshot: StoredSnapshot): Promise<void> {
         return applyQueue.run(async () => {
             if (snapshot.index <= appliedIndex) {
@@ -141,6 +163,7 @@
             }
             stateMachine.restoreSnapshot(snapshot.data);
             appliedIndex = snapshot.index;
+            appliedBytes = 0;
             abandonPending(({ index }) => index <= snapshot.index);
             appliedSignal.notify();
         });
--- a/src/control/consensus/defaultConsensusLimits.ts
+++ b/src/control/consensus/defaultConsensusLimits.ts
@@ -13,6 +13,8 @@
     snapshotPartBytes: 524_288,
     snapshotThresholdEntries: 20_000,
     snapshotThresholdBytes: 33_554_432,
+    snapshotStateMultiple: 4,
+    snapshotMinimumLogBytes: 524_288,
     retainedEntries: 1_000,
     voterCount: 3,
     maximumMembers: 9,
--- a/src/control/consensus/runPeerReplication.ts
+++ b/src/control/consensus/runPeerReplication.ts
@@ -1,6 +1,7 @@
 /*
  * A leader's replication task for one peer: it sends new entries, heartbeats when there are none, and a snapshot where
- * the log no longer holds the entries that the peer needs. One message is in flight at a time; entries appended
+ * the log no longer holds the entries that the peer needs, or where the peer has an empty log and the snapshot is smaller
+ * than the entries. One message is in flight at a time; entries appended
  * meanwhile are sent with the next.
  */
 import { isPeerTaskActive } from "./isPeerTaskActive";
@@ -16,8 +17,7 @@
     const { state, progress } = task;
     const { options: { storage, clock }, timing } = state;
     while (isPeerTaskActive(task)) {
-        const hasEntries = storage.getTerm(progress.nextIndex - 1n) !== undefined;
-        const isAcknowledged = hasEntries ? await sendEntries(task) : await sendSnapshot(task);
+        const isAcknowledged = needsSnapshot() ? await sendSnapshot(task) : await sendEntries(task);
         if (!isPeerTaskActive(task)) {
             return;
         }
@@ -30,6 +30,18 @@
         }
     }
 
+    function needsSnapshot(): boolean {
+        if (storage.getTerm(progress.nextIndex - 1n) === undefined) {
+            return true;
+        }
+        const snapshot = storage.getSnapshot();
+        if (progress.nextIndex > 1n || !snapshot || snapshot.index === 0n) {
+            return false;
+        }
+        const entries = storage.getEntries(1n, snapshot.data.length);
+        return BigInt(entries.length) < snapshot.index;
+    }
+
     /** Returns whether the peer has acknowledged all entries and was sent the current commit index. */
     function isUpToDate(): boolean {
         return progress.nextIndex > storage.getLastIndex() && progress.lastSentCommitIndex >= state.getCommitIndex();
