--- a/src/control/consensus/createConnectPeers.ts
+++ b/src/control/consensus/createConnectPeers.ts
@@ -32,7 +32,7 @@
     return {
         requestVote: (address, request) => call(address, client => client.requestVote(request, { timeoutMs })),
         appendEntries: (address, request) => getAppendStream(address).send(request),
-        sendHeartbeat: (address, request) => getResponse(getClient(address).heartbeat(request, { timeoutMs })),
+        sendHeartbeat: (address, request) => call(address, client => client.heartbeat(request, { timeoutMs })),
         installSnapshot: (address, part) => {
             return getResponse(getClient(address).installSnapshot(part, { timeoutMs: snapshotTimeoutMilliseconds }));
         },
