Report a majority of voters that is lost for good, and recover on command

Callers saw notLeader and failing reads for good once two of three voters had lost their disks, and nothing told an operator that no member can ever lead.

A voter without a leader asks the other voters' addresses; if so many answer with other identities that the rest is no majority, it logs that at once and once a minute, and shows it in its status and basilwing_log_lost_voters. Silence is no evidence, nor is an answer of a leader or a more complete log.

--- a/src/commands/LogInspectCommand.ts
+++ b/src/commands/LogInspectCommand.ts
@@ -2,11 +2,10 @@
  * The `log inspect` command, which describes the data folder of a control member.
  */
 import { Command, Option } from "clipanion";
-import { stat } from "node:fs/promises";
 import { createNodeFileSystem, readLogFolder } from "../control/storage";
-import { hasErrorCode } from "../errors";
 import { describeLogFolder } from "./describeLogFolder";
 import { ExitCode } from "./ExitCode";
+import { isFolder } from "./isFolder";
 
 /** Describes the data folder of a control member without changing it. */
 export class LogInspectCommand extends Command {
@@ -53,16 +52,3 @@
         return ExitCode.Success;
     }
 }
-
-/** Returns whether a path is an accessible folder. */
-async function isFolder(path: string): Promise<boolean> {
-    try {
-        return (await stat(path)).isDirectory();
-    }
-    catch (thrown) {
-        if (hasErrorCode(thrown, "ENOENT", "ENOTDIR", "EACCES")) {
-            return false;
-        }
-        throw thrown;
-    }
-}
--- a/src/commands/runCommandLine.ts
+++ b/src/commands/runCommandLine.ts
@@ -12,6 +12,7 @@
 import { ConfigSetCommand } from "./ConfigSetCommand";
 import { ConfigStatusCommand } from "./ConfigStatusCommand";
 import { ConfigUnsetCommand } from "./ConfigUnsetCommand";
+import { ControlRecoverCommand } from "./ControlRecoverCommand";
 import { DemoCommand } from "./DemoCommand";
 import { EventsCommand } from "./EventsCommand";
 import { ExperimentCommand } from "./ExperimentCommand";
@@ -49,6 +50,7 @@
     cli.register(DemoCommand);
     cli.register(ExperimentCommand);
     cli.register(ExplainCommand);
+    cli.register(ControlRecoverCommand);
     cli.register(LogInspectCommand);
     cli.register(RunCommand);
     cli.register(StatusCommand);
--- a/src/control/consensus/LogStatus.ts
+++ b/src/control/consensus/LogStatus.ts
@@ -19,6 +19,8 @@
     appliedIndex: bigint;
     /** The index of the last entry in the log. */
     lastIndex: bigint;
+    /** The addresses of lost voters, once they are a majority: each answers with another identity. Empty otherwise. */
+    lostVoterAddresses: readonly string[];
     /** The group's members; `matchIndex` is the last entry known to be on a peer's disk, where the member leads. */
     members: readonly { memberId: string; address: string; isVoter: boolean; matchIndex: bigint | undefined; }[];
 }
--- a/src/control/consensus/createReplicatedLog.ts
+++ b/src/control/consensus/createReplicatedLog.ts
@@ -14,6 +14,7 @@
 import { createFollower } from "./createFollower";
 import { createFormerLease } from "./createFormerLease";
 import { createLeadership } from "./createLeadership";
+import { createLostMajorityWatch } from "./createLostMajorityWatch";
 import { createMembership } from "./createMembership";
 import { createProposalQueue } from "./createProposalQueue";
 import { createReadBarrier } from "./createReadBarrier";
@@ -56,6 +57,8 @@
         state.startTask(() => runJoinLoop(state, join, startGroup));
     }
     state.startTask(() => runMembershipMaintenance(state, leadership, membership));
+    const lostMajorityWatch = createLostMajorityWatch(state);
+    metrics.addGauge(GaugeName.LogLostVoters, () => lostMajorityWatch.getLostVoters().length);
     metrics.addGauge(GaugeName.LogTerm, () => Number(state.getTerm()));
     metrics.addGauge(GaugeName.LogCommitIndex, () => Number(state.getCommitIndex()));
     return {
@@ -114,6 +117,7 @@
             commitIndex: state.getCommitIndex(),
             appliedIndex: applier.getAppliedIndex(),
             lastIndex: storage.getLastIndex(),
+            lostVoterAddresses: lostMajorityWatch.getLostVoters().map(({ address }) => address),
             members: members.map(({ memberId, address, role }) => ({
                 memberId,
                 address,
--- a/src/control/storage/createProcessTable.ts
+++ b/src/control/storage/createProcessTable.ts
@@ -24,6 +24,9 @@
     }
 
     async function isRunning(owner: LockOwner): Promise<boolean> {
+        if (owner.startTime === "") {
+            return processExists(owner.processId);
+        }
         const bootId = (await readFileOrEmpty(bootIdPath)).trim();
         if (owner.bootId !== bootId || !processExists(owner.processId)) {
             return false;
--- a/src/control/storage/index.ts
+++ b/src/control/storage/index.ts
@@ -12,6 +12,8 @@
 export * from "./OpenStorageOutcome";
 export * from "./ProcessTable";
 export * from "./readLogFolder";
+export * from "./recoverAsOnlyVoter";
+export * from "./RecoverOutcome";
 export * from "./SegmentSummary";
 export * from "./StorageFile";
 export * from "./StorageFileSystem";
--- a/src/metrics/GaugeName.ts
+++ b/src/metrics/GaugeName.ts
@@ -31,6 +31,7 @@
     LeaseRemaining = "basilwing_lease_remaining_milliseconds",
     LogTerm = "basilwing_log_term",
     LogCommitIndex = "basilwing_log_commit_index",
+    LogLostVoters = "basilwing_log_lost_voters",
     OpenClaims = "basilwing_open_claims",
     Sessions = "basilwing_sessions",
     DirectorySize = "basilwing_directory_size",
--- a/tests/control/distribution/createFakeGroup.ts
+++ b/tests/control/distribution/createFakeGroup.ts
@@ -79,6 +79,7 @@
             leaderAddress: hasLeaderLease(address) ? address : member.knownLeader,
             commitIndex: BigInt(member.logLength),
             appliedIndex: BigInt(member.appliedCount),
+            lostVoterAddresses: [],
             lastIndex: BigInt(member.logLength),
             members: addresses.map(memberId => ({
                 memberId,
