--- a/src/control/consensus/LogStatus.ts
+++ b/src/control/consensus/LogStatus.ts
@@ -26,6 +26,8 @@
     entriesSinceSnapshot: number;
     /** What the group bears; undefined where the member is not the leader. */
     tolerance: GroupTolerance | undefined;
+    /** The addresses of lost voters, once they are a majority: each answers with another identity. Empty otherwise. */
+    lostVoterAddresses: readonly string[];
     /** The group's members; `matchIndex` is the last entry known to be on a peer's disk, where the member leads. */
     members: readonly { memberId: string; address: string; isVoter: boolean; matchIndex: bigint | undefined; }[];
 }
--- a/src/control/consensus/createReplicatedLog.ts
+++ b/src/control/consensus/createReplicatedLog.ts
@@ -15,6 +15,7 @@
 import { createFollower } from "./createFollower";
 import { createFormerLease } from "./createFormerLease";
 import { createLeadership } from "./createLeadership";
+import { createLostMajorityWatch } from "./createLostMajorityWatch";
 import { createMembership } from "./createMembership";
 import { createProposalQueue } from "./createProposalQueue";
 import { createReadBarrier } from "./createReadBarrier";
@@ -61,6 +62,8 @@
     state.startTask(() => runMembershipMaintenance(state, leadership, membership));
     state.startTask(() => runGroupWatch(state, leadership));
     addLogGauges(metrics, getStatus);
+    const lostMajorityWatch = createLostMajorityWatch(state);
+    metrics.addGauge(GaugeName.LogLostVoters, () => lostMajorityWatch.getLostVoters().length);
     return {
         propose: proposals.propose,
         readBarrier: barrier.wait,
@@ -121,6 +124,7 @@
             entryBytes: storage.getEntryBytes(),
             entriesSinceSnapshot: Number(storage.getLastIndex() - (storage.getSnapshot()?.index ?? 0n)),
             tolerance: getGroupTolerance(state, leadership),
+            lostVoterAddresses: lostMajorityWatch.getLostVoters().map(({ address }) => address),
             members: members.map(({ memberId, address, role }) => ({
                 memberId,
                 address,
--- a/src/metrics/GaugeName.ts
+++ b/src/metrics/GaugeName.ts
@@ -43,6 +43,7 @@
     LogLearnerLag = "basilwing_log_learner_lag_entries",
     LogEntryBytes = "basilwing_log_entry_bytes",
     LogEntriesSinceSnapshot = "basilwing_log_entries_since_snapshot",
+    LogLostVoters = "basilwing_log_lost_voters",
     OpenClaims = "basilwing_open_claims",
     Sessions = "basilwing_sessions",
     DirectorySize = "basilwing_directory_size",
