Start three control members for tests that lose disks in turn

A member whose disk is lost must be replaced within catch_up_s, since the next disk may be lost then. No test played that with real processes, long histories and slow machines.

--- /dev/null
+++ b/tests/platform/lostDisks/startControlGroup.ts
@@ -0,0 +1,148 @@
+/*
+ * Starts three control members of built programs with an operator, for tests that lose disks in turn.
+ */
+import { once } from "node:events";
+import { AddressInfo } from "node:net";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import { createRandomSource } from "../../../src/runtime";
+import { createRunTracker } from "../soak/createRunTracker";
+import { createSoakLimitChanges } from "../soak/createSoakLimitChanges";
+import { emptyFolder } from "../soak/emptyFolder";
+import { soakBounds } from "../soak/soakBounds";
+import { SoakOperator } from "../soak/SoakOperator";
+import { soakPorts } from "../soak/soakPorts";
+import { SoakProcess } from "../soak/SoakProcess";
+import { startSeries } from "../soak/startSeries";
+import { startSoakOperator } from "../soak/startSoakOperator";
+import { startSoakPlatformList } from "../soak/startSoakPlatformList";
+import { startSoakProcess } from "../soak/startSoakProcess";
+
+const memberCount = 3;
+const platformListNumber = 41;
+const restartDelayMilliseconds = 1_000;
+const readIntervalMilliseconds = 100;
+const changePauseMilliseconds = 400;
+const changesAtOnce = 10;
+/** Makes a document of 5 kB. */
+const furtherWorkspaceCount = 45;
+
+/** Three control members and their operator. */
+export interface ControlGroup {
+    /** The members. */
+    readonly controls: readonly SoakProcess[];
+    /** The operator, which reads all the while. */
+    readonly operator: SoakOperator;
+    /** Kills a member and empties its folder; it is started again after a second. Resolves once it has been started. */
+    loseDisk(index: number): Promise<void>;
+    /** Kills all members and empties the folder of one of them; all are started again after a second. */
+    loseDiskAndKillOthers(index: number): Promise<void>;
+    /** Starts to change the document again and again, and returns what ends it. */
+    startChanges(): () => Promise<void>;
+    /**
+     * Waits until all members return the newest document for the stable window without a break.
+     * @param timeoutMilliseconds - How long to wait for the first of these reads.
+     * @returns The time until the first of these reads, in milliseconds, or what a member returned last.
+     */
+    waitForDocumentAtAll(timeoutMilliseconds: number): Promise<number | string>;
+    /** Ends all processes. */
+    stop(): Promise<void>;
+}
+
+/**
+ * Starts the group.
+ * @param network - The first three numbers of all its loopback addresses.
+ * @param folder - The folder for the processes' settings, data and logs.
+ * @param versionCount - The number of versions of the document that are written first.
+ * @param lastVersion - The version after which the operator's begin.
+ */
+export async function startControlGroup(
+    network: string,
+    folder: string,
+    versionCount: number,
+    lastVersion = 0,
+): Promise<ControlGroup> {
+    const platformList = await startSoakPlatformList(`${network}.${platformListNumber}`, () => []);
+    const ips = Array.from({ length: memberCount }, (...[, index]) => `${network}.${index + 1}`);
+    const addresses = ips.map(ip => `${ip}:${soakPorts.operator}`);
+    const controls = ips.map((ip, index) =>
+        startSoakProcess({
+            ip,
+            role: "control",
+            folder: join(folder, `control-${index + 1}`),
+            seedAddresses: addresses,
+            listAddress: `${platformList.ip}:${(platformList.address() as AddressInfo).port}`,
+            restartDelayMilliseconds,
+        })
+    );
+    const operator = startSoakOperator({
+        addresses,
+        runTracker: createRunTracker(),
+        random: createRandomSource(1),
+        limits: createSoakLimitChanges(undefined),
+        furtherWorkspaceCount,
+        lastVersion,
+    });
+    for (let version = 0; version < versionCount; version += changesAtOnce) {
+        const count = Math.min(changesAtOnce, versionCount - version);
+        await Promise.all(Array.from({ length: count }, () => operator.changeDocument()));
+    }
+    return { controls, operator, loseDisk, loseDiskAndKillOthers, startChanges, waitForDocumentAtAll, stop };
+
+    async function loseDisk(index: number): Promise<void> {
+        const control = controls[index]!;
+        const firstStartMilliseconds = control.getStartMilliseconds();
+        control.changeDataFolderBeforeRestart(emptyFolder);
+        await control.kill();
+        await waitForStart(control, firstStartMilliseconds);
+    }
+
+    async function loseDiskAndKillOthers(index: number): Promise<void> {
+        const firstStarts = controls.map(control => control.getStartMilliseconds());
+        controls[index]!.changeDataFolderBeforeRestart(emptyFolder);
+        await Promise.all(controls.map(control => control.kill()));
+        await Promise.all(controls.map((control, position) => waitForStart(control, firstStarts[position]!)));
+    }
+
+    async function waitForStart(control: SoakProcess, earlierMilliseconds: number): Promise<void> {
+        while (control.getStartMilliseconds() === earlierMilliseconds) {
+            await sleep(readIntervalMilliseconds / 10);
+        }
+    }
+
+    function startChanges(): () => Promise<void> {
+        return startSeries(async () => {
+            await operator.changeDocument();
+            await sleep(changePauseMilliseconds);
+        });
+    }
+
+    async function waitForDocumentAtAll(timeoutMilliseconds: number): Promise<number | string> {
+        const startMilliseconds = Date.now();
+        let firstReadMilliseconds: number | undefined;
+        while (true) {
+            const sentMilliseconds = Date.now();
+            const problem = await operator.findUnreadableMember();
+            firstReadMilliseconds = problem === undefined ? firstReadMilliseconds ?? sentMilliseconds : undefined;
+            if (problem !== undefined && Date.now() - startMilliseconds > timeoutMilliseconds) {
+                return problem;
+            }
+            if (
+                firstReadMilliseconds !== undefined
+                && Date.now() - firstReadMilliseconds > soakBounds.stable_window_ms
+            ) {
+                return firstReadMilliseconds - startMilliseconds;
+            }
+            await sleep(readIntervalMilliseconds);
+        }
+    }
+
+    async function stop(): Promise<void> {
+        operator.stop();
+        await Promise.all(controls.map(control => control.stop()));
+        const closed = once(platformList, "close");
+        platformList.close();
+        platformList.closeAllConnections();
+        await closed;
+    }
+}
--- a/tests/platform/soak/SoakOperator.ts
+++ b/tests/platform/soak/SoakOperator.ts
@@ -16,5 +16,10 @@
      * @returns Whether a member returned it in time.
      */
     waitForNewestDocument(timeoutMilliseconds: number): Promise<boolean>;
+    /**
+     * Reads the document from all control members once.
+     * @returns What a member returned in place of the newest acknowledged version; undefined where all returned it.
+     */
+    findUnreadableMember(): Promise<string | undefined>;
     stop(): void;
 }
--- a/tests/platform/soak/SoakProcess.ts
+++ b/tests/platform/soak/SoakProcess.ts
@@ -17,6 +17,8 @@
     wasRunningSince(milliseconds: number): boolean;
     /** Gets how often it has exited by itself. */
     getUnplannedExitCount(): number;
+    /** Gets when it last started, in milliseconds since the epoch. */
+    getStartMilliseconds(): number;
     /** Kills it with SIGKILL; it is started again after a delay. */
     kill(): Promise<void>;
     /** Stops it with SIGTERM; it is started again after a delay. */
--- a/tests/platform/soak/createFaultInjector.ts
+++ b/tests/platform/soak/createFaultInjector.ts
@@ -1,10 +1,11 @@
 /*
  * Injects faults and planned changes into a deployment, and tracks when the last unplanned fault ended.
  */
-import { appendFileSync, readdirSync, rmSync, statSync } from "node:fs";
+import { appendFileSync, readdirSync, statSync } from "node:fs";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { RandomSource } from "../../../src/runtime";
+import { emptyFolder } from "./emptyFolder";
 import { soakBounds } from "./soakBounds";
 import { SoakDeployment } from "./SoakDeployment";
 import { SoakFault } from "./SoakFault";
@@ -125,14 +126,14 @@
             return;
         }
         hasEmptiedDisk = true;
-        control.changeDataFolderBeforeRestart(removeFiles);
+        control.changeDataFolderBeforeRestart(emptyFolder);
         await control.kill();
     }
 
     async function wipeAfterAcknowledgement(): Promise<void> {
         const wiped = pick(controls);
         await operator.changeDocument();
-        wiped.changeDataFolderBeforeRestart(removeFiles);
+        wiped.changeDataFolderBeforeRestart(emptyFolder);
         await trackUnplanned(() => Promise.all(controls.map(control => control.kill())));
     }
 
@@ -167,10 +168,6 @@
     }
 }
 
-function removeFiles(folder: string): void {
-    readdirSync(folder).forEach(name => rmSync(join(folder, name), { recursive: true }));
-}
-
 type PlannedFault =
     | SoakFault.ReloadSettings
     | SoakFault.ChangeDocument
--- a/tests/platform/soak/startSoakOperator.ts
+++ b/tests/platform/soak/startSoakOperator.ts
@@ -27,12 +27,17 @@
     random: RandomSource;
     /** Chooses the limits of each document. */
     limits: SoakLimitChanges;
+    /** The number of further workspaces in each document, which makes it larger; none by default. */
+    furtherWorkspaceCount?: number;
+    /** The version after which its own begin; 0 by default. */
+    lastVersion?: number;
 }
 
 /** Starts the operator, which reads the document continuously until it is stopped. */
-export function startSoakOperator({ addresses, runTracker, random, limits }: SoakOperatorOptions): SoakOperator {
+export function startSoakOperator(options: SoakOperatorOptions): SoakOperator {
+    const { addresses, runTracker, random, limits, furtherWorkspaceCount = 0, lastVersion = 0 } = options;
     const acknowledged: { version: number; time: number; }[] = [];
-    let version = 0;
+    let version = lastVersion;
     let weightsVersion = 1;
     let hasRevocableTenant = true;
     let isStopped = false;
@@ -43,6 +48,7 @@
         requestWeights: () =>
             sendUntilAccepted("POST", "/basilwing/version-put", { model: soakModel, version: ++weightsVersion }),
         waitForNewestDocument,
+        findUnreadableMember,
         stop: () => isStopped = true,
     };
 
@@ -50,7 +56,7 @@
         version += 1 + random.getInteger(3);
         const sentVersion = version;
         const sentLimits = limits.choose();
-        const document = createDocument(sentVersion, hasRevocableTenant, sentLimits);
+        const document = createDocument(sentVersion, hasRevocableTenant, sentLimits, furtherWorkspaceCount);
         await sendUntilAccepted("PUT", "/basilwing/config", document);
         acknowledged.push({ version: sentVersion, time: Date.now() });
         if (sentVersion === getNewestAcknowledged(Infinity)) {
@@ -111,6 +117,21 @@
         return false;
     }
 
+    async function findUnreadableMember(): Promise<string | undefined> {
+        const expectedVersion = getNewestAcknowledged(Infinity);
+        const results = await Promise.all(addresses.map(async address => {
+            const response = await sendOperatorRequest("GET", `http://${address}/basilwing/config`);
+            if (response?.status !== 200) {
+                return `${address} answers a read with ${response ? `${response.status} ${response.text}` : "nothing"}`;
+            }
+            const { version: shownVersion } = JSON.parse(response.text) as { version: number; };
+            return shownVersion < expectedVersion
+                ? `${address} shows version ${shownVersion} after ${expectedVersion} was acknowledged`
+                : undefined;
+        }));
+        return results.find(result => result !== undefined);
+    }
+
     /** Gets the highest version that was acknowledged by a time, in milliseconds since the epoch; 0 where there is none. */
     function getNewestAcknowledged(byMilliseconds: number): number {
         return Math.max(
@@ -147,7 +168,12 @@
     }
 }
 
-function createDocument(version: number, hasRevocableTenant: boolean, limits: SoakLimits): object {
+function createDocument(
+    version: number,
+    hasRevocableTenant: boolean,
+    limits: SoakLimits,
+    furtherWorkspaceCount: number,
+): object {
     const revocableTenant = { name: "leaver", api_keys: ["key-leaver"], priority: 1, isolated: false };
     return {
         version,
@@ -183,6 +209,12 @@
             { name: "stayer", api_keys: ["key-stayer"], priority: 1, isolated: false },
             { name: soakIsolatedWorkspace, api_keys: ["key-loner"], priority: 1, isolated: true },
             ...hasRevocableTenant ? [revocableTenant] : [],
+            ...Array.from({ length: furtherWorkspaceCount }, (...[, index]) => ({
+                name: `further-${index}`,
+                api_keys: [`key-further-${index}`],
+                priority: 1,
+                isolated: false,
+            })),
         ],
     };
 }
--- a/tests/platform/soak/startSoakProcess.ts
+++ b/tests/platform/soak/startSoakProcess.ts
@@ -10,7 +10,7 @@
 import { soakPorts } from "./soakPorts";
 import { SoakProcess } from "./SoakProcess";
 
-const restartDelayMilliseconds = 300;
+const defaultRestartDelayMilliseconds = 300;
 /**
  * How long after its start a process may be ended by a signal to reload its settings, in milliseconds: the platform counts no end
  * within a second of a disturbance, and no program can set a handler before Node.js has started.
@@ -29,11 +29,14 @@
     seedAddresses: readonly string[];
     /** The address of the platform's list, as `ip:port`. */
     listAddress: string;
+    /** How long after an exit it is started again, in milliseconds; 300 by default. */
+    restartDelayMilliseconds?: number;
 }
 
 /** Starts a process, which is started again after each exit until it is stopped. */
 export function startSoakProcess(options: SoakProcessOptions): SoakProcess {
     const { ip, role, folder, seedAddresses, listAddress } = options;
+    const { restartDelayMilliseconds = defaultRestartDelayMilliseconds } = options;
     const dataFolder = join(folder, "data");
     const settingsFile = join(folder, "settings.json");
     mkdirSync(dataFolder, { recursive: true });
@@ -44,6 +47,7 @@
     let isEnding = false;
     /** When it last started or went on after a pause, in milliseconds since the epoch. */
     let runningSinceMilliseconds = Date.now();
+    let startMilliseconds = 0;
     let unplannedExitCount = 0;
     let pendingDataFolderChange: ((folder: string) => void) | undefined;
     let child = start();
@@ -53,6 +57,7 @@
         isRunning,
         wasRunningSince: milliseconds => isRunning() && !isEnding && runningSinceMilliseconds <= milliseconds,
         getUnplannedExitCount: () => unplannedExitCount,
+        getStartMilliseconds: () => startMilliseconds,
         kill: () => endChild("SIGKILL"),
         terminate: () => endChild("SIGTERM"),
         pause,
@@ -70,6 +75,7 @@
 
     function start(): ChildProcess {
         runningSinceMilliseconds = Date.now();
+        startMilliseconds = runningSinceMilliseconds;
         isEnding = false;
         pendingDataFolderChange?.(dataFolder);
         pendingDataFolderChange = undefined;
