Let the soak lose disks in turn and the links between members

The soak lost one disk in a run, and the connections between the system's own processes could not fail, so it could not show that members that run give no answer for long. Reads at all members must answer for the stable window.

--- a/tests/platform/lostDisks/lostDisksInTurn.tests.ts
+++ b/tests/platform/lostDisks/lostDisksInTurn.tests.ts
@@ -5,10 +5,10 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { soakBounds } from "../soak/soakBounds";
 import { startPulses } from "../soak/startPulses";
+import { waitForDocumentAtAll } from "../soak/waitForDocumentAtAll";
 import { startControlGroup } from "./startControlGroup";
 
 const testTimeoutMilliseconds = 240_000;
-const catchUpMilliseconds = 4_000;
 const millisecondsPerSecond = 1_000;
 
 describe("a disk lost after the group had the time to replace the last, while all others are killed", () => {
@@ -19,9 +19,9 @@
         const stopChanges = group.startChanges();
         try {
             await group.loseDisk(0);
-            await sleep(catchUpMilliseconds);
+            await sleep(soakBounds.catch_up_s * millisecondsPerSecond);
             await group.loseDiskAndKillOthers(1);
-            const result = await group.waitForDocumentAtAll(soakBounds.recovery_s * millisecondsPerSecond);
+            const result = await waitForDocumentAtAll(group.operator);
             expect(result, "milliseconds until all members answer reads").to.be.a("number");
         }
         finally {
--- a/tests/platform/lostDisks/startControlGroup.ts
+++ b/tests/platform/lostDisks/startControlGroup.ts
@@ -9,7 +9,7 @@
 import { createRunTracker } from "../soak/createRunTracker";
 import { createSoakLimitChanges } from "../soak/createSoakLimitChanges";
 import { emptyFolder } from "../soak/emptyFolder";
-import { soakBounds } from "../soak/soakBounds";
+import { killAndAwaitStart } from "../soak/killAndAwaitStart";
 import { SoakOperator } from "../soak/SoakOperator";
 import { soakPorts } from "../soak/soakPorts";
 import { SoakProcess } from "../soak/SoakProcess";
@@ -21,7 +21,6 @@
 const memberCount = 3;
 const platformListNumber = 41;
 const restartDelayMilliseconds = 1_000;
-const readIntervalMilliseconds = 100;
 const changePauseMilliseconds = 400;
 const changesAtOnce = 10;
 /** Makes a document of 5 kB. */
@@ -39,12 +38,6 @@
     loseDiskAndKillOthers(index: number): Promise<void>;
     /** Starts to change the document again and again, and returns what ends it. */
     startChanges(): () => Promise<void>;
-    /**
-     * Waits until all members return the newest document for the stable window without a break.
-     * @param timeoutMilliseconds - How long to wait for the first of these reads.
-     * @returns The time until the first of these reads, in milliseconds, or what a member returned last.
-     */
-    waitForDocumentAtAll(timeoutMilliseconds: number): Promise<number | string>;
     /** Ends all processes. */
     stop(): Promise<void>;
 }
@@ -87,27 +80,16 @@
         const count = Math.min(changesAtOnce, versionCount - version);
         await Promise.all(Array.from({ length: count }, () => operator.changeDocument()));
     }
-    return { controls, operator, loseDisk, loseDiskAndKillOthers, startChanges, waitForDocumentAtAll, stop };
+    return { controls, operator, loseDisk, loseDiskAndKillOthers, startChanges, stop };
 
     async function loseDisk(index: number): Promise<void> {
-        const control = controls[index]!;
-        const firstStartMilliseconds = control.getStartMilliseconds();
-        control.changeDataFolderBeforeRestart(emptyFolder);
-        await control.kill();
-        await waitForStart(control, firstStartMilliseconds);
+        controls[index]!.changeDataFolderBeforeRestart(emptyFolder);
+        await killAndAwaitStart([controls[index]!]);
     }
 
     async function loseDiskAndKillOthers(index: number): Promise<void> {
-        const firstStarts = controls.map(control => control.getStartMilliseconds());
         controls[index]!.changeDataFolderBeforeRestart(emptyFolder);
-        await Promise.all(controls.map(control => control.kill()));
-        await Promise.all(controls.map((control, position) => waitForStart(control, firstStarts[position]!)));
-    }
-
-    async function waitForStart(control: SoakProcess, earlierMilliseconds: number): Promise<void> {
-        while (control.getStartMilliseconds() === earlierMilliseconds) {
-            await sleep(readIntervalMilliseconds / 10);
-        }
+        await killAndAwaitStart(controls);
     }
 
     function startChanges(): () => Promise<void> {
@@ -117,26 +99,6 @@
         });
     }
 
-    async function waitForDocumentAtAll(timeoutMilliseconds: number): Promise<number | string> {
-        const startMilliseconds = Date.now();
-        let firstReadMilliseconds: number | undefined;
-        while (true) {
-            const sentMilliseconds = Date.now();
-            const problem = await operator.findUnreadableMember();
-            firstReadMilliseconds = problem === undefined ? firstReadMilliseconds ?? sentMilliseconds : undefined;
-            if (problem !== undefined && Date.now() - startMilliseconds > timeoutMilliseconds) {
-                return problem;
-            }
-            if (
-                firstReadMilliseconds !== undefined
-                && Date.now() - firstReadMilliseconds > soakBounds.stable_window_ms
-            ) {
-                return firstReadMilliseconds - startMilliseconds;
-            }
-            await sleep(readIntervalMilliseconds);
-        }
-    }
-
     async function stop(): Promise<void> {
         operator.stop();
         await Promise.all(controls.map(control => control.stop()));
--- a/tests/platform/soak/SoakDeployment.ts
+++ b/tests/platform/soak/SoakDeployment.ts
@@ -17,6 +17,8 @@
     readonly proxies: readonly SoakProxy[];
     /** The proxies in front of the listeners for callers, in the order of the entry processes. */
     readonly callerProxies: readonly SoakProxy[];
+    /** The proxies between control members, and from entry processes to control members; none where no such links fail. */
+    readonly memberLinks: readonly SoakProxy[];
     /** Where callers reach the entry processes, as `ip:port`. */
     readonly callerAddresses: readonly string[];
     /** Where operators reach control members, as `ip:port`. */
--- a/tests/platform/soak/SoakOperator.ts
+++ b/tests/platform/soak/SoakOperator.ts
@@ -16,6 +16,8 @@
      * @returns Whether a member returned it in time.
      */
     waitForNewestDocument(timeoutMilliseconds: number): Promise<boolean>;
+    /** Gets the loopback address of the control member that accepted the last change; undefined before the first one. */
+    getLeaderIp(): string | undefined;
     /**
      * Reads the document from all control members once.
      * @returns What a member returned in place of the newest acknowledged version; undefined where all returned it.
--- a/tests/platform/soak/getSoakSize.ts
+++ b/tests/platform/soak/getSoakSize.ts
@@ -14,6 +14,8 @@
 const firstSeedWithRestarts = 120_000;
 /** Seeds from this one on do so in a deployment of the size of the grown ones. */
 const firstGrownSeedWithRestarts = 130_000;
+/** Seeds from this one on play a small deployment whose control members lose disks in turn and the links between them. */
+const firstSeedWithMemberLosses = 140_000;
 
 /** The numbers of processes and stand-ins, and what they do. */
 export interface SoakSize {
@@ -31,15 +33,18 @@
     hasLimitChanges: boolean;
     /** Whether the entry processes are killed, stopped and reloaded in series while servers fail many requests. */
     hasRestarts: boolean;
+    /** Whether links to control members fail, and control members that are slow lose disks in turn. */
+    hasMemberLosses: boolean;
 }
 
 /** Gets the size of the deployment that a seed plays. */
 export function getSoakSize(seed: number): SoakSize {
     const hasAnswerFaults = seed >= firstSeedWithAnswerFaults;
     const isSmall = seed < firstGrownSeed || isWithin(firstSeedWithLimitChanges, firstGrownSeedWithLimitChanges)
-        || isWithin(firstSeedWithRestarts, firstGrownSeedWithRestarts);
-    const hasLimitChanges = seed >= firstSeedWithLimitChanges;
-    const hasRestarts = seed >= firstSeedWithRestarts;
+        || isWithin(firstSeedWithRestarts, firstGrownSeedWithRestarts) || seed >= firstSeedWithMemberLosses;
+    const hasMemberLosses = seed >= firstSeedWithMemberLosses;
+    const hasLimitChanges = isWithin(firstSeedWithLimitChanges, firstSeedWithMemberLosses);
+    const hasRestarts = isWithin(firstSeedWithRestarts, firstSeedWithMemberLosses);
     if (isSmall) {
         return {
             controlCount: 3,
@@ -51,6 +56,7 @@
             hasAnswerFaults,
             hasLimitChanges,
             hasRestarts,
+            hasMemberLosses,
         };
     }
     return {
@@ -63,6 +69,7 @@
         hasAnswerFaults,
         hasLimitChanges,
         hasRestarts,
+        hasMemberLosses,
     };
 
     function isWithin(first: number, end: number): boolean {
--- a/tests/platform/soak/runSoak.ts
+++ b/tests/platform/soak/runSoak.ts
@@ -5,7 +5,6 @@
 import { mkdirSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
-import { request } from "undici";
 import { createRandomSource } from "../../../src/runtime";
 import { createEndRecorder } from "./createEndRecorder";
 import { createFaultInjector } from "./createFaultInjector";
@@ -13,21 +12,22 @@
 import { createSoakLimitChanges } from "./createSoakLimitChanges";
 import { createStandstillMonitor } from "./createStandstillMonitor";
 import { getSoakSize } from "./getSoakSize";
+import { runMemberLosses } from "./runMemberLosses";
 import { soakBounds } from "./soakBounds";
 import { SoakFault } from "./SoakFault";
-import { soakPorts } from "./soakPorts";
 import { startCrashingCaller } from "./startCrashingCaller";
 import { startFailures } from "./startFailures";
 import { startFlaps } from "./startFlaps";
 import { startIdleCallers } from "./startIdleCallers";
 import { startLimitChanges } from "./startLimitChanges";
+import { startLinkFaults } from "./startLinkFaults";
 import { startRestarts } from "./startRestarts";
 import { startSilences } from "./startSilences";
 import { startSoakCallers } from "./startSoakCallers";
 import { startSoakDeployment } from "./startSoakDeployment";
 import { startSoakOperator } from "./startSoakOperator";
+import { waitForReadiness } from "./waitForReadiness";
 
-const readinessTimeoutMilliseconds = 20_000;
 const pollIntervalMilliseconds = 250;
 const maximumPauseMilliseconds = 1_200;
 const millisecondsPerSecond = 1_000;
@@ -49,6 +49,8 @@
 const limitSeedDistance = 4_000_037;
 /** Keeps the random numbers of the restarts and of the failing servers apart from all others. */
 const restartSeedDistance = 5_000_011;
+/** Keeps the random numbers of lost disks and links apart from all others. */
+const lossSeedDistance = 6_000_011;
 /** How long entry processes restart in series at least, and run before that: longer than the window of the retry budget. */
 const restartsPhaseMilliseconds = 12_000;
 /** Of this many neighbouring seeds with restarts, one plays without silences, and restarts as soon as the processes are ready. */
@@ -111,10 +113,11 @@
     const faults: string[] = [];
     const startTimeMilliseconds = Date.now();
     const hasSilences = seed >= firstSeedWithSilences && !(size.hasRestarts && seed % seedsPerSilentRestarts === 0);
+    const lossRandom = createRandomSource(seed + lossSeedDistance);
     const silenceRandom = createRandomSource(seed + silenceSeedDistance);
     try {
         await operator.changeDocument();
-        await waitForReadiness();
+        await waitForReadiness(entries);
         const callers = startSoakCallers({
             entryAddresses: callerAddresses,
             runTracker,
@@ -154,6 +157,10 @@
             recordFault("all control members are killed, one disk is emptied");
             await injector.wipeAfterAcknowledgement();
         }
+        if (size.hasMemberLosses) {
+            await sleep(soakBounds.catch_up_s * millisecondsPerSecond);
+            await runMemberLosses({ deployment, operator, runTracker, random: lossRandom, onFault: recordFault });
+        }
         if (!await operator.waitForNewestDocument(soakBounds.recovery_s * millisecondsPerSecond)) {
             runTracker.addBreach("the newest acknowledged document can't be read back");
         }
@@ -207,6 +214,9 @@
             ...size.hasAnswerFaults
                 ? [startFlaps({ backends, random: createRandomSource(seed + flapSeedDistance) })]
                 : [],
+            ...size.hasMemberLosses
+                ? [startLinkFaults({ links: deployment.memberLinks, random: lossRandom, onFault: recordFault })]
+                : [],
             ...size.hasRestarts
                 ? [
                     startRestarts({ injector, random: restartRandom, onRestart: recordFault }),
@@ -217,27 +227,6 @@
         await injectFaults().finally(() => Promise.all(stops.map(stop => stop())));
     }
 
-    async function waitForReadiness(): Promise<void> {
-        for (const { ip } of entries) {
-            const end = Date.now() + readinessTimeoutMilliseconds;
-            while (await getReadinessStatus(ip) !== 200) {
-                if (Date.now() > end) {
-                    throw new Error(`the entry at ${ip} does not become ready`);
-                }
-                await sleep(pollIntervalMilliseconds);
-            }
-        }
-    }
-
-    async function getReadinessStatus(ip: string): Promise<number> {
-        const url = `http://${ip}:${soakPorts.readiness}/basilwing/ready`;
-        const response = await request(url, { signal: AbortSignal.timeout(millisecondsPerSecond) }).catch(() =>
-            undefined
-        );
-        await response?.body.dump();
-        return response?.statusCode ?? 0;
-    }
-
     /** Starts faults at random intervals without waiting for earlier ones to end, then waits for all of them. */
     async function injectFaults(): Promise<void> {
         const kinds = Object.values(SoakFault);
@@ -287,7 +276,7 @@
             recordFault(`planned stop of ${stopped.map(({ ip }) => ip).join(" ")}`);
             controls[0]!.reloadSettings();
             await Promise.all([...stopped.map(entry => entry.terminate()), operator.changeDocument()]);
-            await waitForReadiness();
+            await waitForReadiness(entries);
         }
     }
 }
--- a/tests/platform/soak/soakBounds.ts
+++ b/tests/platform/soak/soakBounds.ts
@@ -8,6 +8,7 @@
     config_apply_ms: 2_000,
     revoke_ms: 5_000,
     recovery_s: 12,
+    catch_up_s: 4,
     stable_window_ms: 3_000,
     version_ms: 10_000,
     retry_budget_ratio: 0.2,
--- a/tests/platform/soak/startSoakDeployment.ts
+++ b/tests/platform/soak/startSoakDeployment.ts
@@ -13,7 +13,7 @@
 import { startSoakBackend } from "./startSoakBackend";
 import { startSoakPlatformList } from "./startSoakPlatformList";
 import { startSoakProcess } from "./startSoakProcess";
-import { startSoakProxy } from "./startSoakProxy";
+import { SoakProxy, startSoakProxy } from "./startSoakProxy";
 
 const firstControlNumber = 1;
 /** The first numbers of the small deployment; those of a larger one come after them. */
@@ -42,7 +42,7 @@
 ): Promise<SoakDeployment> {
     const getIp = (number: number) => `${network}.${number}`;
     const { controlNumbers, entryNumbers, engineNumbers, plainServiceNumbers } = getNumbers(seed);
-    const { hasAnswerFaults } = getSoakSize(seed);
+    const { hasAnswerFaults, hasMemberLosses } = getSoakSize(seed);
     const backends = await Promise.all([...engineNumbers, ...plainServiceNumbers].map(number => {
         const isEngine = engineNumbers.includes(number);
         const service = isEngine ? "engines" : "actions";
@@ -71,16 +71,18 @@
         `${getIp(platformListNumber)}:${platformListPort}`,
     );
     const seedAddresses = controlNumbers.map(number => `${getIp(number)}:${soakPorts.operator}`);
-    const startProcess = (role: "entry" | "control", number: number) =>
+    const memberLinks: SoakProxy[] = [];
+    const startProcess = async (role: "entry" | "control", number: number) =>
         startSoakProcess({
+            redirections: hasMemberLosses ? await startMemberLinks(number) : undefined,
             ip: getIp(number),
             role,
             folder: join(folder, `${role}-${number}`),
             seedAddresses,
             listAddress: platformListProxy.address,
         });
-    const controls = controlNumbers.map(number => startProcess("control", number));
-    const entries = entryNumbers.map(number => startProcess("entry", number));
+    const controls = await Promise.all(controlNumbers.map(number => startProcess("control", number)));
+    const entries = await Promise.all(entryNumbers.map(number => startProcess("entry", number)));
     const operatorProxies = await Promise.all(
         controls.map(({ ip }) => startSoakProxy(ip, `${ip}:${soakPorts.operator}`)),
     );
@@ -94,16 +96,29 @@
         backends,
         proxies,
         callerProxies,
+        memberLinks,
         callerAddresses: callerProxies.map(proxy => proxy.address),
         operatorAddresses: operatorProxies.map(proxy => proxy.address),
         stop: async () => {
             await Promise.all([...controls, ...entries].map(process => process.stop()));
-            proxies.forEach(proxy => proxy.stop());
+            [...proxies, ...memberLinks].forEach(proxy => proxy.stop());
             backends.forEach(backend => backend.stop());
             platformList.close();
             platformList.closeAllConnections();
         },
     };
+
+    /** Starts the proxies from one process to the control members, and gets their addresses by those of the members. */
+    async function startMemberLinks(number: number): Promise<Record<string, string>> {
+        const targets = controlNumbers.filter(target => target !== number);
+        const links = await Promise.all(targets.map(async target => {
+            const address = `${getIp(target)}:${soakPorts.internal}`;
+            const link = await startSoakProxy(getIp(target), address);
+            memberLinks.push(link);
+            return [address, link.address] as const;
+        }));
+        return Object.fromEntries(links);
+    }
 }
 
 /** Gets the last numbers of the addresses. */
--- a/tests/platform/soak/startSoakOperator.ts
+++ b/tests/platform/soak/startSoakOperator.ts
@@ -41,6 +41,7 @@
     let weightsVersion = 1;
     let hasRevocableTenant = true;
     let isStopped = false;
+    let leaderIp: string | undefined;
     void readContinuously();
     return {
         changeDocument,
@@ -49,6 +50,7 @@
             sendUntilAccepted("POST", "/basilwing/version-put", { model: soakModel, version: ++weightsVersion }),
         waitForNewestDocument,
         findUnreadableMember,
+        getLeaderIp: () => leaderIp,
         stop: () => isStopped = true,
     };
 
@@ -75,6 +77,7 @@
         while (!isStopped) {
             const response = await sendOperatorRequest(method, `http://${address}${path}`, content);
             if (response?.status === 200) {
+                leaderIp = address.split(":")[0];
                 return;
             }
             if (response && [400, 409, 412, 413, 422].includes(response.status)) {
--- a/tests/platform/soak/startSoakProcess.ts
+++ b/tests/platform/soak/startSoakProcess.ts
@@ -11,6 +11,7 @@
 import { SoakProcess } from "./SoakProcess";
 
 const defaultRestartDelayMilliseconds = 300;
+const redirectionsModule = join(__dirname, "redirectConnections.cjs");
 /**
  * How long after its start a process may be ended by a signal to reload its settings, in milliseconds: the platform counts no end
  * within a second of a disturbance, and no program can set a handler before Node.js has started.
@@ -31,12 +32,14 @@
     listAddress: string;
     /** How long after an exit it is started again, in milliseconds; 300 by default. */
     restartDelayMilliseconds?: number;
+    /** The address to which it connects in place of another one, both as `ip:port`; none by default. */
+    redirections?: Readonly<Record<string, string>>;
 }
 
 /** Starts a process, which is started again after each exit until it is stopped. */
 export function startSoakProcess(options: SoakProcessOptions): SoakProcess {
     const { ip, role, folder, seedAddresses, listAddress } = options;
-    const { restartDelayMilliseconds = defaultRestartDelayMilliseconds } = options;
+    const { restartDelayMilliseconds = defaultRestartDelayMilliseconds, redirections } = options;
     const dataFolder = join(folder, "data");
     const settingsFile = join(folder, "settings.json");
     mkdirSync(dataFolder, { recursive: true });
@@ -81,8 +84,13 @@
         pendingDataFolderChange = undefined;
         writeFileSync(settingsFile, JSON.stringify(getSettings()));
         isFirstStart = false;
-        const startedChild = spawn(process.execPath, [join("target", `${role}.js`)], {
-            env: { PATH: process.env.PATH, BASILWING_SETTINGS: settingsFile },
+        const preloads = redirections ? ["--require", redirectionsModule] : [];
+        const startedChild = spawn(process.execPath, [...preloads, join("target", `${role}.js`)], {
+            env: {
+                PATH: process.env.PATH,
+                BASILWING_SETTINGS: settingsFile,
+                SOAK_REDIRECTIONS: JSON.stringify(redirections ?? {}),
+            },
             stdio: ["ignore", logDescriptor, logDescriptor],
         });
         startedChild.once("exit", (...[, signal]) => {
--- a/tests/platform/soak/startSoakProxy.ts
+++ b/tests/platform/soak/startSoakProxy.ts
@@ -9,6 +9,12 @@
 
 const delayMilliseconds = 150;
 
+/** A connection through a proxy. */
+interface ProxiedConnection {
+    /** Whether it passes nothing on any more. */
+    isSilent: boolean;
+}
+
 /** A proxy in front of one listener. */
 export interface SoakProxy {
     /** The address that clients connect to, as `ip:port`. */
@@ -25,6 +31,8 @@
      * @param port - The client's port.
      */
     wasRefused(port: number): boolean;
+    /** Passes nothing on over the connections that are open now, for good, neither bytes nor ends; new ones work. */
+    silenceConnections(): void;
     /** Resets all connections. */
     resetConnections(): void;
     /** Resets all connections and stops listening. */
@@ -39,6 +47,7 @@
 export async function startSoakProxy(ip: string, target: string): Promise<SoakProxy> {
     const [targetIp, targetPort] = target.split(":") as [string, string];
     const sockets = new Set<Socket>();
+    const connections = new Set<ProxiedConnection>();
     const refusedPorts = new Set<number>();
     let linkState = SoakLinkState.Open;
     let holdCount = 0;
@@ -54,8 +63,10 @@
             }
         });
         refusedPorts.delete(remotePort ?? 0);
-        relay(client, upstream, false);
-        relay(upstream, client, true);
+        const connection = { isSilent: false };
+        connections.add(connection);
+        relay(client, upstream, connection, false);
+        relay(upstream, client, connection, true);
     });
     await new Promise<void>(resolve => server.listen(0, ip, resolve));
     return {
@@ -63,6 +74,10 @@
         setLinkState: newState => linkState = newState,
         hold,
         wasRefused: port => refusedPorts.has(port),
+        silenceConnections: () => {
+            connections.forEach(connection => connection.isSilent = true);
+            connections.clear();
+        },
         resetConnections,
         stop: () => {
             resetConnections();
@@ -70,27 +85,32 @@
         },
     };
 
-    function relay(from: Socket, to: Socket, isFromServer: boolean): void {
+    function relay(from: Socket, to: Socket, connection: ProxiedConnection, isFromServer: boolean): void {
         sockets.add(from);
         from.setNoDelay(true);
-        from.on("data", bytes => releaseInOrder(() => passOn(isFromServer, () => to.write(bytes))));
+        from.on("data", bytes => release(() => passOn(isFromServer, () => to.write(bytes))));
         const resets = createResetCounter();
         resets.watch(from);
         // A reset on one side is passed on to the other.
         from.on("end", () => {
             // After the end of the other direction, a connection that has ended looks as one that was reset.
             if (resets.getCount() > 0 && !from.writableEnded) {
-                releaseInOrder(() => resetSocket(to));
+                release(() => resetSocket(to));
             }
             else {
-                releaseInOrder(() => passOn(isFromServer, () => to.end()));
+                release(() => passOn(isFromServer, () => to.end()));
             }
         });
-        from.on("error", () => releaseInOrder(() => resetSocket(to)));
+        from.on("error", () => release(() => resetSocket(to)));
         from.on("close", () => {
             sockets.delete(from);
-            releaseInOrder(() => passOn(isFromServer, () => to.destroy()));
+            connections.delete(connection);
+            release(() => passOn(isFromServer, () => to.destroy()));
         });
+
+        function release(action: () => void): void {
+            releaseInOrder(() => connection.isSilent ? undefined : action());
+        }
     }
 
     async function hold(milliseconds: number): Promise<void> {
