Let connections between control members fall silent in a test

Where the open connections between control members go silent for good, while new ones work, calls between members end at their time limits but their connections stay, so that no majority answers and reads get 503 at every member. Links between the members of the rig are proxies; the soak's are shared with it.

--- a/tests/platform/lostDisks/startControlGroup.ts
+++ b/tests/platform/lostDisks/startControlGroup.ts
@@ -1,5 +1,5 @@
 /*
- * Starts three control members of built programs with an operator, for tests that lose disks in turn.
+ * Starts three control members of built programs with an operator, for tests that lose disks or connections. Proxies stand between them.
  */
 import { once } from "node:events";
 import { AddressInfo } from "node:net";
@@ -13,10 +13,12 @@
 import { SoakOperator } from "../soak/SoakOperator";
 import { soakPorts } from "../soak/soakPorts";
 import { SoakProcess } from "../soak/SoakProcess";
+import { startMemberLinks } from "../soak/startMemberLinks";
 import { startSeries } from "../soak/startSeries";
 import { startSoakOperator } from "../soak/startSoakOperator";
 import { startSoakPlatformList } from "../soak/startSoakPlatformList";
 import { startSoakProcess } from "../soak/startSoakProcess";
+import { SoakProxy } from "../soak/startSoakProxy";
 
 const memberCount = 3;
 const platformListNumber = 41;
@@ -32,6 +34,8 @@
     readonly controls: readonly SoakProcess[];
     /** The operator, which reads all the while. */
     readonly operator: SoakOperator;
+    /** The proxies between the members. */
+    readonly links: readonly SoakProxy[];
     /** Kills a member and empties its folder; it is started again after a second. Resolves once it has been started. */
     loseDisk(index: number): Promise<void>;
     /** Kills all members and empties the folder of one of them; all are started again after a second. */
@@ -58,8 +62,11 @@
     const platformList = await startSoakPlatformList(`${network}.${platformListNumber}`, () => []);
     const ips = Array.from({ length: memberCount }, (...[, index]) => `${network}.${index + 1}`);
     const addresses = ips.map(ip => `${ip}:${soakPorts.operator}`);
+    const memberLinks = await Promise.all(ips.map(ip => startMemberLinks(ip, ips)));
+    const links = memberLinks.flatMap(member => member.links);
     const controls = ips.map((ip, index) =>
         startSoakProcess({
+            redirections: memberLinks[index]!.redirections,
             ip,
             role: "control",
             folder: join(folder, `control-${index + 1}`),
@@ -80,7 +87,7 @@
         const count = Math.min(changesAtOnce, versionCount - version);
         await Promise.all(Array.from({ length: count }, () => operator.changeDocument()));
     }
-    return { controls, operator, loseDisk, loseDiskAndKillOthers, startChanges, stop };
+    return { controls, operator, links, loseDisk, loseDiskAndKillOthers, startChanges, stop };
 
     async function loseDisk(index: number): Promise<void> {
         controls[index]!.changeDataFolderBeforeRestart(emptyFolder);
@@ -102,6 +109,7 @@
     async function stop(): Promise<void> {
         operator.stop();
         await Promise.all(controls.map(control => control.stop()));
+        links.forEach(link => link.stop());
         const closed = once(platformList, "close");
         platformList.close();
         platformList.closeAllConnections();
--- a/tests/platform/soak/startSoakDeployment.ts
+++ b/tests/platform/soak/startSoakDeployment.ts
@@ -10,6 +10,7 @@
 import { SoakDeployment } from "./SoakDeployment";
 import { soakPorts } from "./soakPorts";
 import { soakSoftwareVersions } from "./soakSoftwareVersions";
+import { startMemberLinks } from "./startMemberLinks";
 import { startSoakBackend } from "./startSoakBackend";
 import { startSoakPlatformList } from "./startSoakPlatformList";
 import { startSoakProcess } from "./startSoakProcess";
@@ -72,15 +73,18 @@
     );
     const seedAddresses = controlNumbers.map(number => `${getIp(number)}:${soakPorts.operator}`);
     const memberLinks: SoakProxy[] = [];
-    const startProcess = async (role: "entry" | "control", number: number) =>
-        startSoakProcess({
-            redirections: hasMemberLosses ? await startMemberLinks(number) : undefined,
+    const startProcess = async (role: "entry" | "control", number: number) => {
+        const links = hasMemberLosses ? await startMemberLinks(getIp(number), controlNumbers.map(getIp)) : undefined;
+        memberLinks.push(...links?.links ?? []);
+        return startSoakProcess({
+            redirections: links?.redirections,
             ip: getIp(number),
             role,
             folder: join(folder, `${role}-${number}`),
             seedAddresses,
             listAddress: platformListProxy.address,
         });
+    };
     const controls = await Promise.all(controlNumbers.map(number => startProcess("control", number)));
     const entries = await Promise.all(entryNumbers.map(number => startProcess("entry", number)));
     const operatorProxies = await Promise.all(
@@ -107,18 +111,6 @@
             platformList.closeAllConnections();
         },
     };
-
-    /** Starts the proxies from one process to the control members, and gets their addresses by those of the members. */
-    async function startMemberLinks(number: number): Promise<Record<string, string>> {
-        const targets = controlNumbers.filter(target => target !== number);
-        const links = await Promise.all(targets.map(async target => {
-            const address = `${getIp(target)}:${soakPorts.internal}`;
-            const link = await startSoakProxy(getIp(target), address);
-            memberLinks.push(link);
-            return [address, link.address] as const;
-        }));
-        return Object.fromEntries(links);
-    }
 }
 
 /** Gets the last numbers of the addresses. */
--- a/tests/platform/soak/waitForDocumentAtAll.ts
+++ b/tests/platform/soak/waitForDocumentAtAll.ts
@@ -9,13 +9,17 @@
 const millisecondsPerSecond = 1_000;
 
 /**
- * Waits until all members return the newest document within the recovery bound, and for the stable window without a break.
+ * Waits until all members return the newest document in time, and for the stable window without a break.
  * @param operator - Reads the document.
+ * @param timeoutMilliseconds - How long it may take them; the recovery bound by default.
  * @returns The time until the first of these reads, in milliseconds, or what a member returned in its place.
  */
-export async function waitForDocumentAtAll(operator: SoakOperator): Promise<number | string> {
+export async function waitForDocumentAtAll(
+    operator: SoakOperator,
+    timeoutMilliseconds = soakBounds.recovery_s * millisecondsPerSecond,
+): Promise<number | string> {
     const startMilliseconds = Date.now();
-    const endMilliseconds = startMilliseconds + soakBounds.recovery_s * millisecondsPerSecond;
+    const endMilliseconds = startMilliseconds + timeoutMilliseconds;
     let firstReadMilliseconds: number | undefined;
     while (true) {
         const sentMilliseconds = Date.now();
