--- a/tests/platform/soak/startSoakDeployment.ts
+++ b/tests/platform/soak/startSoakDeployment.ts
@@ -10,10 +10,11 @@
 import { SoakDeployment } from "./SoakDeployment";
 import { soakPorts } from "./soakPorts";
 import { soakSoftwareVersions } from "./soakSoftwareVersions";
+import { startMemberLinks } from "./startMemberLinks";
 import { startSoakBackend } from "./startSoakBackend";
 import { startSoakPlatformList } from "./startSoakPlatformList";
 import { startSoakProcess } from "./startSoakProcess";
-import { startSoakProxy } from "./startSoakProxy";
+import { SoakProxy, startSoakProxy } from "./startSoakProxy";
 
 const firstControlNumber = 1;
 /** The first numbers of the small deployment; those of a larger one come after them. */
@@ -42,7 +43,7 @@
 ): Promise<SoakDeployment> {
     const getIp = (number: number) => `${network}.${number}`;
     const { controlNumbers, entryNumbers, engineNumbers, plainServiceNumbers } = getNumbers(seed);
-    const { hasAnswerFaults } = getSoakSize(seed);
+    const { hasAnswerFaults, hasMemberLosses } = getSoakSize(seed);
     const backends = await Promise.all([...engineNumbers, ...plainServiceNumbers].map(number => {
         const isEngine = engineNumbers.includes(number);
         const service = isEngine ? "engines" : "actions";
@@ -71,16 +72,21 @@
         `${getIp(platformListNumber)}:${platformListPort}`,
     );
     const seedAddresses = controlNumbers.map(number => `${getIp(number)}:${soakPorts.operator}`);
-    const startProcess = (role: "entry" | "control", number: number) =>
-        startSoakProcess({
+    const memberLinks: SoakProxy[] = [];
+    const startProcess = async (role: "entry" | "control", number: number) => {
+        const links = hasMemberLosses ? await startMemberLinks(getIp(number), controlNumbers.map(getIp)) : undefined;
+        memberLinks.push(...links?.links ?? []);
+        return startSoakProcess({
+            redirections: links?.redirections,
             ip: getIp(number),
             role,
             folder: join(folder, `${role}-${number}`),
             seedAddresses,
             listAddress: platformListProxy.address,
         });
-    const controls = controlNumbers.map(number => startProcess("control", number));
-    const entries = entryNumbers.map(number => startProcess("entry", number));
+    };
+    const controls = await Promise.all(controlNumbers.map(number => startProcess("control", number)));
+    const entries = await Promise.all(entryNumbers.map(number => startProcess("entry", number)));
     const operatorProxies = await Promise.all(
         controls.map(({ ip }) => startSoakProxy(ip, `${ip}:${soakPorts.operator}`)),
     );
@@ -94,11 +100,12 @@
         backends,
         proxies,
         callerProxies,
+        memberLinks,
         callerAddresses: callerProxies.map(proxy => proxy.address),
         operatorAddresses: operatorProxies.map(proxy => proxy.address),
         stop: async () => {
             await Promise.all([...controls, ...entries].map(process => process.stop()));
-            proxies.forEach(proxy => proxy.stop());
+            [...proxies, ...memberLinks].forEach(proxy => proxy.stop());
             backends.forEach(backend => backend.stop());
             platformList.close();
             platformList.closeAllConnections();
