--- a/src/control/consensus/createReplicatedLog.ts
+++ b/src/control/consensus/createReplicatedLog.ts
@@ -3,7 +3,7 @@
  * task for each peer, the applier, and the maintenance of the group's members.
  */
 import { create, fromBinary } from "@bufbuild/protobuf";
-import { TaskName } from "../../metrics";
+import { GaugeName, TaskName } from "../../metrics";
 import { EntryKind, MemberRole, MemberSet, MemberSetSchema } from "../../protocol";
 import { superviseTask } from "../../supervision";
 import { addLogGauges } from "./addLogGauges";
