--- a/src/control/consensus/createLeadership.ts
+++ b/src/control/consensus/createLeadership.ts
@@ -21,12 +21,13 @@
 export function createLeadership(state: ConsensusState, getProposals: () => ProposalQueue): Leadership {
     const { options: { storage, clock }, timing, members } = state;
     const { promiseLength } = state;
+    /** How long a new leader, which holds no lease yet, waits for first responses, in milliseconds. */
+    const firstResponsesMilliseconds = timing.minimumElectionTimeoutMilliseconds * timing.maximumPromiseFactor;
     const responseSignal = createSignal(clock);
     let peers = new Map<string, PeerProgress>();
     let ledTerm = 0n;
     let startIndex = 0n;
     let leaderSinceMilliseconds = 0;
-    let firstLeaseMilliseconds = 0;
     let lastMajorityMilliseconds = -Infinity;
     state.addListener(responseSignal.notify);
     return {
@@ -47,7 +48,6 @@
         startIndex = storage.getLastIndex() + 1n;
         leaderSinceMilliseconds = clock.getMonotonicMilliseconds();
         lastMajorityMilliseconds = -Infinity;
-        firstLeaseMilliseconds = getLeaseDuration(promiseLength.getMilliseconds());
         peers.forEach(removePeer);
         peers = new Map();
         state.startTask(() => runQuorumCheck(ledTerm));
@@ -178,16 +178,15 @@
     async function runQuorumCheck(term: bigint): Promise<void> {
         while (state.leads(term)) {
             const sinceMilliseconds = clock.getMonotonicMilliseconds() - leaderSinceMilliseconds;
-            const remaining = Math.max(
-                getRemainingPromise(getElapsedMilliseconds),
-                firstLeaseMilliseconds - sinceMilliseconds,
-            );
+            const remaining = getMajorityMilliseconds() === -Infinity
+                ? firstResponsesMilliseconds - sinceMilliseconds
+                : getRemainingPromise(getElapsedMilliseconds);
             if (remaining <= 0) {
                 promiseLength.recordLostLease();
                 state.stepDown("no majority answers", { voters: getVoterDelays() });
                 return;
             }
-            await state.roleSignal.wait(remaining);
+            await state.roleSignal.wait(Math.min(remaining, getLeaseDuration(promiseLength.getMilliseconds())));
         }
     }
 
--- a/tests/platform/soak/soakRegressions.ts
+++ b/tests/platform/soak/soakRegressions.ts
@@ -37,6 +37,10 @@
 const forgottenRetries =
     "backend servers got more retries than the budget allows, as each start of an entry process brought a full budget";
 
+const silentMembers =
+    "members gave no answer, as connections between them that had gone silent were never given up, and a lost disk was not "
+    + "replaced in time";
+
 /** The seeds, each with the cause of the failure at the time. */
 export const soakRegressions: readonly { seed: number; cause: string; }[] = [
     { seed: 217, cause: readAfterLastResponse },
@@ -66,4 +70,6 @@
     { seed: 120000, cause: forgottenRetries },
     { seed: 120001, cause: forgottenRetries },
     { seed: 120008, cause: forgottenRetries },
+    { seed: 140000, cause: silentMembers },
+    { seed: 140001, cause: silentMembers },
 ];
