End a split vote beside a silent voter soon, and rely only on promises that were given

With round trips above 350 ms the leader held its lease, but took its members for unresponsive and refused each step of a repair. Read only: members of an earlier version, or with other bounds, promise less than the leader asked for, so that two members could hold the lease.

A repair takes members that respond within the promise for responsive. Responses state the promise that was given, and the lease relies on that.

--- a/scripts/logMutations.ts
+++ b/scripts/logMutations.ts
@@ -120,6 +120,12 @@
         originalText: "term === 0n ? -Infinity : clock.getMonotonicMilliseconds()",
         replacement: "-Infinity",
     },
+    {
+        rule: "A lease relies on the promise that a member has given",
+        file: "consensus/createConsensusState.ts",
+        originalText: "return Math.min(askedMilliseconds || minimum, minimum * timing.maximumPromiseFactor);",
+        replacement: "return askedMilliseconds || minimum;",
+    },
     {
         rule: "A restarted member keeps the longest promise that it may have given",
         file: "consensus/createConsensusState.ts",
--- a/src/control/consensus/ConsensusState.ts
+++ b/src/control/consensus/ConsensusState.ts
@@ -82,6 +82,11 @@
     restartElectionTimer(): void;
     /** Adopts a higher term and becomes a follower; other terms are ignored. */
     observeTerm(term: bigint): void;
+    /**
+     * Gets the promise that the member gives for a leader's message, in milliseconds.
+     * @param askedMilliseconds - What the message asks for, in milliseconds; 0 is the minimum election timeout.
+     */
+    getGrantedPromise(askedMilliseconds: number): number;
     /**
      * Records a message from the leader of the current term, and follows it.
      * @param address - The leader's address.
--- a/src/control/consensus/PeerResponse.ts
+++ b/src/control/consensus/PeerResponse.ts
@@ -8,4 +8,6 @@
     term: bigint;
     /** The peer's identity, which is tied to its disk. */
     memberId: string;
+    /** How long the peer refuses votes, in milliseconds; 0 from a member that doesn't tell it. */
+    promiseMilliseconds: number;
 }
--- a/src/control/consensus/collectVotes.ts
+++ b/src/control/consensus/collectVotes.ts
@@ -55,6 +55,10 @@
                 answers.set(voter.memberId, response);
                 onTerm(response.term);
                 grantedCount += response.granted && response.memberId === voter.memberId ? 1 : 0;
+                if (!response.granted && response.memberId === voter.memberId) {
+                    // Where votes are split, a voter that doesn't respond must not delay the next election.
+                    runAfter(clock, 2 * slowVoterMilliseconds, () => finish(false), controller.signal);
+                }
             }
             finishIfDecided();
         }
--- a/src/control/consensus/createConsensusState.ts
+++ b/src/control/consensus/createConsensusState.ts
@@ -77,6 +77,7 @@
         scheduleEarlyElection,
         restartElectionTimer,
         observeTerm,
+        getGrantedPromise,
         followLeader,
         setVote,
         becomeCandidate,
@@ -150,8 +151,14 @@
         setRole(ConsensusRole.Follower);
     }
 
+    /** Limits a promise to the one that the member would keep across a restart. */
+    function getGrantedPromise(askedMilliseconds: number): number {
+        const minimum = timing.minimumElectionTimeoutMilliseconds;
+        return Math.min(askedMilliseconds || minimum, minimum * timing.maximumPromiseFactor);
+    }
+
     function followLeader(address: string, promiseMilliseconds: number): void {
-        const promise = promiseMilliseconds || timing.minimumElectionTimeoutMilliseconds;
+        const promise = getGrantedPromise(promiseMilliseconds);
         hasFormerContact = false;
         lastContactMilliseconds = clock.getMonotonicMilliseconds();
         promiseEndMilliseconds = Math.max(promiseEndMilliseconds, lastContactMilliseconds + promise);
--- a/src/control/consensus/createFollower.ts
+++ b/src/control/consensus/createFollower.ts
@@ -47,7 +47,11 @@
         }
         hasStoredTerm ||= await state.persist() && storage.getHardState().term > 0n;
         return hasStoredTerm
-            ? create(HeartbeatResponseSchema, { term: state.getTerm(), memberId: storage.memberId })
+            ? create(HeartbeatResponseSchema, {
+                term: state.getTerm(),
+                memberId: storage.memberId,
+                promiseMilliseconds: state.getGrantedPromise(request.promiseMilliseconds),
+            })
             : undefined;
     }
 
@@ -57,7 +61,7 @@
         }
         const isAddressedToMember = request.group === group && request.recipientId === storage.memberId;
         if (!isAddressedToMember || request.term < state.getTerm() || state.leads(request.term)) {
-            return getResponse(false, storage.getLastIndex());
+            return getResponse(request, false, storage.getLastIndex());
         }
         state.observeTerm(request.term);
         state.followLeader(request.leaderAddress, request.promiseMilliseconds);
@@ -66,25 +70,25 @@
 
     async function appendEntries(request: AppendRequest): Promise<AppendResponse | undefined> {
         if (state.getTerm() !== request.term) {
-            return getResponse(false, storage.getLastIndex());
+            return getResponse(request, false, storage.getLastIndex());
         }
         if (!await state.persist()) {
             return undefined;
         }
         const mismatch = findMismatch(request);
         if (mismatch !== undefined) {
-            return getResponse(false, mismatch);
+            return getResponse(request, false, mismatch);
         }
         if (!await storeEntries(request.entries)) {
             return undefined;
         }
         if (state.getTerm() !== request.term || state.isStopped()) {
-            return state.isStopped() ? undefined : getResponse(false, storage.getLastIndex());
+            return state.isStopped() ? undefined : getResponse(request, false, storage.getLastIndex());
         }
         state.followLeader(request.leaderAddress, request.promiseMilliseconds);
         const matchIndex = request.previousIndex + BigInt(request.entries.length);
         state.advanceCommitIndex(request.commitIndex < matchIndex ? request.commitIndex : matchIndex);
-        return getResponse(true, matchIndex);
+        return getResponse(request, true, matchIndex);
     }
 
     /**
@@ -156,12 +160,17 @@
         return outcome.kind === "stored";
     }
 
-    function getResponse(accepted: boolean, lastIndex: bigint): AppendResponse {
+    function getResponse(
+        { promiseMilliseconds: askedPromiseMilliseconds }: AppendRequest,
+        accepted: boolean,
+        lastIndex: bigint,
+    ): AppendResponse {
         return create(AppendResponseSchema, {
             term: state.getTerm(),
             accepted,
             lastIndex,
             memberId: storage.memberId,
+            promiseMilliseconds: state.getGrantedPromise(askedPromiseMilliseconds),
         });
     }
 }
--- a/src/control/consensus/createSnapshotReceiver.ts
+++ b/src/control/consensus/createSnapshotReceiver.ts
@@ -42,7 +42,7 @@
         }
         const isAddressedToMember = part.group === group && part.recipientId === storage.memberId;
         if (!isAddressedToMember || part.term < state.getTerm()) {
-            return getResponse(false, 0n);
+            return getResponse(part, false, 0n);
         }
         state.observeTerm(part.term);
         state.followLeader(part.leaderAddress, part.promiseMilliseconds);
@@ -51,18 +51,18 @@
 
     async function appendPart(part: SnapshotPart): Promise<SnapshotPartResponse | undefined> {
         if (state.getTerm() !== part.term) {
-            return getResponse(false, 0n);
+            return getResponse(part, false, 0n);
         }
         if (!await state.persist()) {
             return undefined;
         }
         if (part.snapshotIndex <= state.getCommitIndex()) {
-            return getResponse(true, completeOffset);
+            return getResponse(part, true, completeOffset);
         }
         const snapshot = getOrStartIncoming(part);
         const isExpected = part.offset === BigInt(snapshot.byteCount) && crc32(part.data) === part.checksum;
         if (!isExpected) {
-            return getResponse(false, BigInt(snapshot.byteCount));
+            return getResponse(part, false, BigInt(snapshot.byteCount));
         }
         snapshot.parts.push(part.data);
         snapshot.byteCount += part.data.length;
@@ -71,7 +71,7 @@
         }
         state.followLeader(part.leaderAddress, part.promiseMilliseconds);
         const isCurrent = state.getTerm() === part.term;
-        return getResponse(isCurrent, part.last ? completeOffset : BigInt(snapshot.byteCount));
+        return getResponse(part, isCurrent, part.last ? completeOffset : BigInt(snapshot.byteCount));
     }
 
     /** Gets the incoming snapshot that a part belongs to; a part of another snapshot discards the parts so far. */
@@ -112,12 +112,17 @@
         return true;
     }
 
-    function getResponse(accepted: boolean, nextOffset: bigint): SnapshotPartResponse {
+    function getResponse(
+        { promiseMilliseconds: askedPromiseMilliseconds }: SnapshotPart,
+        accepted: boolean,
+        nextOffset: bigint,
+    ): SnapshotPartResponse {
         return create(SnapshotPartResponseSchema, {
             term: state.getTerm(),
             accepted,
             nextOffset,
             memberId: storage.memberId,
+            promiseMilliseconds: state.getGrantedPromise(askedPromiseMilliseconds),
         });
     }
 }
--- a/src/control/consensus/isMemberResponsive.ts
+++ b/src/control/consensus/isMemberResponsive.ts
@@ -5,7 +5,7 @@
 import { Leadership } from "./Leadership";
 
 /**
- * Returns whether a member acknowledged a message of the leader within the minimum election timeout, under the identity
+ * Returns whether a member acknowledged a message of the leader within the promise it asks for, under the identity
  * that the member set lists.
  * @param state - The leader's state.
  * @param leadership - Gives the replication progress of each peer.
@@ -14,5 +14,5 @@
 export function isMemberResponsive(state: ConsensusState, leadership: Leadership, memberId: string): boolean {
     const isReplaced = leadership.getProgress(memberId)?.isReplaced ?? false;
     const unresponsiveMilliseconds = leadership.getUnresponsiveMilliseconds(memberId);
-    return !isReplaced && unresponsiveMilliseconds < state.timing.minimumElectionTimeoutMilliseconds;
+    return !isReplaced && unresponsiveMilliseconds < state.promiseLength.getMilliseconds();
 }
--- a/src/control/consensus/recordResponse.ts
+++ b/src/control/consensus/recordResponse.ts
@@ -39,8 +39,10 @@
         progress.acknowledgedSendMilliseconds ?? -Infinity,
         sent.sentMilliseconds,
     );
-    if (!progress.promised || getPromiseEnd(sent) >= getPromiseEnd(progress.promised)) {
-        progress.promised = sent;
+    const granted = response.promiseMilliseconds || state.timing.minimumElectionTimeoutMilliseconds;
+    const promised = { ...sent, promiseMilliseconds: Math.min(sent.promiseMilliseconds, granted) };
+    if (!progress.promised || getPromiseEnd(promised) >= getPromiseEnd(progress.promised)) {
+        progress.promised = promised;
     }
     return true;
 }
--- a/src/control/consensus/runMembershipMaintenance.ts
+++ b/src/control/consensus/runMembershipMaintenance.ts
@@ -124,6 +124,6 @@
         }
         const unresponsiveMilliseconds = leadership.getUnresponsiveMilliseconds(member.memberId);
         return progress.matchIndex >= state.getCommitIndex()
-            && unresponsiveMilliseconds < timing.minimumElectionTimeoutMilliseconds;
+            && unresponsiveMilliseconds < state.promiseLength.getMilliseconds();
     }
 }
--- a/tests/control/consensus/createReplicatedLog.tests.ts
+++ b/tests/control/consensus/createReplicatedLog.tests.ts
@@ -131,6 +131,36 @@
                 expect((await group.waitFor(preVote))?.granted).to.equal(false);
             }));
 
+        it("relies on no longer promise than a member gives", () =>
+            withGroup({}, async (group, leader) => {
+                const [voter] = getOthers(group, leader);
+                const { term } = getStatus(leader);
+                const recipientId = getStatus(voter!).memberId;
+                const heartbeat = { group: "test", term, leaderAddress: leader.address, recipientId };
+                async function getPromise(promiseMilliseconds: number): Promise<number | undefined> {
+                    const request = create(HeartbeatRequestSchema, { ...heartbeat, promiseMilliseconds });
+                    return (await voter!.log!.handleHeartbeat(request))?.promiseMilliseconds;
+                }
+                expect(await getPromise(0)).to.equal(leaseMilliseconds);
+                expect(await getPromise(700)).to.equal(700);
+                expect(await getPromise(9_000)).to.equal(longestPromiseMilliseconds);
+            }));
+
+        it("is soon taken over beside a member that doesn't respond, also after split votes", async () => {
+            for (const seed of Array.from({ length: 40 }, (...[, index]) => index)) {
+                await withGroup({ seed, options: { timing: shortTiming } }, async (group, leader) => {
+                    group.network.timeoutMilliseconds = 1_000;
+                    group.network.maximumDelayMilliseconds = 30;
+                    group.members.forEach(member => {
+                        member.syncMilliseconds = { minimum: 0, maximum: 20 };
+                    });
+                    await group.advance(1_000);
+                    group.endProcess(leader);
+                    await group.advanceUntil(() => (group.getLeader() ?? leader) !== leader, 4_000);
+                });
+            }
+        });
+
         it("gets no vote for as long as a member has promised before its restart", () =>
             withGroup({}, async (group, leader) => {
                 const [voter] = getOthers(group, leader);
