End the waits of appends without an exception for each

Each answered append and each finished write created an exception with a stack trace to end its wait; in a profile of the simulation this and the signal took most of the time of appends.

--- a/src/control/consensus/createProposalQueue.ts
+++ b/src/control/consensus/createProposalQueue.ts
@@ -5,6 +5,7 @@
 import { create, toBinary } from "@bufbuild/protobuf";
 import { HistogramName } from "../../metrics";
 import { EntryKind, LogEntry, LogEntrySchema, MemberSet, MemberSetSchema } from "../../protocol";
+import { abortWait } from "../../runtime";
 import { Applier } from "./Applier";
 import { ConsensusRole } from "./ConsensusRole";
 import { ConsensusState } from "./ConsensusState";
@@ -128,7 +129,7 @@
         const written = new AbortController();
         state.startTask(() => stepDownIfOthersAreFaster(term, index, written.signal));
         const outcome = await write;
-        written.abort();
+        abortWait(written);
         if (outcome.kind === "failed") {
             state.fail(outcome.reason);
             return;
--- a/src/control/consensus/runWithHeartbeats.ts
+++ b/src/control/consensus/runWithHeartbeats.ts
@@ -4,7 +4,7 @@
  */
 import { create } from "@bufbuild/protobuf";
 import { HeartbeatRequestSchema } from "../../protocol";
-import { detach } from "../../runtime";
+import { abortWait, detach } from "../../runtime";
 import { isPeerTaskActive } from "./isPeerTaskActive";
 import { PeerTask } from "./PeerTask";
 import { recordResponse } from "./recordResponse";
@@ -26,7 +26,7 @@
         return await send();
     }
     finally {
-        answered.abort();
+        abortWait(answered);
     }
 
     async function sendHeartbeats(): Promise<void> {
